Serve the whole path, thin: records, revisions, spread, membership, calls, demo

Change: a workspace with the schema, the decision packages, the packages that speak to one peer each, the node, carobctl, and carobbench with the stand-ins and the demo.

--- /dev/null
+++ b/carobbench/demo.go
@@ -0,0 +1,307 @@
+package main
+
+// This file runs Jieming's deployment in one process: 11 instances in 4 failure
+// domains, a change under load, and a graceful shutdown under load.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"caroblift.dev/carobbench/examples"
+	"caroblift.dev/carobbench/fleet"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/wire"
+	"caroblift.dev/wire/wireconnect"
+)
+
+// inForceBound is the time in which a change must be in force everywhere.
+const inForceBound = 3 * time.Second
+
+type demoCommand struct {
+	Callers int           `long:"callers" default:"8" description:"callers at one time"`
+	Time    time.Duration `long:"time" default:"2s" description:"duration of each phase"`
+}
+
+// demo is one run.
+type demo struct {
+	fleet *fleet.Fleet
+	calls atomic.Int64
+	fails atomic.Int64
+	bad   atomic.Int64 // answers that were not whole or not the caller's own
+	first sync.Map     // reasons of failure
+
+	mu   sync.Mutex
+	keys []string // of bookings
+}
+
+// summary is the last line of the report.
+type summary struct {
+	Nodes     int    `json:"nodes"`
+	Revision  uint64 `json:"revision"`
+	Calls     int64  `json:"calls"`
+	Errors    int64  `json:"errors"`
+	Doubled   int    `json:"doubled"`
+	Converged int64  `json:"converged"` // ms until the change was in force everywhere
+}
+
+// Execute runs the demo and fails when a promise broke.
+func (c *demoCommand) Execute([]string) error {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+	f, err := fleet.New(fleet.Config{Log: log})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := &demo{fleet: f}
+	if err := d.start(); err != nil {
+		return err
+	}
+	return d.run(c)
+}
+
+// start adds the instances and applies the shipped records.
+func (d *demo) start() error {
+	domains := []string{"xitun", "nantun", "beitun", "fengyuan"}
+	for i := range 11 {
+		p := fleet.Place{Name: fmt.Sprintf("quotes-%d", i+1), Service: "quotes", Domain: domains[i%4], Slots: 6, Work: 2 * time.Millisecond}
+		if i >= 7 {
+			p.Name, p.Service = fmt.Sprintf("drawings-%d", i-6), "drawings"
+		}
+		if _, err := d.fleet.Add(p); err != nil {
+			return err
+		}
+	}
+	if !fleet.Await(15*time.Second, d.joined) {
+		return errors.New("the nodes did not all learn of each other within 15 s")
+	}
+	records, err := readRecords(examples.Jieming)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		if err := d.apply(r); err != nil {
+			return err
+		}
+	}
+	if !fleet.Await(inForceBound, func() bool { return d.inForce("route", "stock", 0) }) {
+		return errors.Errorf("the records were not in force everywhere within %s", inForceBound)
+	}
+	fmt.Printf("%d nodes in %d failure domains, %d records in force\n", len(d.fleet.Members()), len(domains), len(records))
+	return nil
+}
+
+func (d *demo) joined() bool {
+	for _, m := range d.fleet.Members() {
+		v := m.Node.Members.View()
+		if len(v.Names) != 11 || len(v.Offers("quotes")) != 7 || len(v.Offers("drawings")) != 4 {
+			return false
+		}
+	}
+	return true
+}
+
+// readRecords decodes a file of record documents.
+func readRecords(data []byte) ([]*wire.Record, error) {
+	var out []*wire.Record
+	dec := json.NewDecoder(bytes.NewReader(data))
+	for {
+		var doc struct {
+			Kind   string
+			Name   string
+			Schema uint32
+			Spec   json.RawMessage
+		}
+		err := dec.Decode(&doc)
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "records")
+		}
+		kind, _ := record.ParseKind(doc.Kind)
+		out = append(out, &wire.Record{Kind: kind, Name: doc.Name, Schema: doc.Schema, Body: doc.Spec})
+	}
+}
+
+// apply writes a record through the last node, which is not special.
+func (d *demo) apply(r *wire.Record) error {
+	ms := d.fleet.Members()
+	c := wireconnect.NewOperatorClient(http.DefaultClient, "http://"+ms[len(ms)-1].Node.Addresses().Operator)
+	resp, err := c.Apply(context.Background(), connect.NewRequest(&wire.ApplyRequest{Record: r, Force: true}))
+	if err != nil {
+		return errors.Wrapf(err, "apply %s", record.KeyOf(r))
+	}
+	return record.Findings(resp.Msg.GetFindings()).Err()
+}
+
+// inForce tells whether every node holds a record newer than a version.
+func (d *demo) inForce(kind, name string, version uint64) bool {
+	k, _ := record.ParseKind(kind)
+	for _, m := range d.fleet.Members() {
+		select {
+		case <-m.Node.Dead():
+			continue
+		default:
+		}
+		if m.Node.Holder.Table().Records[record.Key{Kind: k, Name: name}].GetVersion() <= version {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *demo) run(c *demoCommand) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range c.Callers {
+		wg.Go(func() { d.call(ctx, i) })
+	}
+	time.Sleep(c.Time)
+	converged, err := d.change()
+	time.Sleep(c.Time)
+	if err == nil {
+		err = d.drain()
+	}
+	time.Sleep(c.Time)
+	cancel()
+	wg.Wait()
+	if err != nil {
+		return err
+	}
+	return d.report(converged)
+}
+
+// change moves the route of /stock to the quotes service under load.
+func (d *demo) change() (time.Duration, error) {
+	key := record.Key{Kind: wire.Kind_KIND_ROUTE, Name: "stock"}
+	old := d.fleet.Members()[0].Node.Holder.Table().Records[key].GetVersion()
+	start := time.Now()
+	body := []byte(`{"prefix": "/stock", "service": "quotes", "timeout": "2s"}`)
+	if err := d.apply(&wire.Record{Kind: key.Kind, Name: key.Name, Schema: 2, Body: body}); err != nil {
+		return 0, err
+	}
+	if !fleet.Await(inForceBound, func() bool { return d.inForce("route", "stock", old) }) {
+		return 0, errors.Errorf("the changed route was not in force everywhere within %s", inForceBound)
+	}
+	took := time.Since(start)
+	fmt.Printf("route stock moved to quotes, in force on every node after %d ms\n", took.Milliseconds())
+	return took, nil
+}
+
+// drain stops one instance gracefully under load.
+func (d *demo) drain() error {
+	m := d.fleet.Members()[2]
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	start := time.Now()
+	if err := m.Drain(ctx); err != nil {
+		return errors.Wrapf(err, "drain %s", m.Place.Name)
+	}
+	fmt.Printf("instance %s drained and stopped in %d ms\n", m.Place.Name, time.Since(start).Milliseconds())
+	return nil
+}
+
+// call sends calls one after another until the context ends. Each caller
+// leaves out the instance that is drained as its entry.
+func (d *demo) call(ctx context.Context, caller int) {
+	client := &http.Client{Timeout: 10 * time.Second}
+	paths := []string{"/quotes/7", "/orders", "/drawings/9", "/stock/3"}
+	entries := d.fleet.Members()
+	entries = append(entries[:2:2], entries[3:]...)
+	for i := 0; ctx.Err() == nil; i++ {
+		path := paths[i%len(paths)]
+		method := http.MethodGet
+		if path == "/orders" {
+			method = http.MethodPost
+		}
+		key := fmt.Sprintf("%d-%d", caller, i)
+		entry := entries[(caller+i)%len(entries)].Node.Addresses().Caller
+		d.one(client, method, "http://"+entry+path, key)
+	}
+}
+
+func (d *demo) one(client *http.Client, method, url, key string) {
+	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader("body of "+key))
+	if err != nil {
+		panic(err) // the URL is made here
+	}
+	req.Header.Set("Key", key)
+	if method == http.MethodPost {
+		d.mu.Lock()
+		d.keys = append(d.keys, key)
+		d.mu.Unlock()
+	}
+	d.calls.Add(1)
+	resp, err := client.Do(req)
+	if err != nil {
+		d.fail(err.Error())
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		d.fail(err.Error())
+	case resp.StatusCode != http.StatusOK:
+		d.fail(fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get("Caroblift-Reason")))
+	case !strings.HasSuffix(string(body), key+" body of "+key):
+		d.bad.Add(1)
+	}
+}
+
+func (d *demo) fail(reason string) {
+	d.fails.Add(1)
+	n, _ := d.first.LoadOrStore(reason, new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
+}
+
+// doubled counts the bookings that ran more than once.
+func (d *demo) doubled() int {
+	runs := map[string]int{}
+	for _, m := range d.fleet.Members() {
+		for key, n := range m.Server.Runs() {
+			runs[key] += n
+		}
+	}
+	n := 0
+	for _, key := range d.keys {
+		if runs[key] > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *demo) report(converged time.Duration) error {
+	s := summary{
+		Nodes: len(d.fleet.Members()), Revision: d.fleet.Members()[0].Node.Holder.Table().Number,
+		Calls: d.calls.Load(), Errors: d.fails.Load() + d.bad.Load(), Doubled: d.doubled(), Converged: converged.Milliseconds(),
+	}
+	fmt.Printf("%d calls, %d failed, %d wrong answers, %d bookings ran twice\n", s.Calls, d.fails.Load(), d.bad.Load(), s.Doubled)
+	d.first.Range(func(reason, n any) bool {
+		fmt.Printf("  %d calls failed: %s\n", n.(*atomic.Int64).Load(), reason)
+		return true
+	})
+	line, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Println(string(line))
+	if s.Errors > 0 || s.Doubled > 0 {
+		return errors.New("a promise broke")
+	}
+	return nil
+}
--- /dev/null
+++ b/carobbench/main.go
@@ -0,0 +1,44 @@
+// Command carobbench measures the system against stand-ins for the platform and
+// the backend servers. The other two programs never import it.
+//
+// # Usage
+//
+//	carobbench demo
+//	carobbench platform --listen 127.0.0.1:7000
+//	carobbench server --service quotes --listen 127.0.0.1:9001 --announce http://127.0.0.1:7104/announce
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// command is one subcommand; its Execute runs it.
+type command struct {
+	name, short string
+	data        flags.Commander
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []command{
+		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
+		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
+		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.data); err != nil {
+			panic(err) // a wrong struct tag
+		}
+	}
+	_, err := parser.Parse()
+	switch {
+	case err == nil:
+	case flags.WroteHelp(err):
+		fmt.Println(err)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/mesh/node/node.go
@@ -0,0 +1,266 @@
+// Package node puts a node together: the proxy of one backend server and a
+// member of the overlay that distributes the configuration.
+//
+// # Usage
+//
+//	n, err := node.New(settings, log)
+//	if err != nil {
+//		return err
+//	}
+//	n.Start()
+//	...
+//	n.Stop(ctx) // graceful shutdown
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"caroblift.dev/mesh/backend"
+	"caroblift.dev/mesh/caller"
+	"caroblift.dev/mesh/operator"
+	"caroblift.dev/mesh/peer"
+	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/spread"
+	"caroblift.dev/wire"
+	"caroblift.dev/wire/wireconnect"
+)
+
+// Node is one running node.
+type Node struct {
+	Holder    *revision.Holder
+	Members   *peer.Members
+	Spread    *peer.Spread
+	Publisher *platform.Publisher
+	Reader    *platform.Reader
+	Gate      *backend.Gate
+	Proxy     *caller.Proxy
+
+	settings  *wire.Settings
+	log       *slog.Logger
+	tomb      tomb.Tomb
+	listeners listeners
+	store     *platform.Client
+	poll      *platform.Client
+	pool      *peer.Pool
+	inbound   peer.Counter // control bytes of accepted connections
+	hops      *http.Transport
+	announcer *backend.Announcer
+	operator  *operator.Service
+	servers   []*http.Server
+}
+
+// listeners are a node's open ports.
+type listeners struct {
+	caller, hop, peer, backend, operator net.Listener
+}
+
+// Addresses are the addresses that a node listens at.
+type Addresses struct {
+	Caller, Hop, Peer, Backend, Operator string
+}
+
+// New opens the node's ports and puts its parts together. The node does
+// nothing before Start.
+func New(s *wire.Settings, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, Holder: &revision.Holder{}}
+	n.log = log.With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.assemble()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	l := n.settings.GetListen()
+	for _, one := range []struct {
+		name, addr string
+		into       *net.Listener
+	}{
+		{"caller", l.GetCaller(), &n.listeners.caller},
+		{"hop", l.GetHop(), &n.listeners.hop},
+		{"peer", l.GetPeer(), &n.listeners.peer},
+		{"backend", l.GetBackend(), &n.listeners.backend},
+		{"operator", l.GetOperator(), &n.listeners.operator},
+	} {
+		ln, err := net.Listen("tcp", one.addr)
+		if err != nil {
+			n.closeListeners()
+			return errors.Wrapf(err, "listen.%s %s", one.name, one.addr)
+		}
+		*one.into = ln
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	l := n.listeners
+	for _, ln := range []net.Listener{l.caller, l.hop, l.peer, l.backend, l.operator} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// Addresses returns the addresses that the node listens at.
+func (n *Node) Addresses() Addresses {
+	l := n.listeners
+	return Addresses{
+		Caller: l.caller.Addr().String(), Hop: l.hop.Addr().String(), Peer: l.peer.Addr().String(),
+		Backend: l.backend.Addr().String(), Operator: l.operator.Addr().String(),
+	}
+}
+
+func ms(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+
+func (n *Node) assemble() {
+	n.assemblePeers()
+	n.assemblePlatform()
+	n.assembleCalls()
+	n.operator = operator.New(operator.Config{
+		Store: n.store, Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
+		Report: func(context.Context) *wire.Report { return n.Spread.Report() },
+	})
+}
+
+func (n *Node) assemblePeers() {
+	s, addr := n.settings, n.Addresses()
+	silent := ms(s.GetCalls().GetSilent())
+	n.pool = peer.NewPool(peer.PoolConfig{Silent: silent})
+	n.Members = peer.NewMembers(peer.MembersConfig{
+		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), Beat: ms(s.GetPeers().GetBeat()),
+		Suspect: ms(s.GetPeers().GetSuspect()), Exchange: ms(s.GetPeers().GetExchange()), Log: n.log,
+		Self: &wire.Member{
+			Name: s.GetInstance().GetName(), Domain: s.GetInstance().GetDomain(), Region: s.GetInstance().GetRegion(),
+			Peer: addr.Peer, Hop: addr.Hop, Format: revision.FormatNow,
+			Incarnation: uint64(time.Now().UnixMilli()), State: wire.State_STATE_ALIVE,
+		},
+	})
+	n.Spread = peer.NewSpread(peer.SpreadConfig{
+		Tree: n.tree(), Pool: n.pool, Holder: n.Holder, View: n.Members.View,
+		Checked: func() int64 { return n.Reader.Checked() },
+		Beat:    ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Log: n.log,
+	})
+}
+
+func (n *Node) tree() spread.Tree {
+	return spread.Tree{Fanout: int(n.settings.GetPeers().GetFanout()), Readers: int(n.settings.GetPlatform().GetReaders())}
+}
+
+func (n *Node) assemblePlatform() {
+	s := n.settings.GetPlatform()
+	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout())})
+	n.poll = n.store.Fresh()
+	deliver := func(u *wire.Update) { _ = n.Spread.Offer(u) }
+	n.Reader = platform.NewReader(platform.ReaderConfig{
+		Store: n.store, Poll: n.poll, Holder: n.Holder, Deliver: deliver,
+		Active: func() bool { return n.tree().Reader(n.Members.View()) },
+		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Log: n.log,
+	})
+	n.Publisher = platform.NewPublisher(platform.PublisherConfig{
+		Store: n.store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
+		Rank: func() (int, bool) { return n.tree().Publisher(n.Members.View()) },
+		Wait: ms(s.GetWait()), Log: n.log,
+	})
+}
+
+func (n *Node) assembleCalls() {
+	s := n.settings.GetCalls()
+	silent := ms(s.GetSilent())
+	n.hops = peer.NewTransport(silent, new(peer.Counter))
+	n.Gate = backend.NewGate(backend.GateConfig{
+		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
+		Silent: silent, Log: n.log,
+	})
+	n.Proxy = caller.New(caller.Config{
+		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
+		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Log: n.log,
+	})
+	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{Lease: ms(s.GetLease()), Change: n.announced})
+}
+
+// announced takes a change of the backend server beside this node.
+func (n *Node) announced(a *backend.Announcement) {
+	n.Gate.Serve(a.Target())
+	n.Members.Announce(a.Wire())
+}
+
+// Start serves the node's ports and starts its loops.
+func (n *Node) Start() {
+	path, rpc := wireconnect.NewPeerHandler(&peer.Handler{Spread: n.Spread, Members: n.Members})
+	mux := http.NewServeMux()
+	mux.Handle(path, rpc)
+	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
+	n.serve(n.listeners.hop, n.Gate)
+	n.serve(n.listeners.caller, n.Proxy)
+	n.serve(n.listeners.backend, n.announcer.Handler())
+	n.serve(n.listeners.operator, n.operator.Handler())
+	for _, run := range []func(context.Context) error{
+		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run,
+	} {
+		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
+	}
+	n.log.Info("started", "addresses", n.Addresses())
+}
+
+func (n *Node) serve(l net.Listener, h http.Handler) {
+	server := &http.Server{
+		Handler: h, Protocols: peer.Protocols(), ReadHeaderTimeout: 10 * time.Second,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	n.servers = append(n.servers, server)
+	n.tomb.Go(func() error {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve %s", l.Addr())
+		}
+		return nil
+	})
+}
+
+// Dead returns a channel that is closed when the node has stopped.
+func (n *Node) Dead() <-chan struct{} { return n.tomb.Dead() }
+
+// Stop shuts the node down gracefully: it announces that it leaves, refuses
+// new work, finishes what is in progress and then closes. The context bounds
+// the wait.
+func (n *Node) Stop(ctx context.Context) error {
+	n.Members.Leave(ctx)
+	err := n.Gate.Drain(ctx)
+	if drainErr := n.Proxy.Drain(ctx); err == nil {
+		err = drainErr
+	}
+	n.Kill()
+	return err
+}
+
+// Kill stops the node at once, as a crash does.
+func (n *Node) Kill() {
+	n.tomb.Kill(nil)
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	_ = n.tomb.Wait()
+	n.hops.CloseIdleConnections()
+	n.pool.Close()
+	n.Gate.Close()
+	n.store.Close()
+	n.poll.Close()
+}
+
+// ControlBytes returns the control bytes sent and received so far, platform
+// calls left out.
+func (n *Node) ControlBytes() int64 {
+	return n.inbound.In.Load() + n.inbound.Out.Load() + n.pool.Bytes.In.Load() + n.pool.Bytes.Out.Load()
+}
+
+// PlatformCalls returns the number of calls made to the platform so far.
+func (n *Node) PlatformCalls() uint64 { return n.store.Calls() + n.poll.Calls() }
--- /dev/null
+++ b/mesh/platformtest/http.go
@@ -0,0 +1,138 @@
+package platformtest
+
+// This file serves a store over HTTP, as the platform does.
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/platform"
+)
+
+// maxValue bounds the body of one object, in bytes.
+const maxValue = 1 << 20
+
+// ServeHTTP serves /objects as the platform does, and /faults and /calls for
+// tests.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	switch {
+	case r.URL.Path == "/faults" && r.Method == http.MethodPut:
+		s.serveFaults(w, r)
+	case r.URL.Path == "/calls":
+		writeJSON(w, s.Calls())
+	case parts[0] == "objects" && len(parts) == 3:
+		s.serveObject(w, r, parts[1], parts[2])
+	case parts[0] == "objects" && len(parts) == 2 && r.Method == http.MethodGet:
+		s.serveKind(w, r, parts[1])
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveObject(w http.ResponseWriter, r *http.Request, kind, name string) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	if err != nil {
+		http.Error(w, "value is over 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	o, err := s.object(r.Context(), r, kind, name, body)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.Version, 10)))
+	if r.Method == http.MethodGet {
+		_, _ = w.Write(o.Body)
+	}
+}
+
+func (s *Store) object(ctx context.Context, r *http.Request, kind, name string, body []byte) (platform.Object, error) {
+	if r.Method == http.MethodGet {
+		return s.Get(ctx, kind, name)
+	}
+	if r.Method == http.MethodPut && r.Header.Get("If-None-Match") == "*" {
+		return s.Create(ctx, kind, name, body)
+	}
+	text, err := strconv.Unquote(r.Header.Get("If-Match"))
+	if err != nil {
+		return platform.Object{}, errors.New("If-Match or If-None-Match is missing")
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return platform.Object{}, errors.Wrap(err, "If-Match")
+	}
+	switch r.Method {
+	case http.MethodPut:
+		return s.Update(ctx, kind, name, version, body)
+	case http.MethodDelete:
+		return platform.Object{}, s.Delete(ctx, kind, name, version)
+	}
+	return platform.Object{}, errors.Errorf("method %s is unknown", r.Method)
+}
+
+// page is the JSON answer to a list or a watch.
+type page struct {
+	Version uint64            `json:"version"`
+	More    bool              `json:"more,omitempty"`
+	Objects []platform.Object `json:"objects"`
+}
+
+func (s *Store) serveKind(w http.ResponseWriter, r *http.Request, kind string) {
+	q := r.URL.Query()
+	var p page
+	var err error
+	if q.Has("watch") {
+		version, _ := strconv.ParseUint(q.Get("watch"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait"))
+		p.Objects, p.Version, err = s.Watch(r.Context(), kind, version, time.Duration(wait)*time.Millisecond)
+	} else {
+		p.Objects, p.Version, p.More, err = s.List(r.Context(), kind, q.Get("after"))
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, p)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var busy *platform.BusyError
+	switch {
+	case errors.As(err, &busy):
+		w.Header().Set("Retry-After", strconv.FormatFloat(busy.After.Seconds(), 'f', 3, 64))
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	case errors.Is(err, platform.ErrUnknown):
+		panic(http.ErrAbortHandler) // the answer is lost on the way
+	case errors.Is(err, platform.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrDown):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
