--- a/carobbench/fleet/fleet.go
+++ b/carobbench/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"caroblift.dev/mesh/node"
 	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
@@ -115,7 +116,7 @@
 
 // Add starts an instance.
 func (f *Fleet) Add(p Place) (*Member, error) {
-	n, err := node.New(f.Settings(p), f.config.Log)
+	n, err := node.New(f.Settings(p), telemetry.Sinks{Log: f.config.Log})
 	if err != nil {
 		return nil, err
 	}
--- a/caroblift/main.go
+++ b/caroblift/main.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	log := telemetry.Log(out, s.GetLog().GetLevel())
-	n, err := node.New(s, log)
+	n, err := node.New(s, telemetry.Sinks{Log: log})
 	if err != nil {
 		return err
 	}
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +20,7 @@
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/telemetry"
 )
 
 // Target is the backend server as it announced itself.
@@ -36,7 +36,7 @@
 type GateConfig struct {
 	Policy func(service string) record.Policy
 	Silent time.Duration
-	Log    *slog.Logger
+	Sinks  telemetry.Sinks
 }
 
 // Gate admits calls to the backend server and hands them over. It knows the
@@ -54,9 +54,7 @@
 
 // NewGate returns a gate without a backend server.
 func NewGate(config GateConfig) *Gate {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &Gate{config: config, client: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true,
@@ -198,7 +196,7 @@
 	case asDial(err, &op):
 		refuse(w, "dial")
 	default:
-		g.config.Log.Warn("backend server", "error", err.Error())
+		g.config.Sinks.Log.Warn("backend server", "error", err.Error())
 		fail(w, http.StatusBadGateway, "broken", "unknown")
 	}
 }
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -8,9 +8,9 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,10 +26,11 @@
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
-// Config configures a Proxy. Every field but Log is required.
+// Config configures a Proxy. Every field but Sinks is required.
 type Config struct {
 	Table    func() *revision.Table
 	Ready    func() bool // whether the table may be served
@@ -37,7 +38,7 @@
 	Hop      http.RoundTripper // to other nodes
 	Evidence func(name string, reached bool)
 	Timeout  time.Duration // of a call whose route names none
-	Log      *slog.Logger
+	Sinks    telemetry.Sinks
 }
 
 // maxAttempts bounds the attempts of one call.
@@ -53,9 +54,7 @@
 
 // New returns a proxy.
 func New(config Config) *Proxy {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	return &Proxy{config: config}
 }
 
@@ -125,7 +124,11 @@
 // attempt sends the call to one backend server after another while it was not
 // run.
 func (p *Proxy) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, route *record.Route) {
-	body := &onceBody{ReadCloser: r.Body}
+	body, err := newReplayBody(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "short-body", "no")
+		return
+	}
 	tried := map[string]bool{}
 	reason, ran := "no-server", "no"
 	for range maxAttempts {
@@ -134,14 +137,18 @@
 			break
 		}
 		tried[m.GetName()] = true
-		resp, err := p.send(ctx, r, m, body)
+		sent, ok := body.attempt()
+		if !ok {
+			break
+		}
+		resp, err := p.send(ctx, r, m, sent)
 		if err == nil && resp.Header.Get(call.HeaderRefused) == "" {
 			p.answer(w, resp, m)
 			return
 		}
 		reason, ran = p.outcome(ctx, resp, err, m)
 		again := ran == "no" || call.Idempotent(route, r.Method)
-		if ctx.Err() != nil || !again || body.used.Load() {
+		if ctx.Err() != nil || !again {
 			break
 		}
 	}
@@ -169,7 +176,7 @@
 	return "broken", "unknown"
 }
 
-func (p *Proxy) send(ctx context.Context, r *http.Request, m *wire.Member, body *onceBody) (*http.Response, error) {
+func (p *Proxy) send(ctx context.Context, r *http.Request, m *wire.Member, body io.ReadCloser) (*http.Response, error) {
 	load := p.load(m.GetName())
 	load.Add(1)
 	out := r.Clone(ctx)
@@ -247,19 +254,33 @@
 	return able[i]
 }
 
-// onceBody remembers whether any of it was read.
-type onceBody struct {
-	io.ReadCloser
-	used atomic.Bool
+// maxReplay bounds the body that is kept for another attempt, in bytes.
+const maxReplay = 64 << 10
+
+// replayBody keeps a small body so that an attempt that was not run can be
+// followed by another. A larger one is streamed and can be sent once.
+type replayBody struct {
+	small []byte
+	large io.ReadCloser // nil when the body is small
+	used  atomic.Bool
 }
 
-func (b *onceBody) Read(p []byte) (int, error) {
-	b.used.Store(true)
-	return b.ReadCloser.Read(p)
+// newReplayBody reads a body of known small length.
+func newReplayBody(r *http.Request) (*replayBody, error) {
+	if r.ContentLength < 0 || r.ContentLength > maxReplay {
+		return &replayBody{large: r.Body}, nil
+	}
+	small, err := io.ReadAll(r.Body)
+	return &replayBody{small: small}, errors.Wrap(err, "read body")
 }
 
-// Close keeps the body open for another attempt; the server closes it.
-func (b *onceBody) Close() error { return nil }
+// attempt returns the body of one attempt, and false when it was used up.
+func (b *replayBody) attempt() (io.ReadCloser, bool) {
+	if b.large == nil {
+		return io.NopCloser(bytes.NewReader(b.small)), true
+	}
+	return b.large, !b.used.Swap(true)
+}
 
 // doneBody runs a function once when it is closed.
 type doneBody struct {
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	n, err := node.New(settings, log)
+//	n, err := node.New(settings, telemetry.Sinks{Log: log})
 //	if err != nil {
 //		return err
 //	}
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,7 @@
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/spread"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
 )
@@ -45,7 +47,7 @@
 	Proxy     *caller.Proxy
 
 	settings  *wire.Settings
-	log       *slog.Logger
+	sinks     telemetry.Sinks
 	tomb      tomb.Tomb
 	listeners listeners
 	store     *platform.Client
@@ -70,9 +72,10 @@
 
 // New opens the node's ports and puts its parts together. The node does
 // nothing before Start.
-func New(s *wire.Settings, log *slog.Logger) (*Node, error) {
+func New(s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
 	n := &Node{settings: s, Holder: &revision.Holder{}}
-	n.log = log.With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
+	n.sinks = sinks.OrDiscard()
+	n.sinks.Log = n.sinks.Log.With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -138,7 +141,7 @@
 	n.pool = peer.NewPool(peer.PoolConfig{Silent: silent})
 	n.Members = peer.NewMembers(peer.MembersConfig{
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), Beat: ms(s.GetPeers().GetBeat()),
-		Suspect: ms(s.GetPeers().GetSuspect()), Exchange: ms(s.GetPeers().GetExchange()), Log: n.log,
+		Suspect: ms(s.GetPeers().GetSuspect()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("member"),
 		Self: &wire.Member{
 			Name: s.GetInstance().GetName(), Domain: s.GetInstance().GetDomain(), Region: s.GetInstance().GetRegion(),
 			Peer: addr.Peer, Hop: addr.Hop, Format: revision.FormatNow,
@@ -148,7 +151,7 @@
 	n.Spread = peer.NewSpread(peer.SpreadConfig{
 		Tree: n.tree(), Pool: n.pool, Holder: n.Holder, View: n.Members.View,
 		Checked: func() int64 { return n.Reader.Checked() },
-		Beat:    ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Log: n.log,
+		Beat:    ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("spread"),
 	})
 }
 
@@ -164,12 +167,12 @@
 	n.Reader = platform.NewReader(platform.ReaderConfig{
 		Store: n.store, Poll: n.poll, Holder: n.Holder, Deliver: deliver,
 		Active: func() bool { return n.tree().Reader(n.Members.View()) },
-		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Log: n.log,
+		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Sinks: n.sinks.Sub("platform"),
 	})
 	n.Publisher = platform.NewPublisher(platform.PublisherConfig{
 		Store: n.store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
 		Rank: func() (int, bool) { return n.tree().Publisher(n.Members.View()) },
-		Wait: ms(s.GetWait()), Log: n.log,
+		Wait: ms(s.GetWait()), Sinks: n.sinks.Sub("platform"),
 	})
 }
 
@@ -179,11 +182,11 @@
 	n.hops = peer.NewTransport(silent, new(peer.Counter))
 	n.Gate = backend.NewGate(backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		Silent: silent, Log: n.log,
+		Silent: silent, Sinks: n.sinks.Sub("backend"),
 	})
 	n.Proxy = caller.New(caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
-		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Log: n.log,
+		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("caller"),
 	})
 	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{Lease: ms(s.GetLease()), Change: n.announced})
 }
@@ -209,13 +212,13 @@
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
 	}
-	n.log.Info("started", "addresses", n.Addresses())
+	n.sinks.Log.Info("started", "addresses", n.Addresses())
 }
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
 	server := &http.Server{
 		Handler: h, Protocols: peer.Protocols(), ReadHeaderTimeout: 10 * time.Second,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(n.sinks.Log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, server)
 	n.tomb.Go(func() error {
@@ -238,10 +241,35 @@
 	if drainErr := n.Proxy.Drain(ctx); err == nil {
 		err = drainErr
 	}
+	n.linger(ctx)
+	n.shutServers(ctx)
 	n.Kill()
 	return err
 }
 
+// lingerTime is how long a node that has drained goes on refusing calls, so
+// that nodes that have not heard of its leaving get an answer.
+const lingerTime = 1500 * time.Millisecond
+
+func (n *Node) linger(ctx context.Context) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// shutServers lets refusals that are on their way reach the other end before
+// the connections close.
+func (n *Node) shutServers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range n.servers {
+		wg.Go(func() { _ = s.Shutdown(ctx) })
+	}
+	wg.Wait()
+}
+
 // Kill stops the node at once, as a crash does.
 func (n *Node) Kill() {
 	n.tomb.Kill(nil)
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -14,13 +13,14 @@
 	"connectrpc.com/connect"
 
 	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
 // eventCopies is how many heartbeats carry one event.
 const eventCopies = 6
 
-// MembersConfig configures a Members. Every field but Log is required.
+// MembersConfig configures a Members. Every field but Sinks is required.
 type MembersConfig struct {
 	Pool     *Pool
 	Self     *wire.Member
@@ -28,7 +28,7 @@
 	Beat     time.Duration
 	Suspect  time.Duration
 	Exchange time.Duration
-	Log      *slog.Logger
+	Sinks    telemetry.Sinks
 }
 
 // Members keeps the member table by messages to other nodes.
@@ -49,9 +49,7 @@
 
 // NewMembers returns the membership of a node that knows only itself.
 func NewMembers(config MembersConfig) *Members {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	table := member.NewTable(member.TableConfig{Suspect: config.Suspect, Forget: 10 * time.Minute}, config.Self, time.Now())
 	m := &Members{config: config, table: table}
 	m.change(func(*member.Table) {})
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/spread"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
@@ -25,7 +25,7 @@
 // callTimeout bounds one control call between nodes.
 const callTimeout = 2 * time.Second
 
-// SpreadConfig configures a Spread. Every field but Log is required.
+// SpreadConfig configures a Spread. Every field but Sinks is required.
 type SpreadConfig struct {
 	Tree     spread.Tree
 	Pool     *Pool
@@ -34,7 +34,7 @@
 	Checked  func() int64 // when the platform last confirmed the head to this node, Unix ms
 	Beat     time.Duration
 	Exchange time.Duration
-	Log      *slog.Logger
+	Sinks    telemetry.Sinks
 }
 
 // Spread hands revisions from parent to child and repairs what push misses.
@@ -60,9 +60,7 @@
 
 // NewSpread returns a spread.
 func NewSpread(config SpreadConfig) *Spread {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	return &Spread{config: config, children: map[string]*child{}, floors: map[string]uint64{}}
 }
 
@@ -93,7 +91,7 @@
 		s.note(nil)
 		return nil
 	}
-	s.config.Log.Warn("update refused", "error", err.Error())
+	s.config.Sinks.Log.Warn("update refused", "error", err.Error())
 	if !errors.Is(err, revision.ErrGap) {
 		s.note([]*wire.Finding{{Place: "revision", Reason: err.Error()}})
 	}
--- a/mesh/platform/publisher.go
+++ b/mesh/platform/publisher.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
@@ -21,7 +21,7 @@
 // retryDelay is how long a driver waits after a failed call.
 const retryDelay = 250 * time.Millisecond
 
-// PublisherConfig configures a Publisher. Every field but Log is required.
+// PublisherConfig configures a Publisher. Every field but Sinks is required.
 type PublisherConfig struct {
 	Store   Store
 	Name    string             // instance
@@ -29,7 +29,7 @@
 	Holder  *revision.Holder
 	Deliver func(*wire.Update) // takes the revision that was appended
 	Wait    time.Duration      // of one watch
-	Log     *slog.Logger
+	Sinks   telemetry.Sinks
 }
 
 // Publisher appends revisions while its node is a candidate. Any number of
@@ -40,9 +40,7 @@
 
 // NewPublisher returns a publisher.
 func NewPublisher(config PublisherConfig) *Publisher {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	return &Publisher{config: config}
 }
 
@@ -54,7 +52,7 @@
 			continue
 		}
 		if err := p.follow(ctx); err != nil && ctx.Err() == nil {
-			p.config.Log.Warn("publish", "error", err.Error())
+			p.config.Sinks.Log.Warn("publish", "error", err.Error())
 			pause(ctx, backoff(err))
 		}
 	}
@@ -89,7 +87,7 @@
 		for _, o := range objs {
 			r, err := DecodeRecord(o)
 			if err != nil {
-				p.config.Log.Warn("record left out", "error", err.Error())
+				p.config.Sinks.Log.Warn("record left out", "error", err.Error())
 				continue
 			}
 			known[r.GetKind().String()+"/"+r.GetName()] = r
--- a/mesh/platform/reader.go
+++ b/mesh/platform/reader.go
@@ -4,17 +4,17 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
-// ReaderConfig configures a Reader. Every field but Log is required.
+// ReaderConfig configures a Reader. Every field but Sinks is required.
 type ReaderConfig struct {
 	Store   Store
 	Poll    Store       // on connections of its own, since a watch can go silent
@@ -23,7 +23,7 @@
 	Deliver func(*wire.Update)
 	Wait    time.Duration // of one watch
 	Every   time.Duration // between two polls of the head
-	Log     *slog.Logger
+	Sinks   telemetry.Sinks
 }
 
 // Reader hands accepted revisions from the platform to its node.
@@ -35,9 +35,7 @@
 
 // NewReader returns a reader.
 func NewReader(config ReaderConfig) *Reader {
-	if config.Log == nil {
-		config.Log = slog.New(slog.DiscardHandler)
-	}
+	config.Sinks = config.Sinks.OrDiscard()
 	return &Reader{config: config}
 }
 
@@ -67,7 +65,7 @@
 		}
 		r.working.Store(err == nil)
 		if err != nil {
-			r.config.Log.Warn("read platform", "error", err.Error())
+			r.config.Sinks.Log.Warn("read platform", "error", err.Error())
 			pause(ctx, backoff(err))
 		}
 	}
