Run a fleet under faults and check the promises

Cause: the promises were checked at one graceful stop only. Change: carobbench faults runs callers, two racing operators and a seeded schedule of crashes, graceful stops and platform faults, and checks bookings, refusals, whole answers, versions served and references.

--- /dev/null
+++ b/carobbench/faults.go
@@ -0,0 +1,386 @@
+package main
+
+// This file runs a fleet under faults and load, and checks the promises.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"caroblift.dev/carobbench/fleet"
+	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/wire"
+	"caroblift.dev/wire/wireconnect"
+)
+
+// settleBound is how long after the last fault every change must be in force:
+// the bound of a change, after the time in which restarted nodes may join.
+const settleBound = inForceBound + 10*time.Second
+
+type faultsCommand struct {
+	Nodes   int           `long:"nodes" default:"12" description:"instances"`
+	Callers int           `long:"callers" default:"8" description:"callers at one time"`
+	Time    time.Duration `long:"time" default:"20s" description:"duration of the faults"`
+	Seed    uint64        `long:"seed" default:"1" description:"seed of the schedule"`
+	Planned bool          `long:"planned" description:"graceful stops only, under which no call may fail"`
+}
+
+// faultRun is one run under faults.
+type faultRun struct {
+	config  *faultsCommand
+	fleet   *fleet.Fleet
+	load    *load
+	rand    *rand.Rand
+	monitor *monitor
+
+	mu      sync.Mutex
+	places  []fleet.Place
+	live    map[string]*fleet.Member
+	servers []*fleet.Member   // every instance that ever ran
+	last    map[string]uint64 // newest version that each record was given
+	counts  map[string]int    // of faults
+}
+
+// faultSummary is the last line of the report.
+type faultSummary struct {
+	Nodes    int            `json:"nodes"`
+	Seed     uint64         `json:"seed"`
+	Faults   map[string]int `json:"faults"`
+	Changes  int            `json:"changes"`
+	Calls    int64          `json:"calls"`
+	Errors   int64          `json:"errors"`
+	Doubled  int            `json:"doubled"`
+	Untrue   int            `json:"untrue"`   // refusals that said not run of a call that ran
+	Wrong    int64          `json:"wrong"`    // answers that were not whole or not the caller's own
+	Backward int64          `json:"backward"` // tables served that were older than one served before
+	Dangling int64          `json:"dangling"` // routes to services that the table lacked
+	Settled  int64          `json:"settled"`  // ms from the last fault until all held the newest records
+}
+
+// Execute runs the faults and fails when a promise broke.
+func (c *faultsCommand) Execute([]string) error {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+	f, err := fleet.New(fleet.Config{Log: log})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r := &faultRun{
+		config: c, fleet: f, rand: rand.New(rand.NewPCG(c.Seed, c.Seed)), live: map[string]*fleet.Member{},
+		last: map[string]uint64{}, counts: map[string]int{}, load: newLoad(),
+	}
+	r.monitor = &monitor{live: r.members, served: map[string]uint64{}}
+	if err := r.start(); err != nil {
+		return err
+	}
+	return r.run()
+}
+
+// start adds the instances, the records and a route for each service.
+func (r *faultRun) start() error {
+	for i := range r.config.Nodes {
+		p := fleet.Place{
+			Name: fmt.Sprintf("i-%d", i+1), Domain: fmt.Sprintf("d-%d", i%4+1), Service: []string{"quotes", "drawings"}[i%2],
+			Slots: 6, Work: 2 * time.Millisecond,
+		}
+		r.places = append(r.places, p)
+		if err := r.add(p); err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"quotes", "drawings"} {
+		if err := r.write(wire.Kind_KIND_SERVICE, name, `{}`); err != nil {
+			return err
+		}
+		if err := r.write(wire.Kind_KIND_ROUTE, name, fmt.Sprintf(`{"prefix":"/%s","service":%q}`, name, name)); err != nil {
+			return err
+		}
+	}
+	if err := r.write(wire.Kind_KIND_ROUTE, "stock", `{"prefix":"/stock","service":"quotes"}`); err != nil {
+		return err
+	}
+	if !fleet.Await(settleBound, r.settled) {
+		return errors.Errorf("the records were not in force everywhere within %s", settleBound)
+	}
+	return nil
+}
+
+func (r *faultRun) add(p fleet.Place) error {
+	m, err := r.fleet.Add(p)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[p.Name] = m
+	r.servers = append(r.servers, m)
+	return nil
+}
+
+// members returns the instances that run now.
+func (r *faultRun) members() []*fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*fleet.Member, 0, len(r.live))
+	for _, p := range r.places {
+		if m := r.live[p.Name]; m != nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// write changes a record as an operator does: it reads the version that is
+// present and writes over that one only, until it wins.
+func (r *faultRun) write(kind wire.Kind, name, spec string) error {
+	deadline := time.Now().Add(settleBound)
+	var version uint64
+	for {
+		ms := r.members()
+		client := wireconnect.NewOperatorClient(http.DefaultClient, "http://"+ms[int(version)%len(ms)].Node.Addresses().Operator)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		resp, err := client.Apply(ctx, connect.NewRequest(&wire.ApplyRequest{
+			Record: &wire.Record{Kind: kind, Name: name, Schema: 2, Version: version, Body: []byte(spec)},
+		}))
+		cancel()
+		switch {
+		case err == nil && len(resp.Msg.GetFindings()) > 0:
+			return record.Findings(resp.Msg.GetFindings())
+		case err == nil && resp.Msg.GetConflict():
+			version = resp.Msg.GetPresent().GetVersion()
+			continue
+		case err == nil:
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			k := record.Key{Kind: kind, Name: name}.String()
+			r.last[k] = max(r.last[k], resp.Msg.GetRecord().GetVersion())
+			return nil
+		case time.Now().After(deadline):
+			return errors.Wrapf(err, "write %s", name)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// settled tells whether every live node holds the newest records.
+func (r *faultRun) settled() bool {
+	r.mu.Lock()
+	want := map[string]uint64{}
+	for k, v := range r.last {
+		want[k] = v
+	}
+	r.mu.Unlock()
+	for _, m := range r.members() {
+		t := m.Node.Holder.Table()
+		for k, rec := range t.Records {
+			if v, ok := want[k.String()]; ok && rec.GetVersion() < v {
+				return false
+			}
+		}
+		if len(t.Records) < len(want) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *faultRun) run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var background sync.WaitGroup
+	background.Go(func() { r.monitor.run(ctx) })
+	for i := range r.config.Callers {
+		background.Go(func() { r.load.run(ctx, uint64(i)+r.config.Seed, r.members) })
+	}
+	var changes atomic.Int64
+	var failed atomic.Pointer[error]
+	operators, stopOperators := context.WithCancel(ctx)
+	var writing sync.WaitGroup
+	for i := range 2 {
+		writing.Go(func() {
+			if err := r.operate(operators, i, &changes); err != nil {
+				failed.Store(&err)
+			}
+		})
+	}
+	r.schedule()
+	r.fleet.Store.Set(platformtest.Faults{})
+	stopOperators()
+	writing.Wait()
+	ended := time.Now()
+	ok := fleet.Await(settleBound, r.settled)
+	settled := time.Since(ended)
+	cancel()
+	background.Wait()
+	if err := failed.Load(); err != nil {
+		return *err
+	}
+	return r.report(ok, settled, changes.Load())
+}
+
+// operate moves the route of /stock to and fro, racing with the other operator.
+func (r *faultRun) operate(ctx context.Context, id int, changes *atomic.Int64) error {
+	for i := 0; ctx.Err() == nil; i++ {
+		service := []string{"quotes", "drawings"}[(i+id)%2]
+		spec := fmt.Sprintf(`{"prefix":"/stock","service":%q,"timeout":"%dms"}`, service, 2000+i)
+		if err := r.write(wire.Kind_KIND_ROUTE, "stock", spec); err != nil {
+			return err
+		}
+		changes.Add(1)
+		sleep(ctx, 300*time.Millisecond)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// schedule causes one fault after another.
+func (r *faultRun) schedule() {
+	faults := []struct {
+		name string
+		run  func(time.Duration)
+	}{
+		{"drain", r.drain},
+		{"crash", r.crash},
+		{"pair", func(d time.Duration) { r.fleet.Store.Set(platformtest.Faults{Down: true}); r.crash(d) }},
+		{"down", r.platform(platformtest.Faults{Down: true})},
+		{"slow", r.platform(platformtest.Faults{Slow: 300 * time.Millisecond})},
+		{"lose", r.platform(platformtest.Faults{Lose: true})},
+		{"stale", r.platform(platformtest.Faults{Stale: true})},
+		{"silent", r.platform(platformtest.Faults{Silent: true})},
+	}
+	if r.config.Planned {
+		faults = faults[:1]
+	}
+	for end := time.Now().Add(r.config.Time); time.Now().Before(end); {
+		f := faults[r.rand.IntN(len(faults))]
+		r.counts[f.name]++
+		f.run(time.Duration(200+r.rand.IntN(1300)) * time.Millisecond)
+		r.fleet.Store.Set(platformtest.Faults{})
+		time.Sleep(time.Duration(r.rand.IntN(300)) * time.Millisecond)
+	}
+}
+
+func (r *faultRun) platform(f platformtest.Faults) func(time.Duration) {
+	return func(d time.Duration) {
+		r.fleet.Store.Set(f)
+		time.Sleep(d)
+	}
+}
+
+// take removes a random instance from the entries.
+func (r *faultRun) take() *fleet.Member {
+	ms := r.members()
+	m := ms[r.rand.IntN(len(ms))]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.live, m.Place.Name)
+	return m
+}
+
+// restart starts an instance anew, empty.
+func (r *faultRun) restart(p fleet.Place) {
+	if err := r.add(p); err != nil {
+		fmt.Fprintln(os.Stderr, "restart:", err)
+	}
+}
+
+func (r *faultRun) crash(d time.Duration) {
+	m := r.take()
+	m.Kill()
+	time.Sleep(d)
+	r.restart(m.Place)
+}
+
+// drain stops an instance gracefully. Callers have stopped using it as their
+// entry before it stops, as they do when it says that it is leaving.
+func (r *faultRun) drain(time.Duration) {
+	m := r.take()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := m.Drain(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "drain:", err)
+	}
+	r.restart(m.Place)
+}
+
+func (r *faultRun) report(settled bool, took time.Duration, changes int64) error {
+	s := faultSummary{
+		Nodes: r.config.Nodes, Seed: r.config.Seed, Faults: r.counts, Changes: int(changes),
+		Calls: r.load.calls.Load(), Errors: r.load.errors.Load(), Wrong: r.load.wrong.Load(),
+		Backward: r.monitor.backward.Load(), Dangling: r.monitor.dangling.Load(), Settled: took.Milliseconds(),
+	}
+	runs := map[string]int{}
+	for _, m := range r.servers {
+		for key, n := range m.Server.Runs() {
+			runs[key] += n
+		}
+	}
+	s.Doubled, s.Untrue = r.load.compare(runs)
+	fmt.Printf("%d calls, failures by reason: %v\n", s.Calls, r.load.reasons())
+	line, err := json.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Println(string(line))
+	switch {
+	case !settled:
+		return errors.Errorf("the newest records were not in force everywhere within %s", settleBound)
+	case s.Doubled+s.Untrue > 0 || s.Wrong+s.Backward+s.Dangling > 0:
+		return errors.New("a promise broke")
+	case r.config.Planned && s.Errors > 0:
+		return errors.New("a graceful stop cut or failed calls")
+	}
+	return nil
+}
+
+// monitor looks at the tables that the nodes serve.
+type monitor struct {
+	live     func() []*fleet.Member
+	served   map[string]uint64 // newest revision that each instance served
+	backward atomic.Int64
+	dangling atomic.Int64
+}
+
+func (m *monitor) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, one := range m.live() {
+			m.look(one)
+		}
+		sleep(ctx, 2*time.Millisecond)
+	}
+}
+
+func (m *monitor) look(one *fleet.Member) {
+	if !one.Node.Holder.Ready() {
+		return
+	}
+	t := one.Node.Holder.Table()
+	if t.Number < m.served[one.Place.Name] {
+		m.backward.Add(1)
+	}
+	m.served[one.Place.Name] = max(t.Number, m.served[one.Place.Name])
+	for _, route := range t.Routes {
+		if t.Services[route.Service] == nil {
+			m.dangling.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/carobbench/load.go
@@ -0,0 +1,121 @@
+package main
+
+// This file sends calls whose answers and runs can be checked.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"caroblift.dev/carobbench/fleet"
+)
+
+// load is a set of callers and what became of their calls.
+type load struct {
+	client *http.Client
+	calls  atomic.Int64
+	errors atomic.Int64
+	wrong  atomic.Int64
+
+	mu     sync.Mutex
+	post   []string // keys of bookings
+	notRun []string // keys of calls whose refusal said that they were not run
+	why    map[string]int
+}
+
+func newLoad() *load {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second}
+	return &load{client: &http.Client{Transport: transport, Timeout: 10 * time.Second}, why: map[string]int{}}
+}
+
+// run sends calls one after another until the context ends.
+func (l *load) run(ctx context.Context, seed uint64, entries func() []*fleet.Member) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	paths := []string{"/quotes/7", "/drawings/9", "/stock/3"}
+	for i := 0; ctx.Err() == nil; i++ {
+		ms := entries()
+		method := http.MethodGet
+		if r.IntN(2) == 0 {
+			method = http.MethodPost
+		}
+		url := "http://" + ms[r.IntN(len(ms))].Node.Addresses().Caller + paths[r.IntN(len(paths))]
+		l.one(method, url, fmt.Sprintf("%d-%d", seed, i))
+	}
+}
+
+func (l *load) one(method, url, key string) {
+	req, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader("body of "+key))
+	if err != nil {
+		panic(err) // the URL is made here
+	}
+	req.GetBody = nil // net/http must not send it twice
+	req.Header.Set("Key", key)
+	l.calls.Add(1)
+	if method == http.MethodPost {
+		l.note(func() { l.post = append(l.post, key) })
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		l.fail(strings.ReplaceAll(errorKind(err), key, ""))
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		l.fail("body: " + errorKind(err))
+	case resp.StatusCode != http.StatusOK:
+		if resp.Header.Get("Caroblift-Ran") == "no" {
+			l.note(func() { l.notRun = append(l.notRun, key) })
+		}
+		l.fail(fmt.Sprintf("%d %s ran=%s", resp.StatusCode, resp.Header.Get("Caroblift-Reason"), resp.Header.Get("Caroblift-Ran")))
+	case !strings.HasSuffix(string(body), " "+key+" body of "+key):
+		l.wrong.Add(1)
+	}
+}
+
+// errorKind returns the last part of an error, which names no address.
+func errorKind(err error) string {
+	parts := strings.Split(err.Error(), ": ")
+	return parts[len(parts)-1]
+}
+
+func (l *load) note(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *load) fail(reason string) {
+	l.errors.Add(1)
+	l.note(func() { l.why[reason]++ })
+}
+
+// reasons returns the failures by reason.
+func (l *load) reasons() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.why
+}
+
+// compare counts the bookings that ran more than once, and the refusals that
+// said not run of calls that ran.
+func (l *load) compare(runs map[string]int) (doubled, untrue int) {
+	for _, key := range l.post {
+		if runs[key] > 1 {
+			doubled++
+		}
+	}
+	for _, key := range l.notRun {
+		if runs[key] > 0 {
+			untrue++
+		}
+	}
+	return doubled, untrue
+}
--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -25,6 +25,7 @@
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []command{
 		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
+		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
 		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
 		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
 	} {
