Let callers of the fault run enter by ready instances only

Cause: a node that has just started answers 503 not-ready with ran=no, which is true and is what a caller's readiness check is for; the run counted it as a failed call under a graceful stop. Change: callers use instances whose table may be served.

--- a/carobbench/faults.go
+++ b/carobbench/faults.go
@@ -141,6 +141,17 @@
 	return out
 }
 
+// entries returns the instances that are ready, which callers use.
+func (r *faultRun) entries() []*fleet.Member {
+	var out []*fleet.Member
+	for _, m := range r.members() {
+		if m.Node.Holder.Ready() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // write changes a record as an operator does: it reads the version that is
 // present and writes over that one only, until it wins.
 func (r *faultRun) write(kind wire.Kind, name, spec string) error {
@@ -201,7 +212,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { r.monitor.run(ctx) })
 	for i := range r.config.Callers {
-		background.Go(func() { r.load.run(ctx, uint64(i)+r.config.Seed, r.members) })
+		background.Go(func() { r.load.run(ctx, uint64(i)+r.config.Seed, r.entries) })
 	}
 	var changes atomic.Int64
 	var failed atomic.Pointer[error]
