Freeze and kill real processes under load

Change: carobbench load sends checked calls to running nodes, and carobbench/freeze.sh freezes a node past every timeout, kills and restarts it, and freezes the platform, while calls and changes go on.

--- a/carobbench/faults.go
+++ b/carobbench/faults.go
@@ -141,12 +141,12 @@
 	return out
 }
 
-// entries returns the instances that are ready, which callers use.
-func (r *faultRun) entries() []*fleet.Member {
-	var out []*fleet.Member
+// entries returns the callers' ports of the instances that are ready.
+func (r *faultRun) entries() []string {
+	var out []string
 	for _, m := range r.members() {
 		if m.Node.Holder.Ready() {
-			out = append(out, m)
+			out = append(out, m.Node.Addresses().Caller)
 		}
 	}
 	return out
--- /dev/null
+++ b/carobbench/freeze.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# Freezes, kills and restarts real node processes under load, and checks the
+# calls and the table in force. Prints one JSON line for each phase.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p out
+go build -o out/ ./caroblift ./carobctl ./carobbench
+pids=()
+trap 'for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null || true; kill "$p" 2>/dev/null || true; done' EXIT
+
+start() { "$@" >>out/freeze.log 2>&1 & pids+=($!); last=$!; }
+node() { start out/caroblift --config "carobbench/examples/node$1.ini"; }
+ctl() { out/carobctl --node "127.0.0.1:7$1""05" "${@:2}"; }
+load() { # time, seed, errors allowed
+  out/carobbench load --entry 127.0.0.1:7101 --entry 127.0.0.1:7301 --time "$1" --seed "$2" --allow "$3"
+}
+revision() { ctl "$1" --json status | grep -oE '"revision": *"[0-9]+"' | head -n 1 | grep -oE '[0-9]+'; }
+awaitrevision() { # node, revision
+  for _ in $(seq 60); do
+    got=$(revision "$1")
+    [ "$got" -ge "$2" ] && return 0
+    sleep 0.05
+  done
+  echo "node $1 holds revision $got, want $2, after 3 s" >&2
+  return 1
+}
+
+start out/carobbench platform --listen 127.0.0.1:7000
+platform=$last
+node 1; node 2; frozen=$last; node 3
+for i in 1 2 3; do
+  start out/carobbench server --service quotes --name "q$i" --announce "http://127.0.0.1:7$i""04/announce"
+done
+sleep 4
+ctl 3 apply -f carobbench/examples/jieming/records.json >/dev/null
+echo '{"kind":"route","name":"drawings","schema":2,"spec":{"prefix":"/drawings","service":"quotes"}}
+{"kind":"route","name":"stock","schema":2,"spec":{"prefix":"/stock","service":"quotes"}}' >out/moves.json
+ctl 3 apply --force -f out/moves.json >/dev/null
+sleep 1
+
+echo quiet; load 2s 1 0
+
+# Freeze node 2 past every timeout, change the configuration, wake it up.
+echo frozen
+load 10s 2 4 & # a call in progress at the frozen node may fail, one for each caller
+loader=$!
+sleep 1
+kill -STOP "$frozen"
+sleep 6
+echo '{"kind":"route","name":"stock","schema":2,"spec":{"prefix":"/stock","service":"quotes","timeout":"3s"}}' >out/move.json
+ctl 1 apply --force -f out/move.json >/dev/null
+awaitrevision 3 "$(revision 1)"
+kill -CONT "$frozen"
+awaitrevision 2 "$(revision 1)"
+wait "$loader"
+
+# Kill node 2 and start it anew: it must never serve an older table.
+echo killed
+load 8s 3 4 &
+loader=$!
+sleep 1
+kill -KILL "$frozen"
+sleep 1
+node 2
+awaitrevision 2 "$(revision 1)"
+wait "$loader"
+
+# Freeze the platform: calls go on, and a change follows once it wakes up.
+echo outage
+load 8s 4 0 &
+loader=$!
+kill -STOP "$platform"
+sleep 5
+kill -CONT "$platform"
+sleep 1
+before=$(revision 1)
+echo '{"kind":"route","name":"stock","schema":2,"spec":{"prefix":"/stock","service":"quotes","timeout":"4s"}}' >out/move.json
+ctl 1 apply --force -f out/move.json >/dev/null
+for i in 1 2 3; do awaitrevision "$i" "$((before + 1))"; done
+wait "$loader"
+echo passed
--- a/carobbench/load.go
+++ b/carobbench/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,9 +14,49 @@
 	"sync/atomic"
 	"time"
 
-	"caroblift.dev/carobbench/fleet"
+	"github.com/pkg/errors"
 )
 
+type loadCommand struct {
+	Entries []string      `long:"entry" required:"true" description:"callers' port of a node; may be given several times"`
+	Callers int           `long:"callers" default:"4" description:"callers at one time"`
+	Time    time.Duration `long:"time" default:"10s" description:"duration"`
+	Seed    uint64        `long:"seed" default:"1" description:"seed of the calls; keys of calls start with it"`
+	Allow   int64         `long:"allow" default:"0" description:"failed calls that do not fail the run"`
+}
+
+// loadSummary is the last line of the report.
+type loadSummary struct {
+	Calls   int64          `json:"calls"`
+	Errors  int64          `json:"errors"`
+	Wrong   int64          `json:"wrong"`
+	Reasons map[string]int `json:"reasons"`
+	Longest int64          `json:"longest"` // ms, of one call
+}
+
+// Execute sends calls and prints what became of them.
+func (c *loadCommand) Execute([]string) error {
+	l := newLoad()
+	ctx, cancel := context.WithTimeout(context.Background(), c.Time)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range c.Callers {
+		wg.Go(func() { l.run(ctx, c.Seed*1000+uint64(i), func() []string { return c.Entries }) })
+	}
+	wg.Wait()
+	line, err := json.Marshal(loadSummary{
+		Calls: l.calls.Load(), Errors: l.errors.Load(), Wrong: l.wrong.Load(), Reasons: l.reasons(), Longest: l.longest.Load(),
+	})
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Println(string(line))
+	if l.wrong.Load() > 0 || l.errors.Load() > c.Allow {
+		return errors.Errorf("%d calls failed, %d allowed, and %d answers were wrong", l.errors.Load(), c.Allow, l.wrong.Load())
+	}
+	return nil
+}
+
 // load is a set of callers and what became of their calls.
 type load struct {
 	client *http.Client
@@ -23,6 +64,8 @@
 	errors atomic.Int64
 	wrong  atomic.Int64
 
+	longest atomic.Int64 // ms
+
 	mu     sync.Mutex
 	post   []string // keys of bookings
 	notRun []string // keys of calls whose refusal said that they were not run
@@ -34,17 +77,17 @@
 	return &load{client: &http.Client{Transport: transport, Timeout: 10 * time.Second}, why: map[string]int{}}
 }
 
-// run sends calls one after another until the context ends.
-func (l *load) run(ctx context.Context, seed uint64, entries func() []*fleet.Member) {
+// run sends calls one after another to the callers' ports until the context ends.
+func (l *load) run(ctx context.Context, seed uint64, entries func() []string) {
 	r := rand.New(rand.NewPCG(seed, 7))
 	paths := []string{"/quotes/7", "/drawings/9", "/stock/3"}
 	for i := 0; ctx.Err() == nil; i++ {
-		ms := entries()
+		addresses := entries()
 		method := http.MethodGet
 		if r.IntN(2) == 0 {
 			method = http.MethodPost
 		}
-		url := "http://" + ms[r.IntN(len(ms))].Node.Addresses().Caller + paths[r.IntN(len(paths))]
+		url := "http://" + addresses[r.IntN(len(addresses))] + paths[r.IntN(len(paths))]
 		l.one(method, url, fmt.Sprintf("%d-%d", seed, i))
 	}
 }
@@ -60,6 +103,8 @@
 	if method == http.MethodPost {
 		l.note(func() { l.post = append(l.post, key) })
 	}
+	start := time.Now()
+	defer func() { l.took(time.Since(start).Milliseconds()) }()
 	resp, err := l.client.Do(req)
 	if err != nil {
 		l.fail(strings.ReplaceAll(errorKind(err), key, ""))
@@ -80,6 +125,13 @@
 	}
 }
 
+// took remembers the longest call.
+func (l *load) took(ms int64) {
+	for old := l.longest.Load(); ms > old && !l.longest.CompareAndSwap(old, ms); old = l.longest.Load() {
+		continue
+	}
+}
+
 // errorKind returns the last part of an error, which names no address.
 func errorKind(err error) string {
 	parts := strings.Split(err.Error(), ": ")
--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -26,6 +26,7 @@
 	for _, c := range []command{
 		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
 		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
+		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
 		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
 		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
 	} {
