Check settings whole, and serve logs, metrics, traces and pages

Cause: a settings file's mistakes had no lines, repeated keys and sections passed in silence, logs flooded under failure, and a node showed operators nothing but whether it was ready. Change: mesh/settings scans the file for lines and duplicates, suggests the nearest key, checks rules across keys, and writes docs/SETTINGS.md out of the schema. mesh/telemetry limits repeated log lines, adds revision and call id, serves tally's values to Prometheus with at most 1000 series, and exports spans. mesh/operator serves /, /live, /ready, /status, /table, /members and /metrics with bounds. mesh/node reports gauges, control bytes by kind and convergence, and audits each table in force.

--- a/caroblift/main.go
+++ b/caroblift/main.go
@@ -4,25 +4,19 @@
 //
 //	caroblift --config node.ini
 //	caroblift --config node.ini --check
+//	caroblift --describe
+//
+// SIGTERM and SIGINT stop it gracefully; a second one ends the wait. SIGHUP
+// makes it read its settings again.
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/pkg/errors"
 
-	"caroblift.dev/mesh/node"
 	"caroblift.dev/mesh/settings"
-	"caroblift.dev/mesh/telemetry"
-	"caroblift.dev/wire"
 )
 
 // Exit codes.
@@ -33,8 +27,9 @@
 
 // options are the command line.
 type options struct {
-	Config string `long:"config" short:"c" required:"true" description:"settings file"`
-	Check  bool   `long:"check" description:"check the settings and exit"`
+	Config   string `long:"config" short:"c" description:"settings file"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Describe bool   `long:"describe" description:"print every key of the settings and exit"`
 }
 
 func main() { os.Exit(run()) }
@@ -47,6 +42,13 @@
 		}
 		return exitSettings
 	}
+	switch {
+	case opts.Describe:
+		return report(settings.Describe(os.Stdout))
+	case opts.Config == "":
+		fmt.Fprintln(os.Stderr, "--config is required")
+		return exitSettings
+	}
 	s, findings := settings.Load(opts.Config)
 	if len(findings) > 0 {
 		fmt.Fprintln(os.Stderr, findings.Error())
@@ -56,52 +58,14 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := serve(s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
-	}
-	return 0
-}
-
-func serve(s *wire.Settings) error {
-	out, err := logFile(s.GetLog().GetFile())
-	if err != nil {
-		return err
-	}
-	log := telemetry.Log(out, s.GetLog().GetLevel())
-	n, err := node.New(s, telemetry.Sinks{Log: log})
-	if err != nil {
-		return err
-	}
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	n.Start()
-	select {
-	case <-stop:
-	case <-n.Dead():
-		return errors.New("node stopped by itself")
-	}
-	return shutdown(n, log, stop, time.Duration(s.GetCalls().GetDrain())*time.Millisecond)
+	return report(serve(opts.Config, s))
 }
 
-// shutdown drains the node; a second signal ends the wait.
-func shutdown(n *node.Node, log *slog.Logger, stop <-chan os.Signal, bound time.Duration) error {
-	log.Info("stopping", "bound", bound.String())
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	defer cancel()
-	go func() {
-		<-stop
-		cancel()
-	}()
-	err := n.Stop(ctx)
-	log.Info("stopped")
-	return errors.Wrap(err, "calls were cut")
-}
-
-func logFile(path string) (io.Writer, error) {
-	if path == "" {
-		return os.Stderr, nil
+// report prints an error and returns the exit code.
+func report(err error) int {
+	if err == nil {
+		return 0
 	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	return f, errors.Wrap(err, "log.file")
+	fmt.Fprintln(os.Stderr, err)
+	return exitFailed
 }
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -75,7 +75,8 @@
 func New(s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
 	n := &Node{settings: s, Holder: &revision.Holder{}}
 	n.sinks = sinks.OrDiscard()
-	n.sinks.Log = n.sinks.Log.With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
+	n.sinks.Log = telemetry.WithRevision(n.sinks.Log, func() uint64 { return n.Holder.Table().Number }).
+		With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -131,7 +132,7 @@
 	n.assembleCalls()
 	n.operator = operator.New(operator.Config{
 		Store: n.store, Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
-		Report: func(context.Context) *wire.Report { return n.Spread.Report() },
+		Report: func(context.Context) *wire.Report { return n.Spread.Report() }, Metrics: n.sinks.Metrics,
 	})
 }
 
@@ -201,14 +202,14 @@
 func (n *Node) Start() {
 	path, rpc := wireconnect.NewPeerHandler(&peer.Handler{Spread: n.Spread, Members: n.Members})
 	mux := http.NewServeMux()
-	mux.Handle(path, rpc)
+	mux.Handle(path, meter(n.sinks.Scope, rpc))
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
 	n.serve(n.listeners.hop, n.Gate)
 	n.serve(n.listeners.caller, n.Proxy)
 	n.serve(n.listeners.backend, n.announcer.Handler())
 	n.serve(n.listeners.operator, n.operator.Handler())
 	for _, run := range []func(context.Context) error{
-		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run,
+		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run, newState(n).run,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
 	}
@@ -241,8 +242,10 @@
 	if drainErr := n.Proxy.Drain(ctx); err == nil {
 		err = drainErr
 	}
+	cut := n.Gate.Progress()
 	n.linger(ctx)
 	n.shutServers(ctx)
+	n.sinks.Log.Info("drained", "cut", cut)
 	n.Kill()
 	return err
 }
@@ -287,7 +290,12 @@
 // ControlBytes returns the control bytes sent and received so far, platform
 // calls left out.
 func (n *Node) ControlBytes() int64 {
-	return n.inbound.In.Load() + n.inbound.Out.Load() + n.pool.Bytes.In.Load() + n.pool.Bytes.Out.Load()
+	in, out := n.controlBytes()
+	return in + out
+}
+
+func (n *Node) controlBytes() (in, out int64) {
+	return n.inbound.In.Load() + n.pool.Bytes.In.Load(), n.inbound.Out.Load() + n.pool.Bytes.Out.Load()
 }
 
 // PlatformCalls returns the number of calls made to the platform so far.
--- /dev/null
+++ b/mesh/node/state.go
@@ -0,0 +1,202 @@
+package node
+
+// This file reports the node's state as metrics and checks each table in force
+// against the promises.
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"caroblift.dev/mesh/operator"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/wire"
+)
+
+// stateInterval is how often gauges are renewed.
+const stateInterval = time.Second
+
+// convergenceBuckets are the bounds of the convergence histogram; the target
+// is 3 s.
+var convergenceBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second,
+	5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute,
+}
+
+// state turns what a node holds into metrics.
+type state struct {
+	node        *Node
+	scope       tally.Scope
+	convergence tally.Histogram
+	last        *revision.Table
+	in, out     int64  // control bytes reported so far
+	calls       uint64 // platform calls reported so far
+}
+
+func newState(n *Node) *state {
+	scope := n.sinks.Scope.SubScope("node")
+	s := &state{node: n, scope: scope, last: n.Holder.Table(), convergence: scope.Histogram("convergence_seconds", convergenceBuckets)}
+	for _, promise := range []string{"backwards", "partial"} {
+		s.broken(promise).Inc(0)
+	}
+	return s
+}
+
+// broken returns the counter of one promise; it stays 0 while it is kept.
+func (s *state) broken(promise string) tally.Counter {
+	return s.scope.Tagged(map[string]string{"promise": promise}).Counter("broken")
+}
+
+// run reports until the context ends.
+func (s *state) run(ctx context.Context) error {
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		changed := s.node.Holder.Changed()
+		s.table(s.node.Holder.Table())
+		s.gauges()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+	return nil
+}
+
+// table looks at a table that came in force: it must be newer than the one
+// before, and whole, which applying it to an empty holder proves anew.
+func (s *state) table(t *revision.Table) {
+	if t == s.last {
+		return
+	}
+	old := s.last
+	s.last = t
+	if t.Number <= old.Number {
+		s.broken("backwards").Inc(1)
+		s.node.sinks.Log.Error("table went backwards", "from", old.Number, "to", t.Number)
+	}
+	if err := new(revision.Holder).Apply(&wire.Update{Snapshot: t.Snapshot()}); err != nil {
+		s.broken("partial").Inc(1)
+		s.node.sinks.Log.Error("table in force is not whole", "error", err.Error())
+	}
+	if old.Number > 0 { // a node that starts catches up with old revisions
+		s.convergence.RecordDuration(max(0, time.Since(time.UnixMilli(t.Time))))
+	}
+}
+
+func (s *state) gauges() {
+	n, t := s.node, s.node.Holder.Table()
+	s.gauge("revision", float64(t.Number))
+	s.gauge("floor", float64(n.Holder.Floor()))
+	s.gauge("held", float64(len(t.Held)))
+	s.gauge("records", float64(len(t.Records)))
+	s.gauge("ready", boolean(n.Holder.Ready()))
+	s.gauge("platform_answers", boolean(n.Reader.Working()))
+	if at := n.Spread.Checked(); at > 0 {
+		s.gauge("confirmed_age_seconds", time.Since(time.UnixMilli(at)).Seconds())
+	}
+	report := n.Spread.Report()
+	s.gauge("laggards", float64(len(report.GetLaggards())+int(report.GetMore())))
+	s.members()
+	s.traffic()
+}
+
+func (s *state) gauge(name string, value float64) { s.scope.Gauge(name).Update(value) }
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// members counts the members by state.
+func (s *state) members() {
+	counts := map[wire.State]int{}
+	for _, m := range s.node.Members.View().Members {
+		counts[m.GetState()]++
+	}
+	for _, one := range []wire.State{wire.State_STATE_ALIVE, wire.State_STATE_SUSPECT, wire.State_STATE_LEAVING} {
+		s.scope.Tagged(map[string]string{"state": operator.StateWord(one)}).Gauge("members").Update(float64(counts[one]))
+	}
+}
+
+// traffic counts every control byte, framing included, and the platform calls.
+func (s *state) traffic() {
+	in, out := s.node.controlBytes()
+	s.bytes("in").Inc(in - s.in)
+	s.bytes("out").Inc(out - s.out)
+	calls := s.node.PlatformCalls()
+	s.scope.Counter("platform_calls").Inc(int64(calls - s.calls))
+	s.in, s.out, s.calls = in, out, calls
+}
+
+func (s *state) bytes(direction string) tally.Counter {
+	return s.scope.Tagged(map[string]string{"direction": direction}).Counter("control_bytes")
+}
+
+// kindMeter counts the messages of one kind.
+type kindMeter struct {
+	messages, requests, responses tally.Counter
+}
+
+func newKindMeter(scope tally.Scope, kind string) kindMeter {
+	tagged := scope.Tagged(map[string]string{"kind": kind})
+	return kindMeter{tagged.Counter("messages"), tagged.Counter("request_bytes"), tagged.Counter("response_bytes")}
+}
+
+// meter counts the requests of a control service by kind, and the bytes of
+// their bodies as they are on the wire.
+func meter(scope tally.Scope, h http.Handler) http.Handler {
+	scope = scope.SubScope("control")
+	other := newKindMeter(scope, "other")
+	kinds := map[string]kindMeter{}
+	for _, kind := range peerKinds() {
+		kinds[kind] = newKindMeter(scope, kind)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m, ok := kinds[path.Base(r.URL.Path)]
+		if !ok {
+			m = other
+		}
+		counted := &countedWriter{ResponseWriter: w}
+		h.ServeHTTP(counted, r)
+		m.messages.Inc(1)
+		m.requests.Inc(max(r.ContentLength, 0))
+		m.responses.Inc(counted.bytes)
+	})
+}
+
+// peerKinds returns the calls of the Peer service.
+func peerKinds() []string {
+	methods := wire.File_peer_proto.Services().ByName("Peer").Methods()
+	kinds := make([]string, methods.Len())
+	for i := range kinds {
+		kinds[i] = string(methods.Get(i).Name())
+	}
+	return kinds
+}
+
+// countedWriter counts the bytes of an answer's body.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes int64
+}
+
+// Write implements io.Writer.
+func (w *countedWriter) Write(b []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(b)
+	w.bytes += int64(n)
+	return n, err
+}
+
+// Unwrap lets http.ResponseController reach what it wraps.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Flush implements http.Flusher.
+func (w *countedWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
--- /dev/null
+++ b/mesh/operator/pages_test.go
@@ -0,0 +1,146 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/wire"
+)
+
+// service returns a service over a table of one service, one route and one
+// tombstone, and two members.
+func service(t *testing.T) *Service {
+	holder := &revision.Holder{}
+	rev, err := revision.Next(&revision.Table{}, revision.Result{
+		Changed: []*wire.Record{
+			{Kind: wire.Kind_KIND_SERVICE, Name: "quotes", Schema: 2, Version: 3, Body: []byte(`{}`)},
+			{Kind: wire.Kind_KIND_ROUTE, Name: "gone", Schema: 2, Version: 4, Deleted: true},
+			{Kind: wire.Kind_KIND_ROUTE, Name: "quotes", Schema: 2, Version: 5, Body: []byte(`{"prefix": "/quotes", "service": "quotes"}`)},
+		},
+		Held: []*wire.Held{{Kind: wire.Kind_KIND_ROUTE, Name: "<b>", Version: 9, Findings: []*wire.Finding{{Place: "route/x", Reason: "service/none does not exist"}}}},
+	}, "change", "quotes-1", 1000)
+	require.NoError(t, err)
+	require.NoError(t, holder.Apply(&wire.Update{Revisions: []*wire.Revision{rev}}))
+	self := &wire.Member{
+		Name: "quotes-1", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
+		Servers: []*wire.Server{{Service: "quotes", Slots: 6}},
+	}
+	table := member.NewTable(member.TableConfig{}, self, time.Now())
+	table.Merge(&wire.Member{Name: "drawings-1", Domain: "nantun", State: wire.State_STATE_ALIVE, Incarnation: 1}, time.Now())
+	return New(Config{
+		Holder: holder, View: table.View, Checked: func() int64 { return time.Now().UnixMilli() }, Working: func() bool { return true },
+		Report: func(context.Context) *wire.Report {
+			return &wire.Report{Counts: []*wire.Count{{Domain: "xitun", Revision: 1, Nodes: 2}}}
+		},
+		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "caroblift_node_revision 1\n") }),
+	})
+}
+
+func get(h http.Handler, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w
+}
+
+func TestPages(t *testing.T) {
+	h := service(t).Handler()
+	for name, c := range map[string]struct {
+		path string
+		code int
+		want string
+	}{
+		"live":             {"/live", 200, "live\n"},
+		"ready":            {"/ready", 200, "ready at revision 1\n"},
+		"metrics":          {"/metrics", 200, "caroblift_node_revision 1\n"},
+		"status":           {"/status", 200, `"revision":`},
+		"table":            {"/table", 200, `"spec":{"prefix":"/quotes","service":"quotes"}`},
+		"first record":     {"/table?limit=1", 200, `"total":2,"next":"route/quotes","records":[{"kind":"route"`},
+		"records after":    {"/table?after=route/quotes", 200, `"total":2,"records":[{"kind":"service"`},
+		"limit no number":  {"/table?limit=all", 400, `limit: "all" is not a count`},
+		"members":          {"/members", 200, "drawings-1"},
+		"members of one":   {"/members?service=quotes", 200, "quotes-1"},
+		"members negative": {"/members?limit=-1", 400, `limit: "-1" is not a count`},
+		"home":             {"/", 200, "Serving revision 1."},
+		"home escapes":     {"/", 200, "route/&lt;b&gt;"},
+		"unknown":          {"/unknown", 404, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := get(h, c.path)
+			require.Equal(t, c.code, w.Code)
+			require.Contains(t, w.Body.String(), c.want)
+		})
+	}
+}
+
+func TestTablePageIsJSON(t *testing.T) {
+	var answer tableAnswer
+	require.NoError(t, json.Unmarshal(get(service(t).Handler(), "/table").Body.Bytes(), &answer))
+	require.EqualValues(t, 1, answer.Revision)
+	require.Len(t, answer.Records, 2)
+	require.Len(t, answer.Digest, 64)
+}
+
+func TestMembersPages(t *testing.T) {
+	h := service(t).Handler()
+	var seen []string
+	for after := ""; ; after = seen[len(seen)-1] {
+		var page wire.MembersResponse
+		require.NoError(t, protojson.Unmarshal(get(h, "/members?limit=1&after="+after).Body.Bytes(), &page))
+		require.EqualValues(t, 2, page.GetTotal())
+		if len(page.GetMembers()) == 0 {
+			break
+		}
+		require.Len(t, page.GetMembers(), 1)
+		seen = append(seen, page.GetMembers()[0].GetName())
+	}
+	require.Equal(t, []string{"drawings-1", "quotes-1"}, seen)
+}
+
+func TestReadyNamesTheReason(t *testing.T) {
+	s := service(t)
+	s.config.Holder.Raise(9)
+	w := get(s.Handler(), "/ready")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "revision 1 in force is below the floor 9\n", w.Body.String())
+	s.config.Holder = &revision.Holder{}
+	require.Equal(t, "no table in force\n", get(s.Handler(), "/ready").Body.String())
+	require.Equal(t, 200, get(s.Handler(), "/live").Code)
+}
+
+func TestPortIsBounded(t *testing.T) {
+	enter, leave := make(chan struct{}), make(chan struct{})
+	h := limited(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		enter <- struct{}{}
+		<-leave
+	}), 2)
+	for range 2 {
+		go get(h, "/")
+		<-enter
+	}
+	w := get(h, "/")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+	close(leave)
+}
+
+// TestOtherOriginCannotWrite sends what a page of another site could send.
+func TestOtherOriginCannotWrite(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/caroblift.Operator/Delete", strings.NewReader(`{"kind":"KIND_ROUTE","name":"quotes"}`))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Origin", "http://elsewhere.example")
+	r.Header.Set("Sec-Fetch-Site", "cross-site")
+	w := httptest.NewRecorder()
+	service(t).Handler().ServeHTTP(w, r)
+	require.Equal(t, http.StatusForbidden, w.Code)
+}
--- a/mesh/settings/load.go
+++ b/mesh/settings/load.go
@@ -1,18 +1,22 @@
 // Package settings loads the settings of a node from an INI file and checks
 // them against the schema in wire/schema/settings.proto.
 //
+// Every mistake of a file is reported at once, with its line and key. The
+// schema documents each key; [Describe] writes docs/SETTINGS.md from it.
+//
 // # Usage
 //
 //	s, findings := settings.Load("node.ini")
-//	if len(findings) > 0 {
-//		return findings
+//	if err := findings.Err(); err != nil {
+//		return err
 //	}
+//	fmt.Println(s.GetListen().GetCaller())
 package settings
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 
@@ -24,18 +28,42 @@
 	"caroblift.dev/wire"
 )
 
+// maxFile bounds a settings file, in bytes.
+const maxFile = 1 << 20
+
 // loader collects the findings of one file.
 type loader struct {
 	path     string
 	file     *ini.File
+	lines    lines
 	findings record.Findings
 }
 
 // Load reads a settings file. The settings are usable only when there are no
 // findings.
 func Load(path string) (*wire.Settings, record.Findings) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var findings record.Findings
+		findings.Add(path, "", err.Error())
+		return nil, findings
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings out of the bytes of a file. The path only names the
+// place of findings. The settings are usable only when there are no findings.
+func Parse(path string, data []byte) (*wire.Settings, record.Findings) {
 	l := &loader{path: path}
-	file, err := ini.LoadSources(ini.LoadOptions{}, path)
+	if len(data) > maxFile {
+		l.findings.Add(path, "", fmt.Sprintf("file holds %d bytes, more than %d", len(data), maxFile))
+		return nil, l.findings
+	}
+	var clean []byte
+	l.lines, clean = scan(path, data, &l.findings)
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation: true, SkipUnrecognizableLines: true, KeyValueDelimiters: "=",
+	}, clean)
 	if err != nil {
 		l.findings.Add(path, "", err.Error())
 		return nil, l.findings
@@ -44,6 +72,7 @@
 	s := &wire.Settings{}
 	l.sections(s.ProtoReflect())
 	l.rules(s)
+	sortFindings(l.findings)
 	return s, l.findings
 }
 
@@ -55,61 +84,85 @@
 	return s
 }
 
+// add reports a mistake at the line of a key, or of its section when the key
+// is not in the file.
 func (l *loader) add(section, key, format string, args ...any) {
-	l.findings.Add(l.path, section+"."+key, fmt.Sprintf(format, args...))
+	l.findings.Add(l.lines.place(l.path, section, key), section+"."+key, fmt.Sprintf(format, args...))
 }
 
 func (l *loader) sections(s protoreflect.Message) {
 	fields := s.Descriptor().Fields()
 	for _, sec := range l.file.Sections() {
-		if sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0 {
-			continue
-		}
-		if fields.ByName(protoreflect.Name(sec.Name())) == nil {
-			l.findings.Add(l.path, sec.Name(), "section is unknown")
+		name := sec.Name()
+		switch {
+		case name == ini.DefaultSection:
+			for _, k := range sec.Keys() {
+				l.findings.Add(l.lines.place(l.path, name, k.Name()), k.Name(), "key stands outside of every section")
+			}
+		case fields.ByName(protoreflect.Name(name)) == nil:
+			l.findings.Add(l.lines.place(l.path, name, ""), "["+name+"]", "section is unknown"+suggest(name, fieldNames(fields)))
 		}
 	}
 	for i := range fields.Len() {
 		f := fields.Get(i)
-		l.section(string(f.Name()), s.Mutable(f).Message())
+		l.section(fields, string(f.Name()), s.Mutable(f).Message())
 	}
 }
 
-func (l *loader) section(name string, m protoreflect.Message) {
+func (l *loader) section(all protoreflect.FieldDescriptors, name string, m protoreflect.Message) {
 	sec := l.file.Section(name)
 	fields := m.Descriptor().Fields()
 	for _, k := range sec.Keys() {
 		if fields.ByName(protoreflect.Name(k.Name())) == nil {
-			l.add(name, k.Name(), "key is unknown")
+			l.add(name, k.Name(), "key is unknown%s", l.suggestKey(all, name, k.Name()))
 		}
 	}
 	for i := range fields.Len() {
-		f := fields.Get(i)
-		l.key(name, sec, f, m)
+		l.key(name, sec, fields.Get(i), m)
+	}
+}
+
+// suggestKey names the section that has an unknown key, or the nearest key of
+// its own section.
+func (l *loader) suggestKey(all protoreflect.FieldDescriptors, section, key string) string {
+	for i := range all.Len() {
+		if all.Get(i).Message().Fields().ByName(protoreflect.Name(key)) != nil {
+			return fmt.Sprintf("; section [%s] has it", all.Get(i).Name())
+		}
 	}
+	return suggest(key, fieldNames(all.ByName(protoreflect.Name(section)).Message().Fields()))
+}
+
+func fieldNames(fields protoreflect.FieldDescriptors) []string {
+	names := make([]string, fields.Len())
+	for i := range names {
+		names[i] = string(fields.Get(i).Name())
+	}
+	return names
+}
+
+// keyOf returns what the schema says of a key.
+func keyOf(f protoreflect.FieldDescriptor) *wire.Key {
+	key, _ := proto.GetExtension(f.Options(), wire.E_Key).(*wire.Key)
+	return key
 }
 
 func (l *loader) key(section string, sec *ini.Section, f protoreflect.FieldDescriptor, m protoreflect.Message) {
-	doc, _ := proto.GetExtension(f.Options(), wire.E_Key).(*wire.Key)
+	doc := keyOf(f)
 	name := string(f.Name())
 	text := doc.GetDefault()
 	if sec.HasKey(name) {
-		text = sec.Key(name).String()
+		text = sec.Key(name).Value()
 	}
 	if text == "" {
 		if doc.GetRequired() {
-			l.add(section, name, "is required")
+			l.add(section, name, "is required (%s)", doc.GetUnit())
 		}
 		return
 	}
 	switch {
 	case f.IsList():
-		list := m.Mutable(f).List()
-		for part := range strings.SplitSeq(text, ",") {
-			part = strings.TrimSpace(part)
-			l.word(section, name, part, doc)
-			list.Append(protoreflect.ValueOfString(part))
-		}
+		l.list(section, name, text, doc, m.Mutable(f).List())
 	case f.Kind() == protoreflect.BoolKind:
 		v, err := strconv.ParseBool(text)
 		if err != nil {
@@ -120,7 +173,20 @@
 		m.Set(f, protoreflect.ValueOfInt64(l.number(section, name, text, doc)))
 	default:
 		l.word(section, name, text, doc)
-		m.Set(f, protoreflect.ValueOfString(text))
+		m.Set(f, protoreflect.ValueOfString(strings.ToValidUTF8(text, "")))
+	}
+}
+
+func (l *loader) list(section, name, text string, doc *wire.Key, into protoreflect.List) {
+	seen := map[string]bool{}
+	for part := range strings.SplitSeq(text, ",") {
+		part = strings.TrimSpace(part)
+		l.word(section, name, part, doc)
+		if seen[part] {
+			l.add(section, name, "%q stands there twice", part)
+		}
+		seen[part] = true
+		into.Append(protoreflect.ValueOfString(strings.ToValidUTF8(part, "")))
 	}
 }
 
@@ -142,17 +208,14 @@
 			l.add(section, name, "%q is not an IP:port", text)
 		}
 	}
+	if doc.GetUnit() == "word" && strings.ContainsFunc(text, notWord) {
+		l.add(section, name, "%q holds characters other than letters, digits, '.', '_' and '-'", text)
+	}
 	if c := doc.GetChoices(); c != "" && !strings.Contains(" "+c+" ", " "+text+" ") {
 		l.add(section, name, "%q is none of %s", text, strings.ReplaceAll(c, " ", ", "))
 	}
 }
 
-// rules checks what concerns several keys.
-func (l *loader) rules(s *wire.Settings) {
-	host, _, err := net.SplitHostPort(s.GetListen().GetOperator())
-	if err == nil && !s.GetListen().GetOpen() {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsLoopback() {
-			l.add("listen", "operator", "%q is not loopback; set open = true to allow it", s.GetListen().GetOperator())
-		}
-	}
+func notWord(r rune) bool {
+	return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-", r)
 }
