--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -162,7 +162,7 @@
 
 func (n *Node) assemblePlatform() {
 	s := n.settings.GetPlatform()
-	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout())})
+	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("platform")})
 	n.poll = n.store.Fresh()
 	deliver := func(u *wire.Update) { _ = n.Spread.Offer(u) }
 	n.Reader = platform.NewReader(platform.ReaderConfig{
@@ -174,6 +174,8 @@
 		Store: n.store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
 		Rank: func() (int, bool) { return n.tree().Publisher(n.Members.View()) },
 		Wait: ms(s.GetWait()), Sinks: n.sinks.Sub("platform"),
+		Poll: n.poll, Every: ms(s.GetPoll()), Snapshot: int(s.GetSnapshot()),
+		Format: func() uint32 { return revision.Format(n.Members.View().Members) },
 	})
 }
 
--- /dev/null
+++ b/mesh/platform/archive.go
@@ -0,0 +1,152 @@
+package platform
+
+// This file writes snapshots and removes what they make superfluous.
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/wire"
+)
+
+// writeTries bounds the attempts at one piece whose answer was lost.
+const writeTries = 4
+
+// archiver writes a snapshot every so many revisions: first its pieces, under
+// names that no other writer uses, then the pointer by conditional update,
+// then it removes old objects. A crash between any two of these leaves objects
+// that the next writer removes.
+//
+// The snapshot before the newest stays, with every revision after it, so a
+// reader that holds the pointer before this one finds all that it names.
+type archiver struct {
+	store  Store
+	holder *revision.Holder
+	every  uint64 // revisions between two snapshots; 0 for no snapshots
+	newest uint64 // snapshot that the pointer named last
+}
+
+// due tells whether a snapshot may be needed. It asks nobody.
+func (a *archiver) due() bool {
+	return a.every > 0 && a.holder.Table().Number >= a.newest+a.every
+}
+
+// run writes a snapshot of the table in force if it is needed.
+func (a *archiver) run(ctx context.Context) error {
+	t := a.holder.Table()
+	p, version, err := readPointer(ctx, a.store)
+	if err != nil {
+		return err
+	}
+	a.newest = max(a.newest, p.GetSnapshot())
+	if t.Number < a.newest+a.every {
+		return nil
+	}
+	next := &wire.Pointer{
+		Snapshot: t.Number, Change: uuid.NewString(),
+		Previous: p.GetSnapshot(), Before: p.GetChange(), Oldest: p.GetSnapshot() + 1,
+	}
+	if err := a.writePieces(ctx, next, t.Snapshot()); err != nil {
+		return err
+	}
+	if err := a.writePointer(ctx, next, version); err != nil {
+		return err
+	}
+	a.newest = next.GetSnapshot()
+	return a.remove(ctx, next)
+}
+
+func (a *archiver) writePieces(ctx context.Context, p *wire.Pointer, s *wire.Snapshot) error {
+	pieces, err := encodeSnapshot(s)
+	if err != nil {
+		return err
+	}
+	p.Pieces = uint32(len(pieces))
+	for i, body := range pieces {
+		if err := a.writePiece(ctx, pieceName(p.GetSnapshot(), p.GetChange(), i), body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writePiece creates a piece. The name carries this writer's own change ID, so
+// a conflict says that an attempt before has taken effect.
+func (a *archiver) writePiece(ctx context.Context, name string, body []byte) error {
+	var err error
+	for range writeTries {
+		_, err = a.store.Create(ctx, KindSnapshot, name, body)
+		if err == nil || errors.Is(err, ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, ErrUnknown) {
+			break
+		}
+	}
+	return errors.Wrapf(err, "write piece %s", name)
+}
+
+// writePointer replaces the pointer that has the version given. A lost answer
+// is settled by reading back.
+func (a *archiver) writePointer(ctx context.Context, p *wire.Pointer, version uint64) error {
+	body, err := protojson.Marshal(p)
+	if err != nil {
+		return errors.Wrapf(err, "encode pointer to snapshot %d", p.GetSnapshot())
+	}
+	if version == 0 {
+		_, err = a.store.Create(ctx, KindPointer, pointerName, body)
+	} else {
+		_, err = a.store.Update(ctx, KindPointer, pointerName, version, body)
+	}
+	if !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrConflict) {
+		return errors.Wrapf(err, "write pointer to snapshot %d", p.GetSnapshot())
+	}
+	present, _, readErr := readPointer(ctx, a.store)
+	if readErr == nil && present.GetChange() == p.GetChange() {
+		return nil
+	}
+	return errors.Wrapf(err, "write pointer to snapshot %d", p.GetSnapshot())
+}
+
+// remove deletes the revisions before the oldest that the pointer names, and
+// the pieces of every snapshot but the newest two. Whoever deletes an object
+// first wins; the others go on.
+func (a *archiver) remove(ctx context.Context, p *wire.Pointer) error {
+	err := a.removeEach(ctx, KindRevision, RevisionName(p.GetOldest()), func(string) bool { return false })
+	if err != nil {
+		return err
+	}
+	keep := map[string]bool{piecePrefix(p.GetSnapshot(), p.GetChange()): true, piecePrefix(p.GetPrevious(), p.GetBefore()): true}
+	return a.removeEach(ctx, KindSnapshot, RevisionName(p.GetSnapshot()+1), func(name string) bool { return keep[snapshotOf(name)] })
+}
+
+// removeEach deletes the objects of a kind before a name, but those to keep.
+func (a *archiver) removeEach(ctx context.Context, kind, before string, keep func(string) bool) error {
+	after := ""
+	for {
+		objs, _, more, err := a.store.List(ctx, kind, after)
+		if err != nil {
+			return err
+		}
+		for _, o := range objs {
+			if o.Name >= before {
+				return nil
+			}
+			after = o.Name
+			if keep(o.Name) {
+				continue
+			}
+			err := a.store.Delete(ctx, kind, o.Name, o.Version)
+			if err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotFound) && !errors.Is(err, ErrUnknown) {
+				return errors.Wrapf(err, "remove %s/%s", kind, o.Name)
+			}
+		}
+		if !more {
+			return nil
+		}
+	}
+}
--- a/mesh/platform/client.go
+++ b/mesh/platform/client.go
@@ -17,15 +17,36 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/telemetry"
 )
 
 // maxBody bounds an answer of the platform, in bytes.
-const maxBody = 8 << 20
+const maxBody = 64 << 20
+
+// Bounds of the time that a busy platform asks for.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+)
+
+// The kinds of calls that are counted.
+const (
+	callGet    = "get"
+	callList   = "list"
+	callWatch  = "watch"
+	callCreate = "create"
+	callUpdate = "update"
+	callDelete = "delete"
+)
+
+var callKinds = []string{callGet, callList, callWatch, callCreate, callUpdate, callDelete}
 
 // ClientConfig configures a Client. Only Addresses is required.
 type ClientConfig struct {
 	Addresses []string      // IP:port, tried in turn
 	Timeout   time.Duration // of one call, 2 s when zero; a watch gets its wait on top
+	Sinks     telemetry.Sinks
 }
 
 // Client is a Store over HTTP. It may be used from several goroutines.
@@ -33,7 +54,7 @@
 	config ClientConfig
 	http   *http.Client
 	next   atomic.Uint32
-	calls  atomic.Uint64
+	calls  map[string]*atomic.Uint64 // by kind; never written after New
 }
 
 // New returns a client. Close releases its connections.
@@ -41,16 +62,41 @@
 	if config.Timeout == 0 {
 		config.Timeout = 2 * time.Second
 	}
+	config.Sinks = config.Sinks.OrDiscard()
 	dialer := &net.Dialer{Timeout: config.Timeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4}
-	return &Client{config: config, http: &http.Client{Transport: transport}}
+	c := &Client{config: config, http: &http.Client{Transport: transport}, calls: map[string]*atomic.Uint64{}}
+	for _, kind := range callKinds {
+		c.calls[kind] = new(atomic.Uint64)
+	}
+	return c
 }
 
 // Close releases idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Calls returns the number of calls made so far.
-func (c *Client) Calls() uint64 { return c.calls.Load() }
+func (c *Client) Calls() uint64 {
+	var n uint64
+	for _, one := range c.calls {
+		n += one.Load()
+	}
+	return n
+}
+
+// Counts returns the number of calls made so far by kind.
+func (c *Client) Counts() map[string]uint64 {
+	out := map[string]uint64{}
+	for kind, one := range c.calls {
+		out[kind] = one.Load()
+	}
+	return out
+}
+
+func (c *Client) count(kind string) {
+	c.calls[kind].Add(1)
+	c.config.Sinks.Scope.Tagged(map[string]string{"kind": kind}).Counter("calls").Inc(1)
+}
 
 // Fresh returns a client with the same settings and connections of its own.
 func (c *Client) Fresh() *Client { return New(c.config) }
@@ -69,30 +115,46 @@
 	body   []byte
 }
 
-func (c *Client) do(ctx context.Context, method, path string, header map[string]string, body []byte, timeout time.Duration) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// call is one call to the platform.
+type call struct {
+	kind, method, path string
+	header             map[string]string
+	body               []byte
+	timeout            time.Duration
+}
+
+func (c *Client) do(ctx context.Context, in call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, in.timeout)
 	defer cancel()
 	addr := c.config.Addresses[int(c.next.Load())%len(c.config.Addresses)]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, in.method, "http://"+addr+in.path, bytes.NewReader(in.body))
 	if err != nil {
-		return answer{}, errors.Wrapf(err, "build request %s %s", method, path)
+		return answer{}, errors.Wrapf(err, "build request %s %s", in.method, in.path)
 	}
 	req.GetBody = nil // a write must not be sent twice by net/http
-	for k, v := range header {
+	for k, v := range in.header {
 		req.Header.Set(k, v)
 	}
-	c.calls.Add(1)
+	c.count(in.kind)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.next.Add(1)
-		return answer{}, lost(method, err)
+		c.moveOn()
+		return answer{}, lost(in.method, err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err != nil {
-		return answer{}, lost(method, err)
+		c.moveOn()
+		return answer{}, lost(in.method, err)
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: data}, statusError(method, resp, data)
+	return answer{status: resp.StatusCode, header: resp.Header, body: data}, statusError(in.method, resp, data)
+}
+
+// moveOn makes the next call use the next address and a new connection: what
+// cut or silenced one connection may have silenced the idle ones as well.
+func (c *Client) moveOn() {
+	c.next.Add(1)
+	c.http.CloseIdleConnections()
 }
 
 // lost classifies a call without an answer: a write may have taken effect
@@ -116,8 +178,7 @@
 	case resp.StatusCode == http.StatusGone:
 		return ErrGone
 	case resp.StatusCode == http.StatusTooManyRequests:
-		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		return &BusyError{After: time.Duration(max(seconds, 0.1) * float64(time.Second))}
+		return &BusyError{After: retryAfter(resp.Header.Get("Retry-After"))}
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		return errors.Wrap(ErrDown, resp.Status)
 	case resp.StatusCode >= 500 && method != http.MethodGet:
@@ -126,6 +187,17 @@
 	return errors.Errorf("platform answers %s: %s", resp.Status, strings.TrimSpace(string(body)))
 }
 
+// retryAfter reads the header in seconds, or as a date.
+func retryAfter(text string) time.Duration {
+	var d time.Duration
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		d = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	} else if at, err := http.ParseTime(text); err == nil {
+		d = time.Until(at)
+	}
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
 func objectPath(kind, name string) string {
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
@@ -143,7 +215,7 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	a, err := c.do(ctx, http.MethodGet, objectPath(kind, name), nil, nil, c.config.Timeout)
+	a, err := c.do(ctx, call{kind: callGet, method: http.MethodGet, path: objectPath(kind, name), timeout: c.config.Timeout})
 	if err != nil {
 		return Object{}, err
 	}
@@ -151,8 +223,8 @@
 	return Object{Kind: kind, Name: name, Version: v, Body: a.body}, err
 }
 
-func (c *Client) page(ctx context.Context, path string, timeout time.Duration) (page, error) {
-	a, err := c.do(ctx, http.MethodGet, path, nil, nil, timeout)
+func (c *Client) page(ctx context.Context, kind, path string, timeout time.Duration) (page, error) {
+	a, err := c.do(ctx, call{kind: kind, method: http.MethodGet, path: path, timeout: timeout})
 	if err != nil {
 		return page{}, err
 	}
@@ -165,38 +237,48 @@
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind, after string) ([]Object, uint64, bool, error) {
-	p, err := c.page(ctx, "/objects/"+url.PathEscape(kind)+"?after="+url.QueryEscape(after), c.config.Timeout)
+	p, err := c.page(ctx, callList, "/objects/"+url.PathEscape(kind)+"?after="+url.QueryEscape(after), c.config.Timeout)
 	return p.Objects, p.Version, p.More, err
 }
 
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]Object, uint64, error) {
 	path := fmt.Sprintf("/objects/%s?watch=%d&wait=%d", url.PathEscape(kind), version, wait.Milliseconds())
-	p, err := c.page(ctx, path, wait+c.config.Timeout)
+	p, err := c.page(ctx, callWatch, path, wait+c.config.Timeout)
 	return p.Objects, p.Version, err
 }
 
-func (c *Client) write(ctx context.Context, method, kind, name string, header map[string]string, body []byte) (Object, error) {
-	a, err := c.do(ctx, method, objectPath(kind, name), header, body, c.config.Timeout)
+func (c *Client) write(ctx context.Context, kind, name string, in call) (Object, error) {
+	in.path, in.timeout = objectPath(kind, name), c.config.Timeout
+	a, err := c.do(ctx, in)
 	if err != nil {
 		return Object{}, err
 	}
+	if in.kind == callDelete {
+		return Object{}, nil
+	}
 	v, err := parseETag(a.header)
-	return Object{Kind: kind, Name: name, Version: v, Body: body}, err
+	if err != nil {
+		return Object{}, errors.Wrap(ErrUnknown, err.Error())
+	}
+	return Object{Kind: kind, Name: name, Version: v, Body: in.body}, nil
 }
 
 // Create implements Store.
 func (c *Client) Create(ctx context.Context, kind, name string, body []byte) (Object, error) {
-	return c.write(ctx, http.MethodPut, kind, name, map[string]string{"If-None-Match": "*"}, body)
+	header := map[string]string{"If-None-Match": "*"}
+	return c.write(ctx, kind, name, call{kind: callCreate, method: http.MethodPut, header: header, body: body})
 }
 
 // Update implements Store.
 func (c *Client) Update(ctx context.Context, kind, name string, version uint64, body []byte) (Object, error) {
-	return c.write(ctx, http.MethodPut, kind, name, map[string]string{"If-Match": etag(version)}, body)
+	header := map[string]string{"If-Match": etag(version)}
+	return c.write(ctx, kind, name, call{kind: callUpdate, method: http.MethodPut, header: header, body: body})
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
-	_, err := c.do(ctx, http.MethodDelete, objectPath(kind, name), map[string]string{"If-Match": etag(version)}, nil, c.config.Timeout)
+	header := map[string]string{"If-Match": etag(version)}
+	_, err := c.write(ctx, kind, name, call{kind: callDelete, method: http.MethodDelete, header: header})
 	return err
 }
--- a/mesh/platform/objects.go
+++ b/mesh/platform/objects.go
@@ -4,6 +4,7 @@
 // encodes their bodies.
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,50 +26,70 @@
 	KindPointer  = "pointer"
 )
 
-// recordBody is the JSON body of a record object.
+// MaxChanges bounds the change IDs that a record's object remembers.
+const MaxChanges = 8
+
+// recordBody is the JSON body of a record object. Changes holds the IDs of the
+// last writes, the newest first, so that a writer whose answer was lost finds
+// its own write also under those of others.
 type recordBody struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
 	Schema  uint32          `json:"schema"`
 	Deleted bool            `json:"deleted,omitempty"`
 	Spec    json.RawMessage `json:"spec,omitempty"`
+	Changes []string        `json:"changes,omitempty"`
 }
 
 // RecordName returns the object name of a record.
 func RecordName(k record.Key) string { return record.KindWord(k.Kind) + "." + k.Name }
 
-// EncodeRecord returns the body of a record's object.
-func EncodeRecord(r *wire.Record) ([]byte, error) {
+// EncodeRecord returns the body of a record's object for one write. The
+// changes are those of the object that it replaces.
+func EncodeRecord(r *wire.Record, change string, changes []string) ([]byte, error) {
 	body := recordBody{
 		Kind: record.KindWord(r.GetKind()), Name: r.GetName(), Schema: r.GetSchema(),
-		Deleted: r.GetDeleted(), Spec: r.GetBody(),
+		Deleted: r.GetDeleted(), Spec: r.GetBody(), Changes: append([]string{change}, changes...),
 	}
-	data, err := json.Marshal(body)
-	return data, errors.Wrapf(err, "encode %s", record.KeyOf(r))
+	body.Changes = body.Changes[:min(len(body.Changes), MaxChanges)]
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false) // the spec stays as it was written
+	err := enc.Encode(body)
+	return out.Bytes(), errors.Wrapf(err, "encode %s", record.KeyOf(r))
 }
 
-// DecodeRecord returns the record that an object holds.
+// DecodeRecord returns the record that an object holds. A body that is no
+// record document becomes the record's spec with schema version 0, which no
+// check passes, so that it waits with a finding. Only an object whose name
+// names no record is an error.
 func DecodeRecord(o Object) (*wire.Record, error) {
-	var body recordBody
-	if err := json.Unmarshal(o.Body, &body); err != nil {
-		return nil, errors.Wrapf(err, "decode object %s/%s", o.Kind, o.Name)
-	}
-	kind, ok := record.ParseKind(body.Kind)
+	word, name, _ := strings.Cut(o.Name, ".")
+	kind, ok := record.ParseKind(word)
 	if !ok {
-		return nil, errors.Errorf("object %s/%s: kind %q is unknown", o.Kind, o.Name, body.Kind)
+		return nil, errors.Errorf("object %s/%s: kind %q is unknown", o.Kind, o.Name, word)
 	}
-	r := &wire.Record{
-		Kind: kind, Name: body.Name, Schema: body.Schema, Version: o.Version,
-		Deleted: body.Deleted, Body: body.Spec,
+	var body recordBody
+	if json.Unmarshal(o.Body, &body) != nil || body.Kind != word || body.Name != name {
+		return &wire.Record{Kind: kind, Name: name, Version: o.Version, Body: o.Body}, nil
 	}
-	if want := RecordName(record.KeyOf(r)); want != o.Name {
-		return nil, errors.Errorf("object %s/%s holds %s", o.Kind, o.Name, want)
+	return &wire.Record{
+		Kind: kind, Name: name, Schema: body.Schema, Version: o.Version, Deleted: body.Deleted, Body: body.Spec,
+	}, nil
+}
+
+// Changes returns the IDs of the last writes of a record's object, the newest
+// first.
+func Changes(o Object) []string {
+	var body recordBody
+	if json.Unmarshal(o.Body, &body) != nil {
+		return nil
 	}
-	return r, nil
+	return body.Changes
 }
 
 // RevisionName returns the object name of a revision; names sort by number.
-func RevisionName(number uint64) string { return fmt.Sprintf("%016d", number) }
+func RevisionName(number uint64) string { return fmt.Sprintf("%020d", number) }
 
 // EncodeRevision returns the body of a revision's object.
 func EncodeRevision(r *wire.Revision) ([]byte, error) {
@@ -93,7 +114,8 @@
 	return errors.Wrapf(err, "decode object %s/%s", o.Kind, o.Name)
 }
 
-// ListAll returns every object of a kind and the version to watch from.
+// ListAll returns every object of a kind after a name, and the version to
+// watch from.
 func ListAll(ctx context.Context, s Store, kind, after string) ([]Object, uint64, error) {
 	var all []Object
 	var from uint64
@@ -113,24 +135,18 @@
 	}
 }
 
-// ListRecords returns every record, tombstones included.
+// ListRecords returns every record, tombstones included, and the version to
+// watch from. Objects that name no record are left out.
 func ListRecords(ctx context.Context, s Store) ([]*wire.Record, uint64, error) {
 	objs, version, err := ListAll(ctx, s, KindRecord, "")
 	if err != nil {
 		return nil, 0, err
 	}
-	var out []*wire.Record
-	var bad []string
+	out := make([]*wire.Record, 0, len(objs))
 	for _, o := range objs {
-		r, err := DecodeRecord(o)
-		if err != nil {
-			bad = append(bad, err.Error())
-			continue
+		if r, err := DecodeRecord(o); err == nil {
+			out = append(out, r)
 		}
-		out = append(out, r)
-	}
-	if len(bad) > 0 {
-		return out, version, errors.New(strings.Join(bad, "; "))
 	}
 	return out, version, nil
 }
--- /dev/null
+++ b/mesh/platform/snapshot.go
@@ -0,0 +1,142 @@
+package platform
+
+// This file reads and encodes snapshots, which are kept in pieces, and the
+// pointer to the newest of them.
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"caroblift.dev/wire"
+)
+
+// Bounds of a snapshot. A piece grows by a third as base64 and must stay below
+// the platform's 1 MB.
+const (
+	pieceBytes       = 700_000
+	maxPieces        = 64
+	maxSnapshotBytes = 64 << 20
+)
+
+// pointerName is the name of the one pointer object.
+const pointerName = "snapshot"
+
+// pieceName returns the object name of a piece; names sort by number.
+func pieceName(number uint64, change string, index int) string {
+	return fmt.Sprintf("%s.%03d", piecePrefix(number, change), index)
+}
+
+// piecePrefix returns what the names of the pieces of one snapshot start with.
+func piecePrefix(number uint64, change string) string {
+	return fmt.Sprintf("%020d.%s", number, change)
+}
+
+// snapshotOf returns the name of a piece without its index.
+func snapshotOf(name string) string {
+	i := strings.LastIndexByte(name, '.')
+	return name[:max(i, 0)]
+}
+
+// encodeSnapshot returns the bodies of the pieces of a snapshot.
+func encodeSnapshot(s *wire.Snapshot) ([][]byte, error) {
+	plain, err := proto.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode snapshot %d", s.GetNumber())
+	}
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, errors.Wrap(err, "zstd")
+	}
+	packed := enc.EncodeAll(plain, nil)
+	_ = enc.Close()
+	var out [][]byte
+	for index := 0; len(packed) > 0; index++ {
+		n := min(len(packed), pieceBytes)
+		body, err := protojson.Marshal(&wire.Piece{Number: s.GetNumber(), Index: uint32(index), Data: packed[:n]})
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode piece %d of snapshot %d", index, s.GetNumber())
+		}
+		out, packed = append(out, body), packed[n:]
+	}
+	if len(out) > maxPieces {
+		return nil, errors.Errorf("snapshot %d has %d pieces; %d are allowed", s.GetNumber(), len(out), maxPieces)
+	}
+	return out, nil
+}
+
+// decodePiece returns the data of a piece.
+func decodePiece(o Object, number uint64, index uint32) ([]byte, error) {
+	var p wire.Piece
+	if err := decodeJSON(o, &p); err != nil {
+		return nil, err
+	}
+	if p.GetNumber() != number || p.GetIndex() != index {
+		return nil, errors.Errorf("object %s/%s holds piece %d of snapshot %d", o.Kind, o.Name, p.GetIndex(), p.GetNumber())
+	}
+	return p.GetData(), nil
+}
+
+// decodeSnapshot returns the snapshot that joined pieces hold.
+func decodeSnapshot(packed []byte) (*wire.Snapshot, error) {
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "zstd")
+	}
+	defer dec.Close()
+	plain, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress snapshot")
+	}
+	var s wire.Snapshot
+	return &s, errors.Wrap(proto.Unmarshal(plain, &s), "decode snapshot")
+}
+
+// readSnapshot reads the snapshot that a pointer names.
+func readSnapshot(ctx context.Context, s Store, p *wire.Pointer) (*wire.Snapshot, error) {
+	if p.GetPieces() > maxPieces {
+		return nil, errors.Errorf("pointer to snapshot %d names %d pieces; %d are allowed", p.GetSnapshot(), p.GetPieces(), maxPieces)
+	}
+	var packed []byte
+	for i := range p.GetPieces() {
+		o, err := s.Get(ctx, KindSnapshot, pieceName(p.GetSnapshot(), p.GetChange(), int(i)))
+		if err != nil {
+			return nil, errors.Wrapf(err, "piece %d of snapshot %d", i, p.GetSnapshot())
+		}
+		data, err := decodePiece(o, p.GetSnapshot(), i)
+		if err != nil {
+			return nil, err
+		}
+		packed = append(packed, data...)
+	}
+	snapshot, err := decodeSnapshot(packed)
+	if err != nil {
+		return nil, errors.Wrapf(err, "snapshot %d", p.GetSnapshot())
+	}
+	if snapshot.GetNumber() != p.GetSnapshot() {
+		return nil, errors.Errorf("pieces of snapshot %d hold snapshot %d", p.GetSnapshot(), snapshot.GetNumber())
+	}
+	return snapshot, nil
+}
+
+// readPointer returns the pointer and its object's version, or an empty
+// pointer and 0 before there is any snapshot.
+func readPointer(ctx context.Context, s Store) (*wire.Pointer, uint64, error) {
+	o, err := s.Get(ctx, KindPointer, pointerName)
+	if errors.Is(err, ErrNotFound) {
+		return &wire.Pointer{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var p wire.Pointer
+	if err := decodeJSON(o, &p); err != nil {
+		return nil, 0, err
+	}
+	return &p, o.Version, nil
+}
--- a/mesh/platformtest/http.go
+++ b/mesh/platformtest/http.go
@@ -16,12 +16,12 @@
 	"caroblift.dev/mesh/platform"
 )
 
-// maxValue bounds the body of one object, in bytes.
-const maxValue = 1 << 20
-
 // ServeHTTP serves /objects as the platform does, and /faults and /calls for
 // tests.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.mute(r.Context()) {
+		panic(http.ErrAbortHandler) // nothing arrives on a silent connection
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case r.URL.Path == "/faults" && r.Method == http.MethodPut:
@@ -110,6 +110,9 @@
 		writeError(w, err)
 		return
 	}
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.mute(r.Context()) {
+		panic(http.ErrAbortHandler) // the watch outlived its connection
+	}
 	writeJSON(w, p)
 }
 
@@ -130,6 +133,8 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.Is(err, platform.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrGone):
+		http.Error(w, err.Error(), http.StatusGone)
 	case errors.Is(err, platform.ErrDown):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/mesh/platformtest/store.go
+++ b/mesh/platformtest/store.go
@@ -1,36 +1,54 @@
 // Package platformtest is a small stand-in for the platform's object API, with
 // switches for its faults.
 //
+// A [Store] holds the objects. A [Conn] is one client's way to it, which can go
+// silent on its own. Both implement platform.Store; over HTTP the store is a
+// handler, and each connection goes silent on its own when the server's
+// ConnContext is the store's.
+//
 // # Usage
 //
 //	store := platformtest.New()
 //	store.Set(platformtest.Faults{Down: true})
-//	server := httptest.NewServer(store)
+//	server := httptest.NewUnstartedServer(store)
+//	server.Config.ConnContext = store.ConnContext
+//	server.Start()
 package platformtest
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
 	"caroblift.dev/mesh/platform"
 )
 
-// pageLength is the number of objects on one page of a list.
-const pageLength = 500
+// Bounds of the platform.
+const (
+	pageLength    = 500     // objects on one page of a list
+	maxValue      = 1 << 20 // bytes of one object
+	historyLength = 1000    // changes that a watch can go back
+)
 
-// Faults are the switches. The zero value is a healthy platform.
-type Faults struct {
-	Down   bool          `json:"down"`   // every call is refused
-	Slow   time.Duration `json:"slow"`   // added to every call
-	Lose   bool          `json:"lose"`   // writes take effect and their answers are lost
-	Stale  bool          `json:"stale"`  // reads return the objects as of the moment the switch was set
-	Silent bool          `json:"silent"` // watches hear nothing
+// objects are the platform's objects by kind and name, as of a version.
+type objects struct {
+	version uint64
+	byKind  map[string]map[string]platform.Object
+}
+
+func (o objects) clone() objects {
+	out := objects{version: o.version, byKind: map[string]map[string]platform.Object{}}
+	for kind, objs := range o.byKind {
+		out.byKind[kind] = maps.Clone(objs)
+	}
+	return out
 }
 
 // Store keeps objects in memory. It implements platform.Store and, over HTTP,
@@ -40,54 +58,62 @@
 	Writes *rate.Limiter // nil for no limit
 
 	mu      sync.Mutex
-	objects map[string]map[string]platform.Object // by kind and name
-	frozen  map[string]map[string]platform.Object // what stale reads see
-	version uint64
-	log     []platform.Object // every change, for watches
+	now     objects
+	frozen  objects           // what stale reads see
+	log     []platform.Object // the last changes, for watches
+	first   uint64            // oldest version that can be watched from
 	changed chan struct{}
 	faults  Faults
 	calls   map[string]uint64
+	conns   map[*Conn]bool // of the HTTP server
 }
 
 // New returns an empty store with no rate limits.
 func New() *Store {
 	return &Store{
-		objects: map[string]map[string]platform.Object{},
-		changed: make(chan struct{}), calls: map[string]uint64{},
+		now: objects{byKind: map[string]map[string]platform.Object{}}, changed: make(chan struct{}),
+		calls: map[string]uint64{}, conns: map[*Conn]bool{},
 	}
 }
 
-// Set replaces the switches.
-func (s *Store) Set(f Faults) {
+// Calls returns the number of calls so far by kind.
+func (s *Store) Calls() map[string]uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f.Stale && !s.faults.Stale {
-		s.frozen = map[string]map[string]platform.Object{}
-		for kind, objs := range s.objects {
-			s.frozen[kind] = map[string]platform.Object{}
-			for name, o := range objs {
-				s.frozen[kind][name] = o
-			}
-		}
-	}
-	s.faults = f
+	return maps.Clone(s.calls)
 }
 
-// Calls returns the number of calls so far by method.
-func (s *Store) Calls() map[string]uint64 {
+// Peek returns an object without a counted call or a fault.
+func (s *Store) Peek(kind, name string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.now.byKind[kind][name]
+	return o, ok
+}
+
+// PeekAll returns the objects of a kind in name order without a counted call
+// or a fault.
+func (s *Store) PeekAll(kind string) []platform.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string]uint64{}
-	for k, v := range s.calls {
-		out[k] = v
+	return sorted(s.now.byKind[kind], "")
+}
+
+func sorted(objs map[string]platform.Object, after string) []platform.Object {
+	var out []platform.Object
+	for name, o := range objs {
+		if name > after {
+			out = append(out, o)
+		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
 // enter counts a call and applies the faults that every call meets.
-func (s *Store) enter(ctx context.Context, method string, limit *rate.Limiter) (Faults, error) {
+func (s *Store) enter(ctx context.Context, kind string, limit *rate.Limiter) (Faults, error) {
 	s.mu.Lock()
-	s.calls[method]++
+	s.calls[kind]++
 	f := s.faults
 	s.mu.Unlock()
 	if f.Slow > 0 {
@@ -106,11 +132,11 @@
 	return f, nil
 }
 
-func (s *Store) view(f Faults) map[string]map[string]platform.Object {
-	if f.Stale {
+func (s *Store) view(f Faults) objects {
+	if f.Stale && s.frozen.byKind != nil {
 		return s.frozen
 	}
-	return s.objects
+	return s.now
 }
 
 // Get implements platform.Store.
@@ -121,7 +147,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.view(f)[kind][name]
+	o, ok := s.view(f).byKind[kind][name]
 	if !ok {
 		return platform.Object{}, platform.ErrNotFound
 	}
@@ -136,54 +162,60 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Object
-	for name, o := range s.view(f)[kind] {
-		if name > after {
-			out = append(out, o)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	view := s.view(f)
+	out := sorted(view.byKind[kind], after)
 	more := len(out) > pageLength
 	if more {
 		out = out[:pageLength]
 	}
-	return out, s.version, more, nil
+	return out, view.version, more, nil
 }
 
 // Watch implements platform.Store.
 func (s *Store) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]platform.Object, uint64, error) {
-	f, err := s.enter(ctx, "watch", s.Reads)
-	if err != nil {
+	if _, err := s.enter(ctx, "watch", s.Reads); err != nil {
 		return nil, 0, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		s.mu.Lock()
-		out := s.since(kind, version)
-		now, changed, silent := s.version, s.changed, f.Silent || s.faults.Silent
-		s.mu.Unlock()
-		if len(out) > 0 && !silent {
-			return out, now, nil
+		out, next, changed, err := s.events(kind, version)
+		if err != nil || len(out) > 0 {
+			return out, next, err
 		}
 		select {
 		case <-ctx.Done():
 			return nil, 0, platform.ErrDown
 		case <-timer.C:
-			return nil, version, nil
+			return nil, next, nil
 		case <-changed:
 		}
 	}
 }
 
+// events returns what a watch hears now.
+func (s *Store) events(kind string, version uint64) ([]platform.Object, uint64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version < s.first {
+		return nil, 0, nil, platform.ErrGone
+	}
+	if s.faults.Silent {
+		return nil, version, s.changed, nil
+	}
+	out := s.since(kind, version)
+	if s.faults.Mixed && len(out) > 0 {
+		out = append(out, s.since(kind, s.first)...)
+		slices.Reverse(out)
+	}
+	return out, s.now.version, s.changed, nil
+}
+
 // since returns the newest state of each object that changed after a version.
 func (s *Store) since(kind string, version uint64) []platform.Object {
-	start, _ := slices.BinarySearchFunc(s.log, version+1, func(o platform.Object, v uint64) int {
-		return int(int64(o.Version) - int64(v))
-	})
 	newest := map[string]platform.Object{}
-	for _, o := range s.log[start:] {
-		if o.Kind == kind {
+	for _, o := range s.log {
+		if o.Kind == kind && o.Version > version {
 			newest[o.Name] = o
 		}
 	}
@@ -197,45 +229,67 @@
 
 // Create implements platform.Store.
 func (s *Store) Create(ctx context.Context, kind, name string, body []byte) (platform.Object, error) {
-	return s.write(ctx, "create", kind, name, 0, body)
+	return s.write(ctx, "create", platform.Object{Kind: kind, Name: name, Body: body})
 }
 
 // Update implements platform.Store.
 func (s *Store) Update(ctx context.Context, kind, name string, version uint64, body []byte) (platform.Object, error) {
-	return s.write(ctx, "update", kind, name, version, body)
+	return s.write(ctx, "update", platform.Object{Kind: kind, Name: name, Version: version, Body: body})
 }
 
 // Delete implements platform.Store.
 func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
-	_, err := s.write(ctx, "delete", kind, name, version, nil)
+	_, err := s.write(ctx, "delete", platform.Object{Kind: kind, Name: name, Version: version, Deleted: true})
 	return err
 }
 
-func (s *Store) write(ctx context.Context, method, kind, name string, version uint64, body []byte) (platform.Object, error) {
+// write puts an object in place of the version that it carries.
+func (s *Store) write(ctx context.Context, method string, o platform.Object) (platform.Object, error) {
+	if len(o.Body) > maxValue {
+		return platform.Object{}, errors.Errorf("%s/%s is over 1 MB", o.Kind, o.Name)
+	}
 	f, err := s.enter(ctx, method, s.Writes)
-	if err != nil {
+	switch {
+	case err != nil:
 		return platform.Object{}, err
+	case f.Drop:
+		return platform.Object{}, platform.ErrUnknown
+	case f.Late > 0:
+		time.AfterFunc(f.Late, func() { _, _ = s.put(o) })
+		return platform.Object{}, platform.ErrUnknown
+	}
+	written, err := s.put(o)
+	if f.Twice {
+		written, err = s.put(o)
+	}
+	if f.Lose {
+		return platform.Object{}, platform.ErrUnknown
 	}
+	return written, err
+}
+
+func (s *Store) put(o platform.Object) (platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.objects[kind][name].Version != version {
+	if s.now.byKind[o.Kind][o.Name].Version != o.Version {
 		return platform.Object{}, platform.ErrConflict
 	}
-	s.version++
-	o := platform.Object{Kind: kind, Name: name, Version: s.version, Body: body, Deleted: method == "delete"}
-	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]platform.Object{}
+	s.now.version++
+	o.Version = s.now.version
+	if s.now.byKind[o.Kind] == nil {
+		s.now.byKind[o.Kind] = map[string]platform.Object{}
 	}
 	if o.Deleted {
-		delete(s.objects[kind], name)
+		delete(s.now.byKind[o.Kind], o.Name)
 	} else {
-		s.objects[kind][name] = o
+		s.now.byKind[o.Kind][o.Name] = o
 	}
 	s.log = append(s.log, o)
+	if n := len(s.log) - historyLength; n > 0 {
+		s.first = s.log[n-1].Version
+		s.log = append([]platform.Object(nil), s.log[n:]...)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if f.Lose {
-		return platform.Object{}, platform.ErrUnknown
-	}
 	return o, nil
 }
--- /dev/null
+++ b/mesh/record/kind.go
@@ -0,0 +1,71 @@
+package record
+
+// This file names kinds, keys and schema versions.
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"caroblift.dev/wire"
+)
+
+// NewestSchema is the newest schema version that this node reads.
+const NewestSchema = 2
+
+// Key names a record.
+type Key struct {
+	Kind wire.Kind
+	Name string
+}
+
+// String formats a key as kind/name.
+func (k Key) String() string { return KindWord(k.Kind) + "/" + k.Name }
+
+// KeyOf returns the key of a record.
+func KeyOf(r *wire.Record) Key { return Key{Kind: r.GetKind(), Name: r.GetName()} }
+
+var kindWords = map[wire.Kind]string{
+	wire.Kind_KIND_SERVICE: "service",
+	wire.Kind_KIND_ROUTE:   "route",
+	wire.Kind_KIND_POLICY:  "policy",
+}
+
+// KindWord returns the word that operators use for a kind.
+func KindWord(k wire.Kind) string {
+	if w, ok := kindWords[k]; ok {
+		return w
+	}
+	return "unknown"
+}
+
+// ParseKind returns the kind that a word names.
+func ParseKind(word string) (wire.Kind, bool) {
+	for k, w := range kindWords {
+		if w == word {
+			return k, true
+		}
+	}
+	return wire.Kind_KIND_UNSPECIFIED, false
+}
+
+// newSpec returns an empty message of a kind and schema version, or nil.
+func newSpec(kind wire.Kind, schema uint32) proto.Message {
+	type version struct {
+		kind   wire.Kind
+		schema uint32
+	}
+	switch (version{kind, schema}) {
+	case version{wire.Kind_KIND_SERVICE, 1}:
+		return &wire.ServiceV1{}
+	case version{wire.Kind_KIND_SERVICE, 2}:
+		return &wire.ServiceV2{}
+	case version{wire.Kind_KIND_ROUTE, 1}:
+		return &wire.RouteV1{}
+	case version{wire.Kind_KIND_ROUTE, 2}:
+		return &wire.RouteV2{}
+	case version{wire.Kind_KIND_POLICY, 1}:
+		return &wire.PolicyV1{}
+	case version{wire.Kind_KIND_POLICY, 2}:
+		return &wire.PolicyV2{}
+	}
+	return nil
+}
--- a/mesh/record/record.go
+++ b/mesh/record/record.go
@@ -3,29 +3,20 @@
 // the system works with.
 //
 // A record travels as the operator's own JSON in a [wire.Record], so fields
-// that this version does not know survive. [Decode] checks it and converts it
-// to its hub form; every mistake is collected in [Findings].
+// that this version does not know survive. [Check] holds it against the rules of
+// its schema, [Decode] converts it to its hub form, and [Convert] to another
+// schema version. Every mistake is collected in [Findings].
 //
 // # Usage
 //
-//	hub, findings := record.Decode(rec)
-//	if len(findings) > 0 {
+//	if findings, _ := record.Check(rec); len(findings) > 0 {
 //		return findings
 //	}
+//	hub, _ := record.Decode(rec)
 //	fmt.Println(hub.Route.Service)
 package record
 
-import (
-	"time"
-
-	"caroblift.dev/wire"
-)
-
-// Key names a record.
-type Key struct {
-	Kind wire.Kind
-	Name string
-}
+import "time"
 
 // Service is the hub form of a service record.
 type Service struct {
--- a/mesh/revision/build.go
+++ b/mesh/revision/build.go
@@ -10,7 +10,6 @@
 	"slices"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
@@ -24,126 +23,184 @@
 	ErrFormat    = errors.New("format is newer than this node reads")
 	ErrBackwards = errors.New("record goes back in version")
 	ErrInvalid   = errors.New("table is not consistent")
+	ErrDiverged  = errors.New("another table has the same revision number")
 )
 
-// follow returns the table that a revision leads to. The revision's digest is
-// checked when it is set.
-func (t *Table) follow(rev *wire.Revision) (*Table, error) {
-	if rev.GetFormat() > FormatNow {
-		return nil, errors.Wrapf(ErrFormat, "revision %d: format %d", rev.GetNumber(), rev.GetFormat())
+// FormatNow is the newest wire format that this node reads and writes. A node
+// of format F reads the schema versions 1 to F of every kind.
+const FormatNow = record.NewestSchema
+
+// builder collects the records of a table that follows another.
+type builder struct {
+	next    *Table
+	parent  *Table
+	newest  uint32 // newest format that is read
+	touched map[wire.Kind]bool
+}
+
+// follow returns the table that a revision leads to.
+func (t *Table) follow(rev *wire.Revision, newest uint32) (*Table, error) {
+	if rev.GetFormat() > newest {
+		return nil, errors.Wrapf(ErrFormat, "revision %d: format %d, this node reads up to %d", rev.GetNumber(), rev.GetFormat(), newest)
 	}
 	if rev.GetNumber() != t.Number+1 || !bytes.Equal(rev.GetParent(), t.Digest) {
 		return nil, errors.Wrapf(ErrGap, "revision %d on table %d", rev.GetNumber(), t.Number)
 	}
-	records := maps.Clone(t.Records)
-	if records == nil {
-		records = map[record.Key]*wire.Record{}
+	b := &builder{parent: t, newest: newest, touched: map[wire.Kind]bool{}, next: &Table{
+		Number: rev.GetNumber(), Change: rev.GetChange(), Time: rev.GetTime(), Held: rev.GetHeld(),
+		Records: maps.Clone(t.Records), order: slices.Clone(t.order), size: t.size,
+	}}
+	if b.next.Records == nil {
+		b.next.Records = map[record.Key]*wire.Record{}
 	}
 	for _, r := range rev.GetRecords() {
-		k := record.KeyOf(r)
-		if old := records[k]; old != nil && r.GetVersion() <= old.GetVersion() {
-			return nil, errors.Wrapf(ErrBackwards, "revision %d: %s from %d to %d", rev.GetNumber(), k, old.GetVersion(), r.GetVersion())
+		if err := b.put(r); err != nil {
+			return nil, errors.WithMessagef(err, "revision %d", rev.GetNumber())
 		}
-		records[k] = r
 	}
-	next := &Table{
-		Number: rev.GetNumber(), Change: rev.GetChange(), Time: rev.GetTime(),
-		Format: rev.GetFormat(), Records: records, Held: rev.GetHeld(),
+	return b.finish()
+}
+
+// put adds a record or replaces an older version of it.
+func (b *builder) put(r *wire.Record) error {
+	if r.GetSchema() > b.newest && !r.GetDeleted() {
+		return errors.Wrapf(ErrFormat, "%s has schema version %d", record.KeyOf(r), r.GetSchema())
+	}
+	e, findings := newEntry(r)
+	if len(findings) > 0 {
+		return errors.Wrap(ErrInvalid, findings.Error())
 	}
-	return next, next.finish(rev.GetDigest())
+	t := b.next
+	i, ok := find(t.order, e.key)
+	switch {
+	case !ok:
+		t.order = slices.Insert(t.order, i, e)
+	case r.GetVersion() <= t.order[i].record.GetVersion():
+		return errors.Wrapf(ErrBackwards, "%s from version %d to %d", e.key, t.order[i].record.GetVersion(), r.GetVersion())
+	default:
+		t.size -= t.order[i].size
+		t.order[i] = e
+	}
+	t.size += e.size
+	t.Records[e.key] = r
+	b.touched[e.key.Kind] = true
+	return nil
 }
 
-// fromSnapshot returns the table that a snapshot holds.
-func fromSnapshot(s *wire.Snapshot) (*Table, error) {
-	if s.GetFormat() > FormatNow {
-		return nil, errors.Wrapf(ErrFormat, "snapshot %d: format %d", s.GetNumber(), s.GetFormat())
+// finish fills in what is derived from the records and checks the references.
+func (b *builder) finish() (*Table, error) {
+	t := b.next
+	t.Services, t.Routes, t.Policies = b.parent.Services, b.parent.Routes, b.parent.Policies
+	if b.touched[wire.Kind_KIND_SERVICE] || t.Services == nil {
+		t.Services = map[string]*record.Service{}
+	}
+	if b.touched[wire.Kind_KIND_ROUTE] {
+		t.Routes = nil
+	}
+	if b.touched[wire.Kind_KIND_POLICY] || t.Policies == nil {
+		t.Policies = map[string]*record.Policy{}
+	}
+	t.Format = 1
+	for _, e := range t.order {
+		if e.alive() {
+			t.Format = max(t.Format, e.record.GetSchema())
+			b.index(e)
+		}
 	}
-	t := &Table{
-		Number: s.GetNumber(), Change: s.GetChange(), Time: s.GetTime(), Format: s.GetFormat(),
-		Records: map[record.Key]*wire.Record{}, Held: s.GetHeld(),
+	for _, e := range t.order {
+		if e.to.Name != "" && !t.exists(e.to) {
+			return nil, errors.Wrapf(ErrInvalid, "revision %d: %s refers to %s, which does not exist", t.Number, e.key, e.to)
+		}
 	}
-	for _, r := range s.GetRecords() {
-		t.Records[record.KeyOf(r)] = r
+	t.Digest = t.digest()
+	return t, nil
+}
+
+// index adds an entry to the derived maps of a kind that changed.
+func (b *builder) index(e *entry) {
+	if !b.touched[e.key.Kind] {
+		return
+	}
+	switch {
+	case e.hub.Service != nil:
+		b.next.Services[e.key.Name] = e.hub.Service
+	case e.hub.Policy != nil:
+		b.next.Policies[e.key.Name] = e.hub.Policy
+	case e.hub.Route != nil:
+		b.next.Routes = append(b.next.Routes, e.hub.Route)
 	}
-	return t, t.finish(s.GetDigest())
 }
 
-// Snapshot returns the whole table as a message.
-func (t *Table) Snapshot() *wire.Snapshot {
-	return &wire.Snapshot{
-		Number: t.Number, Digest: t.Digest, Change: t.Change, Time: t.Time,
-		Format: max(t.Format, 1), Records: t.ordered(), Held: t.Held,
+func (t *Table) exists(k record.Key) bool {
+	if k.Kind == wire.Kind_KIND_SERVICE {
+		return t.Services[k.Name] != nil
 	}
+	return t.Policies[k.Name] != nil
 }
 
-func (t *Table) ordered() []*wire.Record {
-	rs := slices.Collect(maps.Values(t.Records))
-	SortRecords(rs)
-	return rs
+// digest hashes the number and the hash of every record, tombstones included.
+func (t *Table) digest() []byte {
+	buf := make([]byte, 8, 8+len(t.order)*sha256.Size)
+	binary.BigEndian.PutUint64(buf, t.Number)
+	for _, e := range t.order {
+		buf = append(buf, e.leaf[:]...)
+	}
+	sum := sha256.Sum256(buf)
+	return sum[:]
 }
 
-// finish decodes the records, checks the references and the digest, and fills
-// in what is derived.
-func (t *Table) finish(digest []byte) error {
-	t.Services = map[string]*record.Service{}
-	t.Policies = map[string]*record.Policy{}
-	for _, r := range t.ordered() {
-		if err := t.index(r); err != nil {
-			return err
+// fromSnapshot returns the table that a snapshot holds. No record may be older
+// than in the table before it, and none may be missing. Records that did not
+// change are not decoded again.
+func (t *Table) fromSnapshot(s *wire.Snapshot, newest uint32) (*Table, error) {
+	if s.GetFormat() > newest {
+		return nil, errors.Wrapf(ErrFormat, "snapshot %d: format %d, this node reads up to %d", s.GetNumber(), s.GetFormat(), newest)
+	}
+	b := &builder{parent: &Table{}, newest: newest, touched: map[wire.Kind]bool{}, next: &Table{
+		Number: s.GetNumber(), Change: s.GetChange(), Time: s.GetTime(), Held: s.GetHeld(),
+		Records: make(map[record.Key]*wire.Record, len(s.GetRecords())),
+		order:   make([]*entry, 0, len(s.GetRecords())),
+	}}
+	for _, r := range s.GetRecords() {
+		if err := b.keep(t.entry(record.KeyOf(r)), r); err != nil {
+			return nil, errors.WithMessagef(err, "snapshot %d", s.GetNumber())
 		}
 	}
-	if missing := References(t.Records); len(missing) > 0 {
-		m := missing[0]
-		return errors.Wrapf(ErrInvalid, "revision %d: %s refers to %s, which does not exist", t.Number, m.From, m.To)
-	}
-	t.Digest = digestOf(t)
-	if digest != nil && !bytes.Equal(digest, t.Digest) {
-		return errors.Wrapf(ErrDigest, "revision %d", t.Number)
+	for _, e := range t.order {
+		if b.next.Records[e.key] == nil {
+			return nil, errors.Wrapf(ErrBackwards, "snapshot %d lacks %s", s.GetNumber(), e.key)
+		}
 	}
-	return nil
+	return b.finish()
 }
 
-func (t *Table) index(r *wire.Record) error {
-	if r.GetDeleted() {
-		return nil
-	}
-	hub, findings := record.Decode(r)
-	if len(findings) > 0 {
-		return errors.Wrapf(ErrInvalid, "revision %d: %s", t.Number, findings.Error())
-	}
-	switch {
-	case hub.Service != nil:
-		t.Services[r.GetName()] = hub.Service
-	case hub.Policy != nil:
-		t.Policies[r.GetName()] = hub.Policy
-	case hub.Route != nil:
-		t.Routes = append(t.Routes, hub.Route)
-	}
+// keep adds a record of a snapshot. The old entry is the one in force, or nil.
+func (b *builder) keep(old *entry, r *wire.Record) error {
+	if old == nil {
+		return b.put(r)
+	}
+	version := old.record.GetVersion()
+	if r.GetVersion() < version {
+		return errors.Wrapf(ErrBackwards, "%s from version %d to %d", old.key, version, r.GetVersion())
+	}
+	if r.GetVersion() > version || leafOf(r) != old.leaf {
+		return b.put(r)
+	}
+	i, ok := find(b.next.order, old.key)
+	if ok {
+		return errors.Wrapf(ErrInvalid, "%s occurs twice", old.key)
+	}
+	b.next.order = slices.Insert(b.next.order, i, old)
+	b.next.size += old.size
+	b.next.Records[old.key] = old.record
+	b.touched[old.key.Kind] = true
 	return nil
 }
 
-// digestOf hashes the number and every record, tombstones included.
-func digestOf(t *Table) []byte {
-	h := sha256.New()
-	var num [8]byte
-	binary.BigEndian.PutUint64(num[:], t.Number)
-	h.Write(num[:])
-	for _, r := range t.ordered() {
-		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
-		if err != nil {
-			panic(err) // a record decoded before always encodes
-		}
-		binary.BigEndian.PutUint64(num[:], uint64(len(data)))
-		h.Write(num[:])
-		h.Write(data)
-	}
-	return h.Sum(nil)
-}
-
-func marshalHeld(held []*wire.Held) []byte {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.Snapshot{Held: held})
-	if err != nil {
-		panic(err) // plain messages always encode
+// verify compares the digest of a table with the one that came with it.
+func (t *Table) verify(digest []byte) error {
+	if !bytes.Equal(digest, t.Digest) {
+		return errors.Wrapf(ErrDigest, "revision %d", t.Number)
 	}
-	return data
+	return nil
 }
--- a/mesh/revision/holder.go
+++ b/mesh/revision/holder.go
@@ -3,25 +3,35 @@
 // This file keeps the table in force and moves it forward only.
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"caroblift.dev/wire"
 )
 
-// historyLength is the number of revisions kept for peers that are behind.
-const historyLength = 256
+// Bounds of the revisions that are kept for peers that are behind, and of the
+// revisions in one update.
+const (
+	historyLength = 256     // revisions
+	historyBytes  = 1 << 20 // bytes
+	updateBytes   = 1 << 18 // bytes
+)
 
 // Holder keeps the table in force. The zero Holder holds an empty table
-// numbered 0. It may be used from several goroutines.
+// numbered 0 and reads every format up to FormatNow. It may be used from
+// several goroutines.
 type Holder struct {
+	Newest uint32 // newest format that is read; FormatNow when zero
+
 	table atomic.Pointer[Table]
 	floor atomic.Uint64
 
 	mu      sync.Mutex // serializes writers
-	history []*wire.Revision
+	history history
 	changed chan struct{}
 }
 
@@ -36,7 +46,9 @@
 }
 
 // Raise sets the lowest revision that this instance may serve. A floor never
-// goes down.
+// goes down. An instance that restarts has lost its table, so it raises its
+// floor to the newest revision that the platform or any peer knows of it, and
+// serves nothing before it holds that revision.
 func (h *Holder) Raise(floor uint64) {
 	for {
 		old := h.floor.Load()
@@ -55,6 +67,14 @@
 	return n > 0 && n >= h.floor.Load()
 }
 
+// Reads returns the newest format that this node reads.
+func (h *Holder) Reads() uint32 {
+	if h.Newest == 0 {
+		return FormatNow
+	}
+	return h.Newest
+}
+
 // Changed returns a channel that is closed at the next change of the table.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
@@ -66,20 +86,27 @@
 }
 
 // Apply moves to the newest table of the update. Everything of the update is
-// applied or nothing; on an error the table in force stays. An update that is
-// not newer returns ErrStale.
+// applied or nothing; on an error the table in force stays whole.
+//
+// An update that is not newer returns ErrStale, or ErrDiverged when it holds
+// another table under the number in force. One that does not follow returns
+// ErrGap; a snapshot helps then. ErrFormat says that the node is too old to
+// read the update; ErrDigest, ErrBackwards and ErrInvalid that it is wrong.
 func (h *Holder) Apply(u *wire.Update) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.Table()
-	next, applied, err := advance(old, u)
+	next, applied, err := h.advance(old, u)
 	if err != nil {
 		return err
 	}
-	if next.Number <= old.Number {
-		return errors.Wrapf(ErrStale, "update %d on table %d", next.Number, old.Number)
+	if next == old {
+		return errors.Wrapf(ErrStale, "table %d", old.Number)
+	}
+	if len(applied) == 0 || applied[0].GetNumber() != old.Number+1 {
+		h.history = history{}
 	}
-	h.remember(u, applied)
+	h.history.add(applied)
 	h.table.Store(next)
 	if h.changed != nil {
 		close(h.changed)
@@ -88,42 +115,58 @@
 	return nil
 }
 
-// advance computes the table that an update leads to.
-func advance(t *Table, u *wire.Update) (*Table, []*wire.Revision, error) {
-	if s := u.GetSnapshot(); s != nil && s.GetNumber() > t.Number {
-		next, err := fromSnapshot(s)
-		if err != nil {
+// advance computes the table that an update leads to and the revisions that
+// led there.
+func (h *Holder) advance(t *Table, u *wire.Update) (*Table, []*wire.Revision, error) {
+	newest := h.Reads()
+	if s := u.GetSnapshot(); s != nil {
+		if err := t.sameAs(s.GetNumber(), s.GetDigest()); err != nil {
 			return nil, nil, err
 		}
-		t = next
+		if s.GetNumber() > t.Number {
+			next, err := t.fromSnapshot(s, newest)
+			if err != nil {
+				return nil, nil, err
+			}
+			if err := next.verify(s.GetDigest()); err != nil {
+				return nil, nil, err
+			}
+			t = next
+		}
 	}
 	var applied []*wire.Revision
 	for _, rev := range u.GetRevisions() {
+		if err := t.sameAs(rev.GetNumber(), rev.GetDigest()); err != nil {
+			return nil, nil, err
+		}
 		if rev.GetNumber() <= t.Number {
 			continue
 		}
-		next, err := t.follow(rev)
+		next, err := t.follow(rev, newest)
 		if err != nil {
 			return nil, nil, err
 		}
+		if err := next.verify(rev.GetDigest()); err != nil {
+			return nil, nil, err
+		}
 		t, applied = next, append(applied, rev)
 	}
 	return t, applied, nil
 }
 
-func (h *Holder) remember(u *wire.Update, applied []*wire.Revision) {
-	if u.GetSnapshot() != nil {
-		h.history = nil
-	}
-	h.history = append(h.history, applied...)
-	if n := len(h.history) - historyLength; n > 0 {
-		h.history = append([]*wire.Revision(nil), h.history[n:]...)
+// sameAs checks that a table under the same number is the same one.
+func (t *Table) sameAs(number uint64, digest []byte) error {
+	if number == t.Number && number > 0 && !bytes.Equal(digest, t.Digest) {
+		return errors.Wrapf(ErrDiverged, "revision %d", number)
 	}
+	return nil
 }
 
-// Since returns what leads a node from its revision to the table in force:
-// revisions where they are kept and match, or else a snapshot. It returns nil
-// when the node is not behind.
+// Since returns what leads a node from its revision towards the table in
+// force: revisions where they are kept and match, or a snapshot where that is
+// smaller. An update is bounded in bytes, so it may end before the table in
+// force; the node asks again from there. Since returns nil when the node is
+// not behind.
 func (h *Holder) Since(number uint64, digest []byte) *wire.Update {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -131,10 +174,55 @@
 	if number >= t.Number {
 		return nil
 	}
-	for i, rev := range h.history {
-		if rev.GetNumber() == number+1 && string(rev.GetParent()) == string(digest) {
-			return &wire.Update{Revisions: append([]*wire.Revision(nil), h.history[i:]...)}
+	revs := h.history.after(number, digest, t.size)
+	if revs == nil {
+		return &wire.Update{Snapshot: t.Snapshot()}
+	}
+	return &wire.Update{Revisions: revs}
+}
+
+// history keeps consecutive revisions up to the table in force.
+type history struct {
+	revs  []*wire.Revision
+	sizes []int
+	bytes int
+}
+
+func (h *history) add(revs []*wire.Revision) {
+	for _, rev := range revs {
+		size := proto.Size(rev)
+		h.revs, h.sizes, h.bytes = append(h.revs, rev), append(h.sizes, size), h.bytes+size
+	}
+	drop := 0
+	for drop < len(h.revs) && (len(h.revs)-drop > historyLength || h.bytes > historyBytes) {
+		h.bytes -= h.sizes[drop]
+		drop++
+	}
+	if drop > 0 {
+		h.revs = append([]*wire.Revision(nil), h.revs[drop:]...)
+		h.sizes = append([]int(nil), h.sizes[drop:]...)
+	}
+}
+
+// after returns the revisions that follow a table, at least one and at most
+// updateBytes, or nil when they are not kept or larger than a snapshot.
+func (h *history) after(number uint64, digest []byte, snapshot int) []*wire.Revision {
+	if len(h.revs) == 0 || number+1 < h.revs[0].GetNumber() {
+		return nil
+	}
+	i := int(number + 1 - h.revs[0].GetNumber())
+	if !bytes.Equal(h.revs[i].GetParent(), digest) {
+		return nil
+	}
+	total, end := 0, i
+	for j, size := range h.sizes[i:] {
+		total += size
+		if j == 0 || total <= updateBytes {
+			end = i + j + 1
 		}
 	}
-	return &wire.Update{Snapshot: t.Snapshot()}
+	if total > snapshot && len(h.revs)-i > 1 {
+		return nil
+	}
+	return append([]*wire.Revision(nil), h.revs[i:end]...)
 }
--- a/mesh/revision/table.go
+++ b/mesh/revision/table.go
@@ -2,7 +2,8 @@
 //
 // A [Table] is a whole, consistent configuration that never changes. A
 // [Holder] keeps the table in force behind an atomic pointer; it moves forward
-// only, and only to a table whose digest and references hold.
+// only, and only to a table whose digest and references hold. [Compose] decides
+// what the next revision holds.
 //
 // # Usage
 //
@@ -23,13 +24,16 @@
 	Number   uint64
 	Digest   []byte
 	Change   string
-	Time     int64 // publication, Unix ms
-	Format   uint32
+	Time     int64                       // publication, Unix ms
+	Format   uint32                      // wire format needed to read the whole table
 	Records  map[record.Key]*wire.Record // tombstones included
 	Services map[string]*record.Service
 	Routes   []*record.Route // ordered by name
 	Policies map[string]*record.Policy
 	Held     []*wire.Held
+
+	order []*entry // by key, one for each record
+	size  int      // bytes of all records in a message
 }
 
 // Policy returns the policy of a service, or the zero policy.
@@ -44,3 +48,23 @@
 	}
 	return *p
 }
+
+// Snapshot returns the whole table as a message, which shares its records.
+func (t *Table) Snapshot() *wire.Snapshot {
+	records := make([]*wire.Record, len(t.order))
+	for i, e := range t.order {
+		records[i] = e.record
+	}
+	return &wire.Snapshot{
+		Number: t.Number, Digest: t.Digest, Change: t.Change, Time: t.Time,
+		Format: max(t.Format, 1), Records: records, Held: t.Held,
+	}
+}
+
+// entry returns the entry of a key, or nil.
+func (t *Table) entry(k record.Key) *entry {
+	if i, ok := find(t.order, k); ok {
+		return t.order[i]
+	}
+	return nil
+}
