Decide the spread of revisions apart from its input and output

Cause: parents, readers and publishers were worked out by a scan of all members on each call, a parent had no bound on its children, a dead parent was kept until the member view dropped it, and goroutines outlived Run. Change: spread.State takes events and answers actions; one pass per view gives parents, reader and publisher. Full parents refuse or give up their lowest child, failed parents are left at once, attaches leave out what the parent knows, fetches tell when to come back, and a starting node learns its floor from peers, or else the platform, before it takes a table. Any node reports on the whole fleet. zstd from 256 bytes up; bytes are counted by kind. Sizes and slopes are not measured yet.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
@@ -33,7 +34,6 @@
 	"caroblift.dev/mesh/spread"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
-	"caroblift.dev/wire/wireconnect"
 )
 
 // Node is one running node.
@@ -132,14 +132,14 @@
 	n.assembleCalls()
 	n.operator = operator.New(operator.Config{
 		Store: n.store, Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
-		Report: func(context.Context) *wire.Report { return n.Spread.Report() }, Metrics: n.sinks.Metrics,
+		Report: n.Spread.Report, Metrics: n.sinks.Metrics,
 	})
 }
 
 func (n *Node) assemblePeers() {
 	s, addr := n.settings, n.Addresses()
 	silent := ms(s.GetCalls().GetSilent())
-	n.pool = peer.NewPool(peer.PoolConfig{Silent: silent})
+	n.pool = peer.NewPool(peer.PoolConfig{Silent: silent, Options: []connect.ClientOption{connect.WithInterceptors(peer.Carry(carrier{n}))}})
 	n.Members = peer.NewMembers(peer.MembersConfig{
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), Beat: ms(s.GetPeers().GetBeat()),
 		Suspect: ms(s.GetPeers().GetSuspect()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("member"),
@@ -151,11 +151,27 @@
 	})
 	n.Spread = peer.NewSpread(peer.SpreadConfig{
 		Tree: n.tree(), Pool: n.pool, Holder: n.Holder, View: n.Members.View,
-		Checked: func() int64 { return n.Reader.Checked() },
-		Beat:    ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("spread"),
+		Checked: func() int64 { return n.Reader.Checked() }, Alone: n.alone(), Snapshots: int(s.GetPeers().GetJoiners()),
+		Beat: ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("spread"),
 	})
 }
 
+// carrier lets heartbeats carry the revision in force.
+type carrier struct{ node *Node }
+
+func (c carrier) Number() uint64                   { return c.node.Spread.Number() }
+func (c carrier) Heard(name string, number uint64) { c.node.Spread.Heard(name, number) }
+
+// alone tells whether the settings name no other node to join.
+func (n *Node) alone() bool {
+	for _, seed := range n.settings.GetPeers().GetSeeds() {
+		if seed != n.Addresses().Peer {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) tree() spread.Tree {
 	return spread.Tree{Fanout: int(n.settings.GetPeers().GetFanout()), Readers: int(n.settings.GetPlatform().GetReaders())}
 }
@@ -164,15 +180,15 @@
 	s := n.settings.GetPlatform()
 	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout())})
 	n.poll = n.store.Fresh()
-	deliver := func(u *wire.Update) { _ = n.Spread.Offer(u) }
+	deliver := func(u *wire.Update) { _ = n.Spread.Accept(u) } // both check what is in force
 	n.Reader = platform.NewReader(platform.ReaderConfig{
 		Store: n.store, Poll: n.poll, Holder: n.Holder, Deliver: deliver,
-		Active: func() bool { return n.tree().Reader(n.Members.View()) },
+		Active: n.Spread.Reader,
 		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Sinks: n.sinks.Sub("platform"),
 	})
 	n.Publisher = platform.NewPublisher(platform.PublisherConfig{
 		Store: n.store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
-		Rank: func() (int, bool) { return n.tree().Publisher(n.Members.View()) },
+		Rank: n.Spread.Publisher,
 		Wait: ms(s.GetWait()), Sinks: n.sinks.Sub("platform"),
 	})
 }
@@ -200,7 +216,7 @@
 
 // Start serves the node's ports and starts its loops.
 func (n *Node) Start() {
-	path, rpc := wireconnect.NewPeerHandler(&peer.Handler{Spread: n.Spread, Members: n.Members})
+	path, rpc := peer.NewHandler(&peer.Handler{Spread: n.Spread, Members: n.Members}, n.pool.Kinds)
 	mux := http.NewServeMux()
 	mux.Handle(path, meter(n.sinks.Scope, rpc))
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
@@ -298,5 +314,8 @@
 	return n.inbound.In.Load() + n.pool.Bytes.In.Load(), n.inbound.Out.Load() + n.pool.Bytes.Out.Load()
 }
 
+// ControlKinds returns the bytes of control messages by kind, framing left out.
+func (n *Node) ControlKinds() peer.Kinds { return n.pool.Kinds }
+
 // PlatformCalls returns the number of calls made to the platform so far.
 func (n *Node) PlatformCalls() uint64 { return n.store.Calls() + n.poll.Calls() }
--- a/mesh/peer/pool.go
+++ b/mesh/peer/pool.go
@@ -12,36 +12,54 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"caroblift.dev/wire/wireconnect"
 )
 
+// Bounds of a pool.
+const (
+	idleTime   = 5 * time.Second // after which an unused connection is closed
+	maxClients = 64              // clients that are kept
+)
+
 // PoolConfig configures a Pool.
 type PoolConfig struct {
-	Silent time.Duration // silence after which a connection is probed and then given up
+	Silent  time.Duration          // silence after which a connection is probed and then given up
+	Options []connect.ClientOption // of every client
 }
 
 // Pool holds the HTTP/2 connections to other nodes for control messages and
 // counts their bytes.
 type Pool struct {
-	Bytes Counter
+	Bytes Counter // of the connections that this node opened
+	Kinds Kinds   // of messages in both roles, once the server counts here too
+
+	config    PoolConfig
+	transport *http.Transport
+	http      *http.Client
 
-	http    *http.Client
 	mu      sync.Mutex
-	clients map[string]wireconnect.PeerClient
+	clients map[string]*client
 }
 
-// Counter counts the bytes of connections in both directions.
-type Counter struct {
-	In, Out atomic.Int64
+// client is a kept client and when it was last asked for.
+type client struct {
+	wireconnect.PeerClient
+	used time.Time
 }
 
 // NewPool returns a pool.
 func NewPool(config PoolConfig) *Pool {
-	p := &Pool{clients: map[string]wireconnect.PeerClient{}}
-	p.http = &http.Client{Transport: NewTransport(config.Silent, &p.Bytes)}
+	p := &Pool{config: config, clients: map[string]*client{}, Kinds: NewKinds()}
+	p.transport = NewTransport(config.Silent, &p.Bytes)
+	// Heartbeats keep the lasting connections busy, so pings are left to those
+	// that have missed one.
+	p.transport.HTTP2.SendPingTimeout = max(4*config.Silent, 2*time.Second)
+	p.transport.IdleConnTimeout = idleTime
+	p.http = &http.Client{Transport: roundTripper{RoundTripper: p.transport, kinds: p.Kinds}}
 	return p
 }
 
@@ -70,12 +88,30 @@
 	defer p.mu.Unlock()
 	c := p.clients[addr]
 	if c == nil {
-		c = wireconnect.NewPeerClient(p.http, "http://"+addr)
+		p.trim()
+		options := append([]connect.ClientOption{compressClient()}, p.config.Options...)
+		c = &client{PeerClient: wireconnect.NewPeerClient(p.http, "http://"+addr, options...)}
 		p.clients[addr] = c
 	}
+	c.used = time.Now()
 	return c
 }
 
+// trim drops the client that has not been used for longest when the pool is
+// full. The connection stays until it is idle.
+func (p *Pool) trim() {
+	if len(p.clients) < maxClients {
+		return
+	}
+	oldest := ""
+	for addr, c := range p.clients {
+		if oldest == "" || c.used.Before(p.clients[oldest].used) {
+			oldest = addr
+		}
+	}
+	delete(p.clients, oldest)
+}
+
 // Forget drops the client of an address that is no longer used.
 func (p *Pool) Forget(addr string) {
 	p.mu.Lock()
@@ -86,39 +122,6 @@
 // Close releases the connections.
 func (p *Pool) Close() { p.http.CloseIdleConnections() }
 
-// countedConn counts the bytes of one connection.
-type countedConn struct {
-	net.Conn
-	counter *Counter
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.counter.In.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.counter.Out.Add(int64(n))
-	return n, err
-}
-
-// Listener counts the bytes of every connection that it accepts.
-type Listener struct {
-	net.Listener
-	Counter *Counter
-}
-
-// Accept returns the next connection, counted.
-func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, counter: l.Counter}, nil
-}
-
 // Protocols returns what a node's server speaks: HTTP/1 and HTTP/2 without TLS.
 func Protocols() *http.Protocols {
 	p := new(http.Protocols)
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -1,7 +1,7 @@
 package peer
 
-// This file drives the spread of revisions: attaching to a parent, pushing to
-// children, and repair by any peer.
+// This file does the input and output of the spread of revisions: it sends
+// what the decisions ask for and hands them the answers.
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
 
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/revision"
@@ -19,281 +20,286 @@
 	"caroblift.dev/wire"
 )
 
-// maxLaggards bounds the laggards that a report names.
-const maxLaggards = 20
+// Bounds of one control call between nodes.
+const (
+	callTimeout = 2 * time.Second
+	minTimeout  = 250 * time.Millisecond // of a heartbeat
+)
 
-// callTimeout bounds one control call between nodes.
-const callTimeout = 2 * time.Second
+// ErrUnsettled says that a starting node takes no table yet, since it does not
+// know the lowest revision that it may serve.
+var ErrUnsettled = errors.New("the lowest revision that may be served is not known yet")
 
-// SpreadConfig configures a Spread. Every field but Sinks is required.
+// SpreadConfig configures a Spread. Every field but Snapshots, Alone and Sinks
+// is required.
 type SpreadConfig struct {
-	Tree     spread.Tree
-	Pool     *Pool
-	Holder   *revision.Holder
-	View     func() *member.View
-	Checked  func() int64 // when the platform last confirmed the head to this node, Unix ms
-	Beat     time.Duration
-	Exchange time.Duration
-	Sinks    telemetry.Sinks
+	Tree      spread.Tree
+	Pool      *Pool
+	Holder    *revision.Holder
+	View      func() *member.View
+	Checked   func() int64 // when the platform last confirmed the head to this node, Unix ms
+	Beat      time.Duration
+	Exchange  time.Duration
+	Snapshots int  // snapshots started within one beat, 8 when zero
+	Alone     bool // no other node is to be joined
+	Sinks     telemetry.Sinks
 }
 
 // Spread hands revisions from parent to child and repairs what push misses.
 type Spread struct {
 	config SpreadConfig
+	wake   chan struct{}
 
-	mu       sync.Mutex
-	children map[string]*child
-	floors   map[string]uint64 // newest revision that each instance reported
-	findings []*wire.Finding   // why the last update was refused
-	time     int64             // when the head was last known confirmed
-}
-
-// child is a node that hangs under this one.
-type child struct {
-	addr     string
-	seen     time.Time
-	revision uint64
-	digest   []byte
-	report   *wire.Report
-	pushing  bool
+	mu    sync.Mutex
+	state *spread.State
+	fleet *wire.Report // last report of the whole fleet
+	asked time.Time    // when it was taken
 }
 
 // NewSpread returns a spread.
 func NewSpread(config SpreadConfig) *Spread {
 	config.Sinks = config.Sinks.OrDiscard()
-	return &Spread{config: config, children: map[string]*child{}, floors: map[string]uint64{}}
+	return &Spread{config: config, wake: make(chan struct{}, 1), state: spread.New(spread.Config{
+		Tree: config.Tree, Holder: config.Holder, Beat: config.Beat, Exchange: config.Exchange,
+		Snapshots: config.Snapshots, Alone: config.Alone,
+	}, config.View(), time.Now())}
 }
 
-// Run attaches, exchanges and pushes until the context ends.
+// Run attaches, exchanges and pushes until the context ends, and returns once
+// nothing of it runs any more.
 func (s *Spread) Run(ctx context.Context) error {
-	go s.every(ctx, s.config.Exchange, s.exchange)
-	go s.pushes(ctx)
-	s.every(ctx, s.config.Beat, s.attach)
+	t, ctx := tomb.WithContext(ctx)
+	t.Go(func() error {
+		s.loop(ctx, t)
+		return nil
+	})
+	<-t.Dead()
 	return nil
 }
 
-func (s *Spread) every(ctx context.Context, interval time.Duration, step func(context.Context)) {
-	for ctx.Err() == nil {
-		step(ctx)
-		timer := time.NewTimer(interval + time.Duration(rand.Int64N(int64(interval)/4+1)))
+func (s *Spread) loop(ctx context.Context, t *tomb.Tomb) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		changed := s.config.Holder.Changed()
+		for _, a := range s.actions() {
+			t.Go(func() error {
+				s.do(ctx, a)
+				return nil
+			})
+		}
 		select {
 		case <-ctx.Done():
+			return
 		case <-timer.C:
+			timer.Reset(s.tick())
+		case <-changed:
+		case <-s.wake:
 		}
-		timer.Stop()
-	}
-}
-
-// Offer applies an update. One that is refused stays out and is reported.
-func (s *Spread) Offer(u *wire.Update) error {
-	err := s.config.Holder.Apply(u)
-	if err == nil || errors.Is(err, revision.ErrStale) {
-		s.note(nil)
-		return nil
 	}
-	s.config.Sinks.Log.Warn("update refused", "error", err.Error())
-	if !errors.Is(err, revision.ErrGap) {
-		s.note([]*wire.Finding{{Place: "revision", Reason: err.Error()}})
-	}
-	return err
 }
 
-func (s *Spread) note(findings []*wire.Finding) {
+// tick runs one beat and returns the time until the next one.
+func (s *Spread) tick() time.Duration {
+	view, checked := s.config.View(), s.config.Checked()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.findings = findings
+	s.state.Tick(time.Now(), view, checked)
+	if !s.state.Settled() {
+		return s.config.Beat / 8
+	}
+	return s.config.Beat*7/8 + rand.N(s.config.Beat/4)
 }
 
-// Floor returns the newest revision that an instance was seen to report.
-func (s *Spread) Floor(name string) uint64 {
+// actions returns what is to be sent now.
+func (s *Spread) actions() []spread.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.floors[name]
+	s.state.Changed(time.Now())
+	return s.state.Actions()
 }
 
-// Checked returns when the head was last known to be confirmed by the
-// platform, in Unix ms.
-func (s *Spread) Checked() int64 {
+// with runs an event on the decisions and has their actions carried out.
+func (s *Spread) with(event func(*spread.State, time.Time)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(s.time, s.config.Checked())
+	event(s.state, time.Now())
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
-// Report returns the report of this node and its subtree.
-func (s *Spread) Report() *wire.Report {
-	t := s.config.Holder.Table()
-	self := s.config.View().Self
-	own := &wire.Report{Counts: []*wire.Count{{Domain: self.GetDomain(), Revision: t.Number, Nodes: 1}}}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.findings) > 0 {
-		own.Laggards = []*wire.Lag{{Name: self.GetName(), Domain: self.GetDomain(), Revision: t.Number, Findings: s.findings}}
+func (s *Spread) do(ctx context.Context, a spread.Action) {
+	switch a.Kind {
+	case spread.ActionAttach:
+		s.attach(ctx, a)
+	case spread.ActionPush:
+		s.push(ctx, a)
+	case spread.ActionFetch:
+		s.fetch(ctx, a)
 	}
-	reports := []*wire.Report{own}
-	for name, c := range s.children {
-		if time.Since(c.seen) > 4*s.config.Beat {
-			delete(s.children, name)
-			continue
-		}
-		reports = append(reports, c.report)
+}
+
+func (s *Spread) attach(ctx context.Context, a spread.Action) {
+	ctx, cancel := context.WithTimeout(ctx, min(max(s.config.Beat, minTimeout), callTimeout))
+	defer cancel()
+	var msg *wire.AttachResponse
+	if resp, err := s.config.Pool.Client(a.Addr).Attach(ctx, connect.NewRequest(a.Attach)); err == nil {
+		msg = resp.Msg
 	}
-	return spread.Merge(maxLaggards, reports...)
+	s.with(func(st *spread.State, now time.Time) { st.Attached(a, msg, now) })
 }
 
-// attach renews the place under the parent and repairs from it.
-func (s *Spread) attach(ctx context.Context) {
-	v := s.config.View()
-	parent := s.config.Tree.Parent(v)
-	if parent == nil {
+// push sends what leads from the receiver's table to the one in force.
+func (s *Spread) push(ctx context.Context, a spread.Action) {
+	u := s.config.Holder.Since(a.From.Number, a.From.Digest)
+	if u == nil || u.GetSnapshot() != nil && !s.admit() {
+		s.with(func(st *spread.State, now time.Time) { st.Postponed(a, now) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	t := s.config.Holder.Table()
-	resp, err := s.config.Pool.Client(parent.GetPeer()).Attach(ctx, connect.NewRequest(&wire.AttachRequest{
-		Name: v.Self.GetName(), Incarnation: v.Self.GetIncarnation(), Revision: t.Number, Digest: t.Digest,
-		Peer: v.Self.GetPeer(), Report: s.Report(), Floor: s.config.Holder.Floor(),
+	var msg *wire.PushResponse
+	resp, err := s.config.Pool.Client(a.Addr).Push(ctx, connect.NewRequest(&wire.PushRequest{
+		Name: s.config.View().Self.GetName(), Update: u, Time: s.Checked(),
 	}))
-	if err != nil {
-		return
-	}
-	s.config.Holder.Raise(resp.Msg.GetFloor())
-	s.confirm(resp.Msg.GetTime())
-	if resp.Msg.GetRevision() > s.config.Holder.Table().Number {
-		s.fetch(ctx, parent.GetPeer())
+	if err == nil {
+		msg = resp.Msg
 	}
+	s.with(func(st *spread.State, now time.Time) { st.Pushed(a, lastMark(u), msg, now) })
 }
 
-func (s *Spread) confirm(at int64) {
+func (s *Spread) admit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.time = max(s.time, at)
+	return s.state.Admit(time.Now())
 }
 
-// exchange repairs from a random peer.
-func (s *Spread) exchange(ctx context.Context) {
-	v := s.config.View()
-	if len(v.Names) < 2 {
-		return
-	}
-	m := v.Members[v.Names[rand.IntN(len(v.Names))]]
-	if m.GetName() == v.Self.GetName() {
-		return
+// lastMark returns the place that an update leads to.
+func lastMark(u *wire.Update) spread.Mark {
+	if n := len(u.GetRevisions()); n > 0 {
+		last := u.GetRevisions()[n-1]
+		return spread.Mark{Number: last.GetNumber(), Digest: last.GetDigest()}
 	}
+	return spread.Mark{Number: u.GetSnapshot().GetNumber(), Digest: u.GetSnapshot().GetDigest()}
+}
+
+func (s *Spread) fetch(ctx context.Context, a spread.Action) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s.fetch(ctx, m.GetPeer())
+	var msg *wire.FetchResponse
+	if resp, err := s.config.Pool.Client(a.Addr).Fetch(ctx, connect.NewRequest(a.Fetch)); err == nil {
+		msg = resp.Msg
+	}
+	s.with(func(st *spread.State, now time.Time) { st.Fetched(a, msg, now) })
+	if u := msg.GetUpdate(); u != nil && s.offer(u) == nil {
+		s.with(func(st *spread.State, _ time.Time) { st.Confirm(msg.GetTime()) })
+	}
 }
 
-// fetch asks a peer for what this node lacks.
-func (s *Spread) fetch(ctx context.Context, addr string) {
-	t := s.config.Holder.Table()
-	resp, err := s.config.Pool.Client(addr).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{
-		Name: s.config.View().Self.GetName(), Revision: t.Number, Digest: t.Digest,
-	}))
-	if err != nil {
-		return
+// offer applies an update from a peer. One that is refused stays out and is
+// reported; one that is not newer is no error.
+func (s *Spread) offer(u *wire.Update) error {
+	if !s.settled() {
+		return ErrUnsettled
 	}
-	s.config.Holder.Raise(resp.Msg.GetFloor())
-	if resp.Msg.GetUpdate() != nil {
-		_ = s.Offer(resp.Msg.GetUpdate())
+	err := s.config.Holder.Apply(u)
+	s.with(func(st *spread.State, now time.Time) { st.Offered(err, now) })
+	if err == nil || errors.Is(err, revision.ErrStale) {
+		return nil
 	}
-	s.confirm(resp.Msg.GetTime())
+	s.config.Sinks.Log.Warn("update refused", "error", err.Error())
+	return err
 }
 
-// pushes pushes to the children at each change of the table.
-func (s *Spread) pushes(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := s.config.Holder.Changed()
-		s.mu.Lock()
-		for _, c := range s.children {
-			s.start(ctx, c)
-		}
-		s.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
+func (s *Spread) settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Settled()
 }
 
-// start pushes to a child unless a push is under way. The caller holds s.mu.
-func (s *Spread) start(ctx context.Context, c *child) {
-	if c.pushing || c.revision >= s.config.Holder.Table().Number {
-		return
+// Accept applies what the platform holds. It returns ErrUnsettled while the
+// node must ask its peers first, or the reason why the update was refused.
+func (s *Spread) Accept(u *wire.Update) error {
+	s.mu.Lock()
+	ready := s.state.Platform(lastMark(u).Number, time.Now())
+	s.mu.Unlock()
+	if !ready {
+		return ErrUnsettled
 	}
-	c.pushing = true
-	go s.push(ctx, c, c.revision, c.digest)
+	return s.offer(u)
 }
 
-// push brings a child to the newest table; what changes meanwhile goes with
-// the next message.
-func (s *Spread) push(ctx context.Context, c *child, number uint64, digest []byte) {
-	for {
-		u := s.config.Holder.Since(number, digest)
-		if u == nil {
-			break
-		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		resp, err := s.config.Pool.Client(c.addr).Push(call, connect.NewRequest(&wire.PushRequest{
-			Name: s.config.View().Self.GetName(), Update: u, Time: s.Checked(),
-		}))
-		cancel()
-		if err != nil || resp.Msg.GetRevision() <= number {
-			break
-		}
-		number, digest = resp.Msg.GetRevision(), resp.Msg.GetDigest()
-	}
+// Checked returns when the head was last known to be confirmed by the
+// platform, in Unix ms.
+func (s *Spread) Checked() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.pushing = false
-	if number > c.revision {
-		c.revision, c.digest = number, digest
-	}
+	return max(s.state.Checked(), s.config.Checked())
 }
 
-// Attach implements the Peer service.
-func (s *Spread) Attach(ctx context.Context, req *connect.Request[wire.AttachRequest]) (*connect.Response[wire.AttachResponse], error) {
-	m := req.Msg
-	t := s.config.Holder.Table()
-	resp := &wire.AttachResponse{Revision: t.Number, Digest: t.Digest, Time: s.Checked()}
-	self := s.config.View().Self.GetName()
-	if !s.config.Tree.RankOf(self).Above(s.config.Tree.RankOf(m.GetName())) {
-		resp.Refused = true
-		return connect.NewResponse(resp), nil
-	}
+// Reader tells whether the node reads the platform.
+func (s *Spread) Reader() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.children[m.GetName()]
-	if c == nil || c.addr != m.GetPeer() {
-		c = &child{addr: m.GetPeer()}
-		s.children[m.GetName()] = c
-	}
-	c.seen, c.revision, c.digest, c.report = time.Now(), m.GetRevision(), m.GetDigest(), m.GetReport()
-	resp.Floor = s.floors[m.GetName()]
-	s.floors[m.GetName()] = max(resp.Floor, m.GetRevision())
-	s.start(context.WithoutCancel(ctx), c)
+	return s.state.Reader(time.Now())
+}
+
+// Publisher returns the node's order among the nodes that stand ready to
+// publish, and false when it is none or does not know its floor yet.
+func (s *Spread) Publisher() (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shape := s.state.Shape()
+	return shape.Order, shape.Publisher && s.state.Settled()
+}
+
+// Number returns the revision in force.
+func (s *Spread) Number() uint64 { return s.config.Holder.Table().Number }
+
+// Heard takes the revision that a peer names in any message.
+func (s *Spread) Heard(name string, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Heard(name, number, time.Now())
+}
+
+// Attach implements the Peer service.
+func (s *Spread) Attach(_ context.Context, req *connect.Request[wire.AttachRequest]) (*connect.Response[wire.AttachResponse], error) {
+	var resp *wire.AttachResponse
+	s.with(func(st *spread.State, now time.Time) { resp = st.Attach(req.Msg, now) })
 	return connect.NewResponse(resp), nil
 }
 
 // Push implements the Peer service.
 func (s *Spread) Push(_ context.Context, req *connect.Request[wire.PushRequest]) (*connect.Response[wire.PushResponse], error) {
 	resp := &wire.PushResponse{}
-	if err := s.Offer(req.Msg.GetUpdate()); err != nil {
+	err := s.offer(req.Msg.GetUpdate())
+	if err != nil {
 		resp.Findings = []*wire.Finding{{Place: "revision", Reason: err.Error()}}
-	} else {
-		s.confirm(req.Msg.GetTime())
 	}
 	t := s.config.Holder.Table()
-	resp.Revision, resp.Digest = t.Number, t.Digest
+	resp.Revision = t.Number
+	if t.Number != lastMark(req.Msg.GetUpdate()).Number {
+		resp.Digest = t.Digest
+	}
+	s.with(func(st *spread.State, _ time.Time) {
+		if err == nil {
+			st.Confirm(req.Msg.GetTime())
+		}
+		st.Told(req.Msg.GetName(), t.Number)
+	})
 	return connect.NewResponse(resp), nil
 }
 
 // Fetch implements the Peer service.
 func (s *Spread) Fetch(_ context.Context, req *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
-	resp := &wire.FetchResponse{
-		Update: s.config.Holder.Since(req.Msg.GetRevision(), req.Msg.GetDigest()), Time: s.Checked(),
-		Revision: s.config.Holder.Table().Number, Floor: s.Floor(req.Msg.GetName()),
+	var update *wire.Update
+	if !req.Msg.GetAsk() {
+		update = s.config.Holder.Since(req.Msg.GetRevision(), req.Msg.GetDigest())
 	}
+	var resp *wire.FetchResponse
+	s.with(func(st *spread.State, now time.Time) { resp = st.Serve(req.Msg, update, now) })
 	return connect.NewResponse(resp), nil
 }
--- a/wire/wireconnect/peer.connect.go
+++ b/wire/wireconnect/peer.connect.go
@@ -41,6 +41,8 @@
 	PeerPushProcedure = "/caroblift.Peer/Push"
 	// PeerFetchProcedure is the fully-qualified name of the Peer's Fetch RPC.
 	PeerFetchProcedure = "/caroblift.Peer/Fetch"
+	// PeerFleetProcedure is the fully-qualified name of the Peer's Fleet RPC.
+	PeerFleetProcedure = "/caroblift.Peer/Fleet"
 	// PeerProbeProcedure is the fully-qualified name of the Peer's Probe RPC.
 	PeerProbeProcedure = "/caroblift.Peer/Probe"
 	// PeerSyncProcedure is the fully-qualified name of the Peer's Sync RPC.
@@ -57,6 +59,8 @@
 	Push(context.Context, *connect.Request[wire.PushRequest]) (*connect.Response[wire.PushResponse], error)
 	// Fetch repairs a node from any peer.
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
+	// Fleet asks along the parents for the report of the whole fleet.
+	Fleet(context.Context, *connect.Request[wire.FleetRequest]) (*connect.Response[wire.FleetResponse], error)
 	// Probe is a heartbeat, direct or on behalf of another node.
 	Probe(context.Context, *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error)
 	// Sync compares member tables and exchanges what differs.
@@ -94,6 +98,12 @@
 			connect.WithSchema(peerMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		fleet: connect.NewClient[wire.FleetRequest, wire.FleetResponse](
+			httpClient,
+			baseURL+PeerFleetProcedure,
+			connect.WithSchema(peerMethods.ByName("Fleet")),
+			connect.WithClientOptions(opts...),
+		),
 		probe: connect.NewClient[wire.ProbeRequest, wire.ProbeResponse](
 			httpClient,
 			baseURL+PeerProbeProcedure,
@@ -120,6 +130,7 @@
 	attach *connect.Client[wire.AttachRequest, wire.AttachResponse]
 	push   *connect.Client[wire.PushRequest, wire.PushResponse]
 	fetch  *connect.Client[wire.FetchRequest, wire.FetchResponse]
+	fleet  *connect.Client[wire.FleetRequest, wire.FleetResponse]
 	probe  *connect.Client[wire.ProbeRequest, wire.ProbeResponse]
 	sync   *connect.Client[wire.SyncRequest, wire.SyncResponse]
 	join   *connect.Client[wire.JoinRequest, wire.JoinResponse]
@@ -140,6 +151,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Fleet calls caroblift.Peer.Fleet.
+func (c *peerClient) Fleet(ctx context.Context, req *connect.Request[wire.FleetRequest]) (*connect.Response[wire.FleetResponse], error) {
+	return c.fleet.CallUnary(ctx, req)
+}
+
 // Probe calls caroblift.Peer.Probe.
 func (c *peerClient) Probe(ctx context.Context, req *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error) {
 	return c.probe.CallUnary(ctx, req)
@@ -163,6 +179,8 @@
 	Push(context.Context, *connect.Request[wire.PushRequest]) (*connect.Response[wire.PushResponse], error)
 	// Fetch repairs a node from any peer.
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
+	// Fleet asks along the parents for the report of the whole fleet.
+	Fleet(context.Context, *connect.Request[wire.FleetRequest]) (*connect.Response[wire.FleetResponse], error)
 	// Probe is a heartbeat, direct or on behalf of another node.
 	Probe(context.Context, *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error)
 	// Sync compares member tables and exchanges what differs.
@@ -196,6 +214,12 @@
 		connect.WithSchema(peerMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerFleetHandler := connect.NewUnaryHandler(
+		PeerFleetProcedure,
+		svc.Fleet,
+		connect.WithSchema(peerMethods.ByName("Fleet")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerProbeHandler := connect.NewUnaryHandler(
 		PeerProbeProcedure,
 		svc.Probe,
@@ -222,6 +246,8 @@
 			peerPushHandler.ServeHTTP(w, r)
 		case PeerFetchProcedure:
 			peerFetchHandler.ServeHTTP(w, r)
+		case PeerFleetProcedure:
+			peerFleetHandler.ServeHTTP(w, r)
 		case PeerProbeProcedure:
 			peerProbeHandler.ServeHTTP(w, r)
 		case PeerSyncProcedure:
@@ -249,6 +275,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caroblift.Peer.Fetch is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Fleet(context.Context, *connect.Request[wire.FleetRequest]) (*connect.Response[wire.FleetResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caroblift.Peer.Fleet is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Probe(context.Context, *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caroblift.Peer.Probe is not implemented"))
 }
