Measure convergence time and control bytes against the plain way

Cause: nothing told how long a change takes to the last node, or what it costs. Change: carobbench converge runs a fleet and, in the same run, nodes that each watch the platform for the whole configuration; it kills the first publisher and a reader midway and counts bytes by connection and by kind.

--- /dev/null
+++ b/carobbench/converge.go
@@ -0,0 +1,335 @@
+package main
+
+// This file measures convergence time and control bytes of a fleet, and of the
+// plain way in the same run.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/carobbench/fleet"
+	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/wire"
+)
+
+// convergeBound is the time in which a change must be in force on every node.
+const convergeBound = 3 * time.Second
+
+type convergeCommand struct {
+	Nodes    int           `long:"nodes" default:"50" description:"nodes, 200 at most"`
+	Changes  int           `long:"changes" default:"40" description:"changes of one record"`
+	Services int           `long:"services" default:"190" description:"services, each with a route and a policy"`
+	Domains  int           `long:"domains" default:"4" description:"failure domains"`
+	Every    time.Duration `long:"every" default:"250ms" description:"interval of changes"`
+	Idle     time.Duration `long:"idle" default:"10s" description:"time without changes that is measured"`
+}
+
+// figures are the result of one way; the keys are those of the report.
+type figures struct {
+	Nodes   int      `json:"nodes"`
+	Changes int      `json:"changes"`
+	P50     int64    `json:"p50"`   // ms
+	P99     int64    `json:"p99"`   // ms
+	Max     int64    `json:"max"`   // ms
+	Bytes   int64    `json:"bytes"` // for each node and change
+	Idle    int64    `json:"idle"`  // bytes/s for each node
+	Calls   float64  `json:"calls"` // to the platform, for each second of changes
+	Base    *figures `json:"base,omitempty"`
+}
+
+// Execute measures the fleet, then the plain way, and fails when a change took
+// longer than its bound.
+func (c *convergeCommand) Execute([]string) error {
+	if c.Nodes > 200 || c.Nodes < 5 {
+		return errors.Errorf("--nodes is %d, want 5 to 200", c.Nodes)
+	}
+	result, err := c.mesh()
+	if err != nil {
+		return err
+	}
+	if result.Base, err = c.base(); err != nil {
+		return err
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Println(string(line))
+	if bound := convergeBound.Milliseconds(); result.Max > bound {
+		return errors.Errorf("a change took %d ms, want at most %d ms", result.Max, bound)
+	}
+	return nil
+}
+
+// convergence is a run on a fleet of nodes.
+type convergence struct {
+	*convergeCommand
+	fleet     *fleet.Fleet
+	followers map[*fleet.Member]*fleet.Follower
+}
+
+func (c *convergeCommand) mesh() (*figures, error) {
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+	f, err := fleet.New(fleet.Config{Log: log})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if err := c.seed(f); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	run := &convergence{convergeCommand: c, fleet: f, followers: map[*fleet.Member]*fleet.Follower{}}
+	if err := run.start(ctx); err != nil {
+		return nil, err
+	}
+	out := &figures{Nodes: c.Nodes, Changes: c.Changes, Idle: run.idle()}
+	return out, run.changes(out)
+}
+
+// seed writes the records of all services.
+func (c *convergeCommand) seed(f *fleet.Fleet) error {
+	f.Store.Writes = nil
+	for i := range c.Services {
+		name := fmt.Sprintf("service-%d", i)
+		for _, r := range []*wire.Record{
+			{Kind: wire.Kind_KIND_POLICY, Name: name, Schema: 1, Body: []byte(`{"slots": 10}`)},
+			{Kind: wire.Kind_KIND_SERVICE, Name: name, Schema: 1, Body: []byte(`{"policy": "` + name + `"}`)},
+			{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, 0))},
+		} {
+			body, err := platform.EncodeRecord(r)
+			if err != nil {
+				return err
+			}
+			if _, err := f.Store.Create(context.Background(), platform.KindRecord, platform.RecordName(record.KeyOf(r)), body); err != nil {
+				return errors.Wrapf(err, "write %s", record.KeyOf(r))
+			}
+		}
+	}
+	return nil
+}
+
+func routeBody(name string, change int) string {
+	return fmt.Sprintf(`{"prefix":"/%s","service":"%s","timeout":"%dms"}`, name, name, 1000+change)
+}
+
+// start adds the nodes and waits until each holds the records and knows the
+// others.
+func (r *convergence) start(ctx context.Context) error {
+	begin := time.Now()
+	for i := range r.Nodes {
+		m, err := r.fleet.Add(fleet.Place{Name: fmt.Sprintf("node-%d", i), Domain: fmt.Sprintf("domain-%d", i%r.Domains)})
+		if err != nil {
+			return err
+		}
+		r.followers[m] = fleet.Follow(ctx, m.Node.Holder)
+	}
+	ready := func() bool {
+		for _, m := range r.fleet.Members() {
+			t := m.Node.Holder.Table()
+			if len(m.Node.Members.View().Names) < r.Nodes || len(t.Routes) < r.Services || !m.Node.Holder.Ready() {
+				return false
+			}
+		}
+		return true
+	}
+	if !fleet.Await(time.Minute, ready) {
+		return errors.New("the nodes did not all hold the records within a minute")
+	}
+	fmt.Printf("%d nodes with %d services ready after %d ms\n", r.Nodes, r.Services, time.Since(begin).Milliseconds())
+	return nil
+}
+
+// total returns the control bytes of all nodes, calls to the platform included.
+func (r *convergence) total() int64 {
+	sum := r.fleet.Bytes.Sum()
+	for _, m := range r.fleet.Members() {
+		sum += m.Node.ControlBytes()
+	}
+	return sum
+}
+
+// kinds returns the bytes of messages by kind.
+func (r *convergence) kinds() map[string]int64 {
+	out := map[string]int64{"platform": r.fleet.Bytes.Sum()}
+	for _, m := range r.fleet.Members() {
+		m.Node.ControlKinds().Each(func(kind string, n int64) { out[kind] += n })
+	}
+	return out
+}
+
+func platformCalls(f *fleet.Fleet) uint64 {
+	var sum uint64
+	for _, n := range f.Store.Calls() {
+		sum += n
+	}
+	return sum
+}
+
+// processTime returns the processor time of this process.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// idle returns the bytes a second of each node without changes.
+func (r *convergence) idle() int64 {
+	time.Sleep(r.Idle / 2)
+	bytes, kinds, calls, used, begin := r.total(), r.kinds(), platformCalls(r.fleet), processTime(), time.Now()
+	time.Sleep(r.Idle)
+	span := time.Since(begin).Seconds()
+	per := func(n int64) float64 { return float64(n) / span / float64(r.Nodes) }
+	idle := per(r.total() - bytes)
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	fmt.Printf("idle: %.0f bytes/s, %.2f%% of a core, %d KB of heap for each node, %.1f calls/s to the platform\n",
+		idle, 100*(processTime()-used).Seconds()/span/float64(r.Nodes), int(mem.HeapInuse)/r.Nodes>>10,
+		float64(platformCalls(r.fleet)-calls)/span)
+	printKinds("idle bytes/s for each node", r.kinds(), kinds, per)
+	return int64(idle)
+}
+
+func printKinds(title string, after, before map[string]int64, per func(int64) float64) {
+	fmt.Printf("%s, without framing:", title)
+	for _, kind := range slices.Sorted(maps.Keys(after)) {
+		fmt.Printf(" %s %.1f", kind, per(after[kind]-before[kind]))
+	}
+	fmt.Println()
+}
+
+// changes writes the changes, kills a reader and the first publisher midway,
+// and fills in the figures.
+func (r *convergence) changes(out *figures) error {
+	first := r.fleet.Members()[0].Node.Holder.Table().Number
+	bytes, kinds, calls, used, begin := r.total(), r.kinds(), platformCalls(r.fleet), processTime(), time.Now()
+	for i := range r.Changes {
+		if i == r.Changes/2 {
+			r.kill()
+		}
+		if err := r.change(i); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(begin.Add(time.Duration(i+1) * r.Every)))
+	}
+	span := time.Since(begin).Seconds()
+	last := routeBody(r.changed(r.Changes-1), r.Changes)
+	if !fleet.Await(10*time.Second, func() bool { return r.inForce(r.changed(r.Changes-1), last) }) {
+		return errors.Errorf("the last change was not in force on every node within 10 s: %s", r.laggards())
+	}
+	each := func(n int64) float64 { return float64(n) / float64(r.Nodes) / float64(r.Changes) }
+	out.Bytes = int64(each(r.total() - bytes))
+	out.Calls = float64(platformCalls(r.fleet)-calls) / span
+	printKinds("bytes for each node and change", r.kinds(), kinds, each)
+	fmt.Printf("changes: %.2f%% of a core for each node at %.1f changes/s\n",
+		100*(processTime()-used).Seconds()/span/float64(r.Nodes), float64(r.Changes)/span)
+	return r.times(out, first)
+}
+
+// changed returns the service whose route a change amends.
+func (r *convergence) changed(i int) string { return fmt.Sprintf("service-%d", i%r.Services) }
+
+func (r *convergence) change(i int) error {
+	ctx, name := context.Background(), r.changed(i)
+	rec := &wire.Record{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, i+1))}
+	object := platform.RecordName(record.KeyOf(rec))
+	old, err := r.fleet.Store.Get(ctx, platform.KindRecord, object)
+	if err != nil {
+		return errors.Wrapf(err, "read %s", record.KeyOf(rec))
+	}
+	body, err := platform.EncodeRecord(rec)
+	if err != nil {
+		return err
+	}
+	_, err = r.fleet.Store.Update(ctx, platform.KindRecord, object, old.Version, body)
+	return errors.Wrapf(err, "write %s", record.KeyOf(rec))
+}
+
+// kill crashes the first publisher and a reader.
+func (r *convergence) kill() {
+	var publisher, reader *fleet.Member
+	for _, m := range r.fleet.Live() {
+		order, ok := m.Node.Spread.Publisher()
+		switch {
+		case ok && order == 0 && publisher == nil:
+			publisher = m
+		case m.Node.Spread.Reader() && reader == nil:
+			reader = m
+		}
+	}
+	for _, m := range []*fleet.Member{publisher, reader} {
+		if m != nil {
+			fmt.Printf("killed %s\n", m.Place.Name)
+			go m.Kill()
+		}
+	}
+}
+
+func (r *convergence) inForce(service, body string) bool {
+	key := record.Key{Kind: wire.Kind_KIND_ROUTE, Name: service}
+	for _, m := range r.fleet.Live() {
+		if string(m.Node.Holder.Table().Records[key].GetBody()) != body {
+			return false
+		}
+	}
+	return true
+}
+
+// laggards names the nodes that run and their revisions.
+func (r *convergence) laggards() string {
+	var out []string
+	for _, m := range r.fleet.Live() {
+		order, publishes := m.Node.Spread.Publisher()
+		out = append(out, fmt.Sprintf("%s at %d reader %t publisher %t %d", m.Place.Name,
+			m.Node.Holder.Table().Number, m.Node.Spread.Reader(), publishes, order))
+	}
+	return strings.Join(out, ", ")
+}
+
+// times works out, for each accepted revision, the time until it was in force
+// on the last node that is live at the end.
+func (r *convergence) times(out *figures, first uint64) error {
+	var took []time.Duration
+	for number, at := range r.fleet.Accepted() {
+		if number <= first {
+			continue
+		}
+		var last time.Duration
+		for _, m := range r.fleet.Live() {
+			since, ok := r.followers[m].Since(number)
+			if !ok {
+				return errors.Errorf("revision %d is not in force on %s", number, m.Place.Name)
+			}
+			last = max(last, since.Sub(at))
+		}
+		took = append(took, last)
+	}
+	if len(took) == 0 {
+		return errors.New("no revision was accepted")
+	}
+	fmt.Printf("%d changes in %d revisions\n", r.Changes, len(took))
+	out.P50, out.P99, out.Max = quantiles(took)
+	return nil
+}
+
+// quantiles returns the median, the 99th percentile and the maximum in ms.
+func quantiles(took []time.Duration) (p50, p99, most int64) {
+	slices.Sort(took)
+	at := func(q float64) int64 { return took[int(q*float64(len(took)-1)+0.5)].Milliseconds() }
+	return at(0.5), at(0.99), at(1)
+}
--- a/carobbench/fleet/fleet.go
+++ b/carobbench/fleet/fleet.go
@@ -22,6 +22,7 @@
 
 	"caroblift.dev/mesh/backendtest"
 	"caroblift.dev/mesh/node"
+	"caroblift.dev/mesh/peer"
 	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/settings"
 	"caroblift.dev/mesh/telemetry"
@@ -63,8 +64,12 @@
 type Fleet struct {
 	Store *platformtest.Store
 
+	// Bytes counts the bytes of every connection to the platform.
+	Bytes peer.Counter
+
 	config   Config
 	platform *http.Server
+	accepted *acceptance
 	address  string
 
 	mu      sync.Mutex
@@ -73,7 +78,7 @@
 
 // New starts the platform.
 func New(config Config) (*Fleet, error) {
-	f := &Fleet{Store: platformtest.New(), config: config}
+	f := &Fleet{Store: platformtest.New(), config: config, accepted: &acceptance{times: map[uint64]time.Time{}}}
 	f.Store.Reads = rate.NewLimiter(platformReads, platformReads)
 	f.Store.Writes = rate.NewLimiter(platformWrites, platformWrites)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -81,8 +86,8 @@
 		return nil, errors.Wrap(err, "platform")
 	}
 	f.address = l.Addr().String()
-	f.platform = &http.Server{Handler: f.Store, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(config.Log.Handler(), slog.LevelDebug)}
-	go func() { _ = f.platform.Serve(l) }()
+	f.platform = &http.Server{Handler: f.accepted.handler(f.Store), ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(config.Log.Handler(), slog.LevelDebug)}
+	go func() { _ = f.platform.Serve(&peer.Listener{Listener: l, Counter: &f.Bytes}) }()
 	return f, nil
 }
 
@@ -191,14 +196,30 @@
 	return true
 }
 
-// Converged tells whether every node holds a revision.
-func (f *Fleet) Converged(number uint64) bool {
+// Live tells whether an instance runs.
+func (m *Member) Live() bool {
+	select {
+	case <-m.Node.Dead():
+		return false
+	default:
+		return true
+	}
+}
+
+// Live returns the instances that run.
+func (f *Fleet) Live() []*Member {
+	var out []*Member
 	for _, m := range f.Members() {
-		select {
-		case <-m.Node.Dead():
-			continue
-		default:
+		if m.Live() {
+			out = append(out, m)
 		}
+	}
+	return out
+}
+
+// Converged tells whether every node that runs holds a revision.
+func (f *Fleet) Converged(number uint64) bool {
+	for _, m := range f.Live() {
 		if m.Node.Holder.Table().Number < number {
 			return false
 		}
--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	carobbench demo
+//	carobbench converge --nodes 50 --changes 40
 //	carobbench platform --listen 127.0.0.1:7000
 //	carobbench server --service quotes --listen 127.0.0.1:9001 --announce http://127.0.0.1:7104/announce
 package main
@@ -27,6 +28,7 @@
 		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
 		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
 		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
+		{"converge", "Measure convergence time and control bytes", &convergeCommand{}},
 		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
 		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
 	} {
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -100,7 +100,7 @@
 	if at := n.Spread.Checked(); at > 0 {
 		s.gauge("confirmed_age_seconds", time.Since(time.UnixMilli(at)).Seconds())
 	}
-	report := n.Spread.Report()
+	report := n.Spread.Subtree()
 	s.gauge("laggards", float64(len(report.GetLaggards())+int(report.GetMore())))
 	s.members()
 	s.traffic()
--- a/mesh/peer/fleet.go
+++ b/mesh/peer/fleet.go
@@ -23,6 +23,16 @@
 	return r
 }
 
+// Subtree returns the report of this node and what hangs under it. It asks no
+// other node.
+func (s *Spread) Subtree() *wire.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.state.Report(time.Now())
+	r.Top = s.state.Shape().View.Self.GetName()
+	return r
+}
+
 // survey returns the report of the highest node that can be asked. The caller
 // may change it.
 func (s *Spread) survey(ctx context.Context) *wire.Report {
@@ -31,10 +41,7 @@
 	}
 	r := s.above(ctx)
 	if r == nil {
-		s.mu.Lock()
-		r = s.state.Report(time.Now())
-		s.mu.Unlock()
-		r.Top = s.config.View().Self.GetName()
+		r = s.Subtree()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
