--- a/carobbench/converge.go
+++ b/carobbench/converge.go
@@ -110,7 +110,7 @@
 			{Kind: wire.Kind_KIND_SERVICE, Name: name, Schema: 1, Body: []byte(`{"policy": "` + name + `"}`)},
 			{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, 0))},
 		} {
-			body, err := platform.EncodeRecord(r)
+			body, err := platform.EncodeRecord(r, "converge", nil)
 			if err != nil {
 				return err
 			}
@@ -252,7 +252,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "read %s", record.KeyOf(rec))
 	}
-	body, err := platform.EncodeRecord(rec)
+	body, err := platform.EncodeRecord(rec, "converge", nil)
 	if err != nil {
 		return err
 	}
