Decide membership in an agent of events and actions

Cause: View was rebuilt for each event, Sync sent the whole table, every node ripened suspicions by itself, and a paused node acted on its old knowledge. Change: member.Agent decides (merge, rings of neighbours, examination through others, holding of mass suspicions, pauses, joining with backoff and bounded service); peer.Members only sends. A token budget and meeting points on the platform come with it.

--- a/mesh/member/table.go
+++ b/mesh/member/table.go
@@ -1,11 +1,10 @@
 package member
 
-// This file defines the table of members: it merges events and decides
-// suspicion, refutation and death.
+// This file defines the table of members: it merges what nodes say of
+// themselves with the verdicts of those that watch them.
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,149 +12,308 @@
 	"caroblift.dev/wire"
 )
 
-// TableConfig configures a Table.
-type TableConfig struct {
-	Suspect time.Duration // how long a suspicion may be refuted
-	Forget  time.Duration // how long the dead are remembered
-}
+// maxTombstones bounds the dead that a table remembers.
+const maxTombstones = 8192
 
-// Table holds the members that a node knows. It has no locks; its owner calls
-// it from one goroutine at a time.
+// Table holds the members that a node knows. For each it keeps what the member
+// says of itself, ordered by incarnation and serial, and the newest incarnations
+// that watchers suspect and found dead. Each of the three moves up only, so
+// messages may be lost, doubled and reordered. A table has no locks; its owner
+// calls it from one goroutine at a time.
 type Table struct {
-	config  TableConfig
 	self    *wire.Member
 	members map[string]*entry
-	events  []*wire.Member // changes not yet taken
+	names   []string // of the members that are not dead, sorted
+	list    []*entry // in the order of names
+	buckets [Buckets]uint64
+	root    uint64
+	words   map[string]string // interned domains, regions and services
+	news    []*wire.Member    // changes that were not taken
+	changed bool              // the view is out of date
+	shape   bool              // the neighbours are out of date
 }
 
-// entry is a member and when its state began.
+// entry is what a table knows of one instance.
 type entry struct {
-	member *wire.Member
-	since  time.Time
+	member    *wire.Member // as it last said of itself; nil for the dead
+	suspected uint64       // newest incarnation that a watcher suspects
+	died      uint64       // newest incarnation that a watcher found dead
+	since     time.Time    // when the present state began
+	shown     *wire.Member // as the view shows a suspect member
+	hash      uint64       // of the name
+	item      uint64       // contribution to the digest of its bucket
 }
 
 // NewTable returns a table that holds the own node.
-func NewTable(config TableConfig, self *wire.Member, now time.Time) *Table {
-	t := &Table{config: config, self: self, members: map[string]*entry{}}
-	t.put(self, now)
+func NewTable(self *wire.Member, now time.Time) *Table {
+	t := &Table{self: self, members: map[string]*entry{}, words: map[string]string{}}
+	t.own(self, now)
 	return t
 }
 
 // Self returns the own member.
 func (t *Table) Self() *wire.Member { return t.self }
 
-// put stores a member and queues it as an event.
-func (t *Table) put(m *wire.Member, now time.Time) {
-	t.members[m.GetName()] = &entry{member: m, since: now}
-	t.events = append(t.events, m)
+// Len returns the number of members that are not dead, own node included.
+func (t *Table) Len() int { return len(t.names) }
+
+// State returns the state of a member: dead when it is unknown.
+func (t *Table) State(name string) wire.State { return t.members[name].state() }
+
+// Get returns a member as it last said of itself, or nil when it is unknown or
+// dead.
+func (t *Table) Get(name string) *wire.Member {
+	if e := t.members[name]; e != nil {
+		return e.member
+	}
+	return nil
+}
+
+func (e *entry) state() wire.State {
+	switch {
+	case e == nil || e.member == nil:
+		return wire.State_STATE_DEAD
+	case e.suspected >= e.member.GetIncarnation():
+		return wire.State_STATE_SUSPECT
+	}
+	return e.member.GetState()
+}
+
+// own stores the own member, which no verdict touches.
+func (t *Table) own(m *wire.Member, now time.Time) {
+	t.self = m
+	t.store(m, &entry{member: m, since: now, hash: hashName(m.GetName())})
 }
 
 // Update changes the own member and spreads the change.
 func (t *Table) Update(now time.Time, change func(*wire.Member)) {
-	next := proto.Clone(t.self).(*wire.Member)
+	next := proto.CloneOf(t.self)
 	change(next)
 	next.Serial++
-	t.self = next
-	t.put(next, now)
+	t.own(next, now)
 }
 
-// Merge takes what a peer says of a member and tells whether it was news.
+// Raise lifts the own incarnation above another life of this instance.
+func (t *Table) Raise(incarnation uint64, now time.Time) {
+	if incarnation >= t.self.GetIncarnation() {
+		t.Update(now, func(m *wire.Member) { m.Incarnation = incarnation + 1 })
+	}
+}
+
+// store replaces an entry by reason of an event, which is news.
+func (t *Table) store(event *wire.Member, e *entry) {
+	name := event.GetName()
+	old := t.members[name]
+	if old == nil {
+		old = &entry{}
+	}
+	t.members[name] = e
+	t.recount(name, old, e)
+	t.news = append(t.news, event)
+	t.changed = true
+	t.shape = t.shape || old.state() != e.state() || old.member.GetDomain() != e.member.GetDomain()
+}
+
+// recount keeps the sorted names and the digests.
+func (t *Table) recount(name string, old, e *entry) {
+	was, is := old.member != nil, e != nil && e.member != nil
+	i, _ := slices.BinarySearch(t.names, name)
+	switch {
+	case is && was:
+		t.list[i] = e
+	case is:
+		t.names, t.list = slices.Insert(t.names, i, name), slices.Insert(t.list, i, e)
+	case was:
+		t.names, t.list = slices.Delete(t.names, i, i+1), slices.Delete(t.list, i, i+1)
+	}
+	if was {
+		t.toggle(old)
+	}
+	if e != nil {
+		e.item = e.digest(name)
+		t.toggle(e)
+	}
+}
+
+// IsVerdict tells whether an event is a verdict of a watcher, not what a
+// member says of itself.
+func IsVerdict(m *wire.Member) bool { return m.GetPeer() == "" }
+
+// NewVerdict returns the event that carries a verdict.
+func NewVerdict(name string, incarnation uint64, state wire.State) *wire.Member {
+	return &wire.Member{Name: name, Incarnation: incarnation, State: state}
+}
+
+// Merge takes an event and tells whether it was news.
 func (t *Table) Merge(m *wire.Member, now time.Time) bool {
-	if m.GetName() == t.self.GetName() {
+	switch {
+	case m.GetName() == "" || m.GetIncarnation() == 0:
+		return false
+	case m.GetName() == t.self.GetName():
 		return t.refute(m, now)
+	case IsVerdict(m):
+		return t.judge(m.GetName(), m.GetIncarnation(), m.GetState(), now)
 	}
-	old := t.members[m.GetName()]
-	if old != nil && !newer(m, old.member) {
+	return t.hear(m, now)
+}
+
+// refute answers a claim about the own node that it did not make, in this
+// life, with a higher incarnation.
+func (t *Table) refute(m *wire.Member, now time.Time) bool {
+	if m.GetIncarnation() < t.self.GetIncarnation() {
 		return false
 	}
-	t.put(m, now)
+	if !IsVerdict(m) && m.GetIncarnation() == t.self.GetIncarnation() && m.GetSerial() <= t.self.GetSerial() {
+		return false
+	}
+	t.Raise(m.GetIncarnation(), now)
 	return true
 }
 
-// refute answers a false claim about the own node with a newer incarnation.
-func (t *Table) refute(m *wire.Member, now time.Time) bool {
-	if !newer(m, t.self) {
-		return false
+// hear takes what a member says of itself.
+func (t *Table) hear(m *wire.Member, now time.Time) bool {
+	e := &entry{member: m, since: now, hash: hashName(m.GetName())}
+	if old := t.members[m.GetName()]; old != nil {
+		if m.GetIncarnation() <= old.died || (old.member != nil && !newer(m, old.member)) {
+			return false
+		}
+		e.suspected, e.died = old.suspected, old.died
 	}
-	t.Update(now, func(s *wire.Member) { s.Incarnation = m.GetIncarnation() + 1 })
+	t.intern(m)
+	t.store(m, e)
 	return true
 }
 
-// newer tells whether a supersedes b: by incarnation, then by serial, then by
-// the graver state.
+// newer orders what one instance says of itself. The last rules decide between
+// two instances that use one name by mistake.
 func newer(a, b *wire.Member) bool {
 	if a.GetIncarnation() != b.GetIncarnation() {
 		return a.GetIncarnation() > b.GetIncarnation()
 	}
-	if (a.GetState() == wire.State_STATE_DEAD) != (b.GetState() == wire.State_STATE_DEAD) {
-		return a.GetState() == wire.State_STATE_DEAD
-	}
 	if a.GetSerial() != b.GetSerial() {
 		return a.GetSerial() > b.GetSerial()
 	}
-	return a.GetState() > b.GetState()
+	if a.GetState() != b.GetState() {
+		return a.GetState() > b.GetState()
+	}
+	return a.GetPeer() > b.GetPeer()
+}
+
+// judge takes a verdict.
+func (t *Table) judge(name string, incarnation uint64, state wire.State, now time.Time) bool {
+	e := &entry{hash: hashName(name), since: now}
+	if old := t.members[name]; old != nil {
+		e.member, e.suspected, e.died = old.member, old.suspected, old.died
+	}
+	switch {
+	case state == wire.State_STATE_DEAD && incarnation > e.died:
+		e.died = incarnation
+	case state == wire.State_STATE_SUSPECT && incarnation > max(e.suspected, e.died):
+		e.suspected = incarnation
+	default:
+		return false
+	}
+	if e.member.GetIncarnation() <= e.died {
+		e.member = nil
+	}
+	t.store(NewVerdict(name, incarnation, state), e)
+	return true
+}
+
+// intern shares the strings that many members have in common.
+func (t *Table) intern(m *wire.Member) {
+	m.Domain, m.Region = t.word(m.GetDomain()), t.word(m.GetRegion())
+	for _, s := range m.GetServers() {
+		s.Service = t.word(s.GetService())
+	}
 }
 
-// Suspect marks a member that did not answer.
-func (t *Table) Suspect(name string, now time.Time) {
+func (t *Table) word(s string) string {
+	if w, ok := t.words[s]; ok {
+		return w
+	}
+	t.words[s] = s
+	return s
+}
+
+// Incarnation returns the newest incarnation that is known of an instance.
+func (t *Table) Incarnation(name string) uint64 {
 	e := t.members[name]
-	if e == nil || name == t.self.GetName() || e.member.GetState() != wire.State_STATE_ALIVE {
-		return
+	if e == nil {
+		return 0
 	}
-	t.mark(e.member, wire.State_STATE_SUSPECT, now)
+	return max(e.member.GetIncarnation(), e.suspected, e.died)
 }
 
-func (t *Table) mark(m *wire.Member, s wire.State, now time.Time) {
-	next := proto.Clone(m).(*wire.Member)
-	next.State = s
-	t.put(next, now)
+// Judge spreads a verdict of the own node on the present incarnation.
+func (t *Table) Judge(name string, state wire.State, now time.Time) bool {
+	m := t.Get(name)
+	if m == nil || name == t.self.GetName() {
+		return false
+	}
+	return t.judge(name, m.GetIncarnation(), state, now)
 }
 
-// Tick lets suspicions ripen and forgets the dead.
-func (t *Table) Tick(now time.Time) {
+// Forget drops the dead whose time is over, and the oldest beyond the bound.
+func (t *Table) Forget(now time.Time, after time.Duration) {
+	type tomb struct {
+		name  string
+		since time.Time
+	}
+	var kept []tomb
 	for name, e := range t.members {
-		age := now.Sub(e.since)
 		switch {
-		case e.member.GetState() == wire.State_STATE_SUSPECT && age >= t.config.Suspect:
-			t.mark(e.member, wire.State_STATE_DEAD, now)
-		case e.member.GetState() == wire.State_STATE_DEAD && age >= t.config.Forget:
-			delete(t.members, name)
+		case e.member != nil:
+		case now.Sub(e.since) >= after:
+			t.drop(name)
+		default:
+			kept = append(kept, tomb{name, e.since})
 		}
 	}
+	if len(kept) <= maxTombstones {
+		return
+	}
+	slices.SortFunc(kept, func(a, b tomb) int { return a.since.Compare(b.since) })
+	for _, k := range kept[:len(kept)-maxTombstones] {
+		t.drop(k.name)
+	}
 }
 
-// Events returns the changes since the last call.
-func (t *Table) Events() []*wire.Member {
-	out := t.events
-	t.events = nil
-	return out
+func (t *Table) drop(name string) {
+	t.recount(name, t.members[name], nil)
+	delete(t.members, name)
 }
 
-// All returns every member, the dead included, ordered by name.
-func (t *Table) All() []*wire.Member {
-	out := make([]*wire.Member, 0, len(t.members))
-	for _, e := range t.members {
-		out = append(out, e.member)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetName() < out[j].GetName() })
+// News returns the events that changed the table since the last call.
+func (t *Table) News() []*wire.Member {
+	out := t.news
+	t.news = nil
 	return out
 }
 
-// View returns an immutable picture of the members that are not dead.
-func (t *Table) View() *View {
-	v := &View{Self: t.self, Members: map[string]*wire.Member{}, offers: map[string][]Offer{}}
-	for name, e := range t.members {
-		if e.member.GetState() != wire.State_STATE_DEAD {
-			v.Members[name] = e.member
-			v.Names = append(v.Names, name)
-		}
+// Events returns the messages that tell another node all about a member.
+func (t *Table) Events(name string) []*wire.Member {
+	e := t.members[name]
+	if e == nil {
+		return nil
 	}
-	slices.Sort(v.Names)
-	for _, name := range v.Names {
-		m := v.Members[name]
-		for _, s := range m.GetServers() {
-			v.offers[s.GetService()] = append(v.offers[s.GetService()], Offer{Node: m, Server: s})
-		}
+	if e.member == nil && e.died == 0 {
+		return []*wire.Member{NewVerdict(name, e.suspected, wire.State_STATE_SUSPECT)}
 	}
-	return v
+	if e.member == nil {
+		return []*wire.Member{NewVerdict(name, e.died, wire.State_STATE_DEAD)}
+	}
+	if e.state() == wire.State_STATE_SUSPECT {
+		return []*wire.Member{e.member, NewVerdict(name, e.suspected, wire.State_STATE_SUSPECT)}
+	}
+	return []*wire.Member{e.member}
+}
+
+// All returns the messages that tell another node the whole table.
+func (t *Table) All() []*wire.Member {
+	out := make([]*wire.Member, 0, len(t.members))
+	for name := range t.members {
+		out = append(out, t.Events(name)...)
+	}
+	return out
 }
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -52,6 +52,8 @@
 	listeners listeners
 	store     *platform.Client
 	poll      *platform.Client
+	budget    *platform.Budget
+	meeting   *platform.Meeting
 	pool      *peer.Pool
 	inbound   peer.Counter // control bytes of accepted connections
 	hops      *http.Transport
@@ -131,7 +133,7 @@
 	n.assemblePlatform()
 	n.assembleCalls()
 	n.operator = operator.New(operator.Config{
-		Store: n.store, Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
+		Store: n.budget.Wrap(n.store), Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
 		Report: func(context.Context) *wire.Report { return n.Spread.Report() }, Metrics: n.sinks.Metrics,
 	})
 }
@@ -142,7 +144,9 @@
 	n.pool = peer.NewPool(peer.PoolConfig{Silent: silent})
 	n.Members = peer.NewMembers(peer.MembersConfig{
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), Beat: ms(s.GetPeers().GetBeat()),
-		Suspect: ms(s.GetPeers().GetSuspect()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("member"),
+		Suspect: ms(s.GetPeers().GetSuspect()), Joiners: int(s.GetPeers().GetJoiners()), Sinks: n.sinks.Sub("member"),
+		Floor: func(name string) uint64 { return n.Spread.Floor(name) }, Raise: n.Holder.Raise,
+		Meet: func(ctx context.Context) ([]*wire.Member, error) { return n.meeting.Read(ctx) },
 		Self: &wire.Member{
 			Name: s.GetInstance().GetName(), Domain: s.GetInstance().GetDomain(), Region: s.GetInstance().GetRegion(),
 			Peer: addr.Peer, Hop: addr.Hop, Format: revision.FormatNow,
@@ -164,15 +168,21 @@
 	s := n.settings.GetPlatform()
 	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout())})
 	n.poll = n.store.Fresh()
+	n.assembleBudget()
+	store := n.budget.Wrap(n.store)
+	n.meeting = platform.NewMeeting(platform.MeetingConfig{
+		Store: store, Self: func() *wire.Member { return n.Members.View().Self }, Active: n.reader,
+		Places: int(s.GetReaders()), Sinks: n.sinks.Sub("platform"),
+	})
 	deliver := func(u *wire.Update) { _ = n.Spread.Offer(u) }
 	n.Reader = platform.NewReader(platform.ReaderConfig{
-		Store: n.store, Poll: n.poll, Holder: n.Holder, Deliver: deliver,
-		Active: func() bool { return n.tree().Reader(n.Members.View()) },
+		Store: store, Poll: n.budget.Wrap(n.poll), Holder: n.Holder, Deliver: deliver,
+		Active: n.reader,
 		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Sinks: n.sinks.Sub("platform"),
 	})
 	n.Publisher = platform.NewPublisher(platform.PublisherConfig{
-		Store: n.store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
-		Rank: func() (int, bool) { return n.tree().Publisher(n.Members.View()) },
+		Store: store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
+		Rank: n.publisher,
 		Wait: ms(s.GetWait()), Sinks: n.sinks.Sub("platform"),
 	})
 }
@@ -209,7 +219,7 @@
 	n.serve(n.listeners.backend, n.announcer.Handler())
 	n.serve(n.listeners.operator, n.operator.Handler())
 	for _, run := range []func(context.Context) error{
-		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run, newState(n).run,
+		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run, n.meeting.Run, newState(n).run,
 	} {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
 	}
--- a/mesh/operator/pages_test.go
+++ b/mesh/operator/pages_test.go
@@ -36,10 +36,14 @@
 		Name: "quotes-1", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
 		Servers: []*wire.Server{{Service: "quotes", Slots: 6}},
 	}
-	table := member.NewTable(member.TableConfig{}, self, time.Now())
-	table.Merge(&wire.Member{Name: "drawings-1", Domain: "nantun", State: wire.State_STATE_ALIVE, Incarnation: 1}, time.Now())
+	now := time.Now()
+	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second}, self, now)
+	agent.Probed(now, &wire.ProbeRequest{Events: []*wire.Member{
+		{Name: "drawings-1", Peer: "127.0.0.1:1", Domain: "nantun", State: wire.State_STATE_ALIVE, Incarnation: 1},
+	}})
+	agent.Tick(now.Add(time.Second / 2))
 	return New(Config{
-		Holder: holder, View: table.View, Checked: func() int64 { return time.Now().UnixMilli() }, Working: func() bool { return true },
+		Holder: holder, View: agent.View, Checked: func() int64 { return time.Now().UnixMilli() }, Working: func() bool { return true },
 		Report: func(context.Context) *wire.Report {
 			return &wire.Report{Counts: []*wire.Count{{Domain: "xitun", Revision: 1, Nodes: 2}}}
 		},
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -1,285 +1,174 @@
 package peer
 
-// This file drives membership: joining, heartbeats and the exchange of member
-// tables.
+// This file drives membership: it calls the agent that decides, and publishes
+// the view that calls read.
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
+	"gopkg.in/tomb.v2"
 
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
 
-// eventCopies is how many heartbeats carry one event.
-const eventCopies = 6
-
-// MembersConfig configures a Members. Every field but Sinks is required.
+// MembersConfig configures a Members. Pool, Self, Beat and Suspect are
+// required.
 type MembersConfig struct {
-	Pool     *Pool
-	Self     *wire.Member
-	Seeds    []string // peer addresses
-	Beat     time.Duration
-	Suspect  time.Duration
-	Exchange time.Duration
-	Sinks    telemetry.Sinks
+	Pool    *Pool
+	Self    *wire.Member
+	Seeds   []string // peer addresses
+	Beat    time.Duration
+	Suspect time.Duration
+	Joiners int                                               // joiners served in a second
+	Floor   func(name string) uint64                          // newest revision that an instance was seen to report
+	Raise   func(floor uint64)                                // takes the floor that peers remember
+	Meet    func(ctx context.Context) ([]*wire.Member, error) // reads the meeting points on the platform
+	Sinks   telemetry.Sinks
 }
 
 // Members keeps the member table by messages to other nodes.
 type Members struct {
 	config MembersConfig
 	view   atomic.Pointer[member.View]
+	stale  atomic.Pointer[member.View] // what a node that was paused may act on
+	ticked atomic.Int64                // when the agent was last called, Unix ns
+	pause  time.Duration
+	joined atomic.Bool
+	alone  atomic.Bool
+	spare  *Pool // opens a connection for each message
+	tomb   tomb.Tomb
 
-	mu    sync.Mutex
-	table *member.Table
-	queue []queued
-}
-
-// queued is an event that some more heartbeats will carry.
-type queued struct {
-	member *wire.Member
-	left   int
+	mu      sync.Mutex
+	agent   *member.Agent
+	running bool
 }
 
 // NewMembers returns the membership of a node that knows only itself.
 func NewMembers(config MembersConfig) *Members {
 	config.Sinks = config.Sinks.OrDiscard()
-	table := member.NewTable(member.TableConfig{Suspect: config.Suspect, Forget: 10 * time.Minute}, config.Self, time.Now())
-	m := &Members{config: config, table: table}
-	m.change(func(*member.Table) {})
+	if config.Raise == nil {
+		config.Raise = func(uint64) {}
+	}
+	m := &Members{config: config, spare: config.Pool.fresh()}
+	m.agent = member.New(member.Config{
+		Beat: config.Beat, Suspect: config.Suspect, Seeds: config.Seeds, Joiners: config.Joiners, Floor: config.Floor,
+	}, config.Self, time.Now())
+	m.pause = m.agent.Pause()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publish()
 	return m
 }
 
-// View returns the present picture of the members.
-func (m *Members) View() *member.View { return m.view.Load() }
+// View returns the present picture of the members. In a process that was
+// stopped for long, it offers the own server only until the node has caught
+// up.
+func (m *Members) View() *member.View {
+	if time.Since(time.Unix(0, m.ticked.Load())) < m.pause {
+		return m.view.Load()
+	}
+	return m.stale.Load()
+}
+
+// Joined tells whether the node has found the others, or knows that there are
+// none to be found, and is current. Other nodes rely on no duty of a node that
+// is not.
+func (m *Members) Joined() bool {
+	return m.joined.Load() && time.Since(time.Unix(0, m.ticked.Load())) < m.pause
+}
+
+// Alone tells whether the node looks for others and has found none.
+func (m *Members) Alone() bool { return m.alone.Load() }
 
-// change runs f on the table, queues the events and renews the view.
-func (m *Members) change(f func(*member.Table)) {
+// with calls the agent and publishes what came of it. It returns the actions.
+func (m *Members) with(f func(a *member.Agent, now time.Time) []member.Action) []member.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f(m.table)
-	events := m.table.Events()
-	if len(events) == 0 && m.view.Load() != nil {
-		return
-	}
-	for _, e := range events {
-		m.queue = append(m.queue, queued{member: e, left: eventCopies})
+	out := f(m.agent, time.Now())
+	m.publish()
+	return out
+}
+
+// publish lets readers see the agent's view. The caller holds m.mu.
+func (m *Members) publish() {
+	v := m.agent.View()
+	if v != m.view.Load() {
+		m.stale.Store(v.Outdated())
+		m.view.Store(v)
 	}
-	m.view.Store(m.table.View())
+	m.joined.Store(m.agent.Joined())
+	m.alone.Store(m.agent.Alone())
+	m.ticked.Store(time.Now().UnixNano())
 }
 
 // Announce replaces the servers beside the own node.
 func (m *Members) Announce(servers []*wire.Server) {
-	m.change(func(t *member.Table) {
-		t.Update(time.Now(), func(s *wire.Member) { s.Servers = servers })
-	})
+	m.start(m.with(func(a *member.Agent, now time.Time) []member.Action { return a.Announce(now, servers) }))
 }
 
 // Evidence takes what a call learned about a node.
 func (m *Members) Evidence(name string, reached bool) {
-	if !reached {
-		go m.verify(context.Background(), name)
-	}
+	m.start(m.with(func(a *member.Agent, now time.Time) []member.Action { return a.Evidence(now, name, reached) }))
 }
 
-// Leave tells the others that this node is leaving.
+// Leave tells the others that this node is leaving. It returns when the
+// neighbours have heard of it, or the context ends.
 func (m *Members) Leave(ctx context.Context) {
-	m.change(func(t *member.Table) {
-		t.Update(time.Now(), func(s *wire.Member) { s.State = wire.State_STATE_LEAVING })
-	})
-	for range 3 {
-		m.beat(ctx)
+	var wg sync.WaitGroup
+	for _, act := range m.with((*member.Agent).Leave) {
+		wg.Go(func() { m.send(ctx, act) })
 	}
+	wg.Wait()
 }
 
 // Run joins and then keeps the table until the context ends.
 func (m *Members) Run(ctx context.Context) error {
-	m.join(ctx)
-	go m.loop(ctx, m.config.Exchange, m.exchange)
-	m.loop(ctx, m.config.Beat, func(ctx context.Context) {
-		m.change(func(t *member.Table) { t.Tick(time.Now()) })
-		m.beat(ctx)
-	})
-	return nil
-}
-
-func (m *Members) loop(ctx context.Context, interval time.Duration, step func(context.Context)) {
-	for ctx.Err() == nil {
-		timer := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-			step(ctx)
-		}
-		timer.Stop()
+	m.mu.Lock()
+	m.running = true
+	m.tomb.Go(func() error { return m.loop(m.tomb.Context(ctx)) })
+	m.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-m.tomb.Dying():
 	}
+	m.mu.Lock()
+	m.running = false
+	m.mu.Unlock()
+	m.tomb.Kill(nil)
+	err := m.tomb.Wait()
+	m.spare.Close()
+	return err
 }
 
-// join takes the members from the first seed that answers.
-func (m *Members) join(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, seed := range m.config.Seeds {
-			if seed == m.config.Self.GetPeer() {
-				continue
-			}
-			if m.joinBy(ctx, seed) {
-				return
-			}
-		}
-		if len(m.View().Names) > 1 || m.alone() {
-			return
-		}
-		timer := time.NewTimer(m.config.Beat)
+func (m *Members) loop(ctx context.Context) error {
+	ticker := time.NewTicker(m.agent.Interval())
+	defer ticker.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-timer.C:
+			return nil
+		case <-ticker.C:
+			m.start(m.with((*member.Agent).Tick))
 		}
-		timer.Stop()
 	}
 }
 
-// alone tells whether the seeds name no other node.
-func (m *Members) alone() bool {
-	for _, s := range m.config.Seeds {
-		if s != m.config.Self.GetPeer() {
-			return false
-		}
-	}
-	return true
-}
-
-func (m *Members) joinBy(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	resp, err := m.config.Pool.Client(addr).Join(ctx, connect.NewRequest(&wire.JoinRequest{Member: m.View().Self}))
-	if err != nil {
-		return false
-	}
-	m.merge(resp.Msg.GetMembers())
-	return true
-}
-
-func (m *Members) merge(events []*wire.Member) {
-	if len(events) == 0 {
-		return
-	}
-	m.change(func(t *member.Table) {
-		for _, e := range events {
-			t.Merge(e, time.Now())
-		}
-	})
-}
-
-// other returns a random member that is not the own node, or nil.
-func (m *Members) other() *wire.Member {
-	v := m.View()
-	if len(v.Names) < 2 {
-		return nil
-	}
-	for {
-		if name := v.Names[rand.IntN(len(v.Names))]; name != v.Self.GetName() {
-			return v.Members[name]
-		}
-	}
-}
-
-// take returns the events that the next heartbeat carries.
-func (m *Members) take() []*wire.Member {
+// start carries out actions in goroutines of their own while the node runs.
+func (m *Members) start(actions []member.Action) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*wire.Member
-	rest := m.queue[:0]
-	for _, q := range m.queue {
-		out = append(out, q.member)
-		if q.left--; q.left > 0 {
-			rest = append(rest, q)
-		}
-	}
-	m.queue = rest
-	return out
-}
-
-// beat sends one heartbeat.
-func (m *Members) beat(ctx context.Context) {
-	to := m.other()
-	if to == nil {
-		m.join(ctx)
+	if !m.running {
 		return
 	}
-	if !m.probe(ctx, to) {
-		m.verify(ctx, to.GetName())
+	for _, act := range actions {
+		m.tomb.Go(func() error {
+			m.start(m.send(m.tomb.Context(context.Background()), act))
+			return nil
+		})
 	}
 }
-
-func (m *Members) probe(ctx context.Context, to *wire.Member) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	self := m.View().Self
-	resp, err := m.config.Pool.Client(to.GetPeer()).Probe(ctx, connect.NewRequest(&wire.ProbeRequest{
-		Name: self.GetName(), Incarnation: self.GetIncarnation(), Events: m.take(),
-	}))
-	if err != nil {
-		return false
-	}
-	m.merge(resp.Msg.GetEvents())
-	return resp.Msg.GetName() == to.GetName()
-}
-
-// verify probes a member once more and suspects it when that fails too.
-func (m *Members) verify(ctx context.Context, name string) {
-	to := m.View().Members[name]
-	if to == nil || m.probe(ctx, to) {
-		return
-	}
-	m.change(func(t *member.Table) { t.Suspect(name, time.Now()) })
-}
-
-// exchange compares tables with a random member.
-func (m *Members) exchange(ctx context.Context) {
-	to := m.other()
-	if to == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	m.mu.Lock()
-	all := m.table.All()
-	m.mu.Unlock()
-	resp, err := m.config.Pool.Client(to.GetPeer()).Sync(ctx, connect.NewRequest(&wire.SyncRequest{
-		Name: m.View().Self.GetName(), Members: all,
-	}))
-	if err == nil {
-		m.merge(resp.Msg.GetMembers())
-	}
-}
-
-// Probe implements the Peer service.
-func (m *Members) Probe(_ context.Context, req *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error) {
-	m.merge(req.Msg.GetEvents())
-	self := m.View().Self
-	return connect.NewResponse(&wire.ProbeResponse{
-		Name: self.GetName(), Incarnation: self.GetIncarnation(), Events: m.take(),
-	}), nil
-}
-
-// Sync implements the Peer service.
-func (m *Members) Sync(_ context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
-	m.merge(req.Msg.GetMembers())
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return connect.NewResponse(&wire.SyncResponse{Members: m.table.All()}), nil
-}
-
-// Join implements the Peer service.
-func (m *Members) Join(_ context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
-	m.merge([]*wire.Member{req.Msg.GetMember()})
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return connect.NewResponse(&wire.JoinResponse{Members: m.table.All()}), nil
-}
--- a/mesh/spread/tree.go
+++ b/mesh/spread/tree.go
@@ -117,8 +117,8 @@
 	return above < max(t.Readers, 1)
 }
 
-// candidates is the number of nodes that stand ready to publish.
-const candidates = 3
+// Candidates is the number of nodes that stand ready to publish.
+const Candidates = 3
 
 // Publisher returns the own node's rank among the candidates to publish, and
 // false when it is none.
@@ -131,7 +131,7 @@
 			above++
 		}
 	}
-	return above, above < candidates
+	return above, above < Candidates
 }
 
 // Merge adds up reports, and keeps at most limit laggards.
