--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -163,6 +163,7 @@
 
 // picture renews the view.
 func (a *Agent) picture(now time.Time) {
+	a.count()
 	a.table.changed, a.viewed = false, now
 	a.view = a.table.view(a.avoid, a.parted)
 	if a.stale {
@@ -251,6 +252,9 @@
 	before := a.table.self.GetIncarnation()
 	for _, m := range req.GetEvents() {
 		a.table.Merge(m, now)
+		if !a.joiner.joined && m.GetName() == req.GetName() && !IsVerdict(m) {
+			a.joiner.refer(now, m.GetPeer())
+		}
 	}
 	a.collect()
 	self := a.table.self
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -136,6 +136,13 @@
 	if act.Kind != Beat {
 		return nil
 	}
+	if e := a.table.members[act.Name]; e != nil && e.member != nil && resp.GetIncarnation() != e.member.GetIncarnation() {
+		// Another life of the instance, which may know nobody and use a clock
+		// that is behind.
+		news := a.probe(now, News, act.Name)
+		news.Probe.Events = []*wire.Member{a.table.self, e.member}
+		return []Action{news}
+	}
 	if string(resp.GetDigest()) == string(a.table.Digest()) {
 		delete(a.mismatch, act.Name)
 		return nil
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -102,6 +102,14 @@
 	return bound/4 + time.Duration(j.rand.Int64N(int64(bound)*3/4+1))
 }
 
+// refer names a node that lives and can be asked at once.
+func (j *joiner) refer(now time.Time, addr string) {
+	if !slices.Contains(j.referred, addr) {
+		j.referred = append(j.referred, addr)
+		j.next = now
+	}
+}
+
 // failed takes that an address did not answer.
 func (j *joiner) failed() { j.waiting = false }
 
