--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -255,6 +255,13 @@
 	return shape.Order, shape.Publisher && s.state.Settled()
 }
 
+// Floor returns the newest revision that an instance was seen to report.
+func (s *Spread) Floor(name string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Floor(name)
+}
+
 // Number returns the revision in force.
 func (s *Spread) Number() uint64 { return s.config.Holder.Table().Number }
 
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// Floor returns the newest revision that an instance was seen to report.
+func (s *State) Floor(name string) uint64 { return s.memory.floor(name) }
+
 // askers is the number of peers that a starting node asks for its floor.
 const askers = 3
 
--- a/mesh/spread/tree.go
+++ b/mesh/spread/tree.go
@@ -65,8 +65,8 @@
 // maxCandidates bounds the parents that a shape keeps in order.
 const maxCandidates = 16
 
-// publishers is the number of nodes that stand ready to publish.
-const publishers = 3
+// Publishers is the number of nodes that stand ready to publish.
+const Publishers = 3
 
 // Shape is the place of the own node in one view. It is immutable.
 type Shape struct {
@@ -106,7 +106,7 @@
 	}
 	s.Parents = parents.members
 	s.Reader = above < max(t.Readers, 1)
-	s.Order, s.Publisher = before, before < publishers
+	s.Order, s.Publisher = before, before < Publishers
 	return s
 }
 
