Decide calls apart from sockets, and refuse, retry and hedge by outcome

Cause: routing was a linear scan, a call for the own backend server took a hop over loopback, refusals had no queue, slow start, budget, ejection or nearness, and a cut or doubled call was not looked for. Change: mesh/call decides routes, choice, attempts, budgets, deadlines and admission; mesh/hop holds bodies, answers and the calls in progress; the entry node calls its own gate directly; net/http is kept from replaying calls.

--- /dev/null
+++ b/mesh/backend/forward.go
@@ -0,0 +1,247 @@
+package backend
+
+// This file hands an admitted call to the backend server.
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
+)
+
+// ServeHTTP admits a call from another node and answers it.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	resp := g.run(r, r.Header)
+	defer resp.Body.Close()
+	hop.Copy(w, resp)
+}
+
+// RoundTrip admits a call that enters at this node. It leaves the request's
+// header as it is. The answer is the same as another node would get; the error
+// is always nil.
+func (g *Gate) RoundTrip(r *http.Request) (*http.Response, error) {
+	return g.run(r, r.Header.Clone()), nil
+}
+
+// run admits a call and hands it over. It owns the header.
+func (g *Gate) run(r *http.Request, header http.Header) *http.Response {
+	id := header.Get(call.HeaderID)
+	entry := g.calls.Begin(id)
+	ctx, cancel := r.Context(), context.CancelFunc(func() {})
+	if left, ok := call.ParseLeft(header.Get(call.HeaderDeadline)); ok {
+		ctx, cancel = context.WithTimeout(ctx, left)
+	}
+	ctx, span := g.startSpan(ctx, header)
+	done := func() {
+		cancel()
+		span.End()
+		g.calls.End(entry)
+	}
+	target, reason := g.enter(ctx, header.Get(call.HeaderService))
+	if target == nil {
+		done()
+		g.metrics.refused(reason)
+		return g.refusal(id, reason)
+	}
+	start := time.Now()
+	resp, failure := g.forward(ctx, r, header, target)
+	if failure != nil {
+		g.leave(start)
+		done()
+		g.metrics.failed(failure.reason)
+		return g.failure(id, failure)
+	}
+	call.Strip(resp.Header)
+	resp.Body = hop.OnDone(resp.Body, func(error) {
+		g.leave(start)
+		done()
+		g.metrics.answered(time.Since(start))
+	})
+	g.mark(resp, id)
+	return resp
+}
+
+// mark sets what every answer of a node carries.
+func (g *Gate) mark(resp *http.Response, id string) {
+	report, _ := g.load()
+	resp.Header[call.HeaderID] = []string{id}
+	resp.Header[call.HeaderLoad] = []string{report.String()}
+}
+
+// failed is why an admitted call was not answered.
+type failed struct {
+	reason  call.Reason
+	outcome call.Outcome
+}
+
+// refusal answers a call that was not run.
+func (g *Gate) refusal(id string, reason call.Reason) *http.Response {
+	return g.failure(id, &failed{reason, call.NotRun})
+}
+
+// failure answers a call that has failed.
+func (g *Gate) failure(id string, f *failed) *http.Response {
+	resp := &http.Response{
+		StatusCode: f.reason.Status(), ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+		Header: http.Header{
+			call.HeaderReason: {string(f.reason)},
+			call.HeaderRan:    {f.outcome.String()},
+			"Content-Length":  {"0"},
+		},
+	}
+	if f.outcome == call.NotRun {
+		resp.Header[call.HeaderRefused] = []string{string(f.reason)}
+	}
+	g.mark(resp, id)
+	return resp
+}
+
+// forward sends the call. A call that may run more than once and meets silence
+// on a reused connection is sent again on a fresh one, if it has no body;
+// otherwise the entry node decides.
+func (g *Gate) forward(ctx context.Context, r *http.Request, header http.Header, t *Target) (*http.Response, *failed) {
+	f := newFlight(ctx, r, header, t)
+	if !f.repeat {
+		return g.result(ctx, g.reuse, f.out)
+	}
+	_, work := g.load()
+	f.watch(max(g.config.Silent, silentWorks*work))
+	resp, failure := g.result(ctx, g.reuse, f.out)
+	if f.settle() {
+		return resp, failure
+	}
+	if resp != nil { // it came as the watch struck, and is canceled with it
+		_ = resp.Body.Close()
+		failure = &failed{call.Broken, call.Unknown}
+	}
+	g.reuse.CloseIdleConnections() // others may be silent too
+	g.metrics.silent()
+	if r.ContentLength != 0 {
+		return nil, failure
+	}
+	return g.result(ctx, g.fresh, f.out.WithContext(ctx))
+}
+
+// silentWorks is how many times the average duration of a call counts as
+// silence.
+const silentWorks = 4
+
+// flight is one call on its way to the backend server.
+type flight struct {
+	out    *http.Request
+	repeat bool
+
+	cancel context.CancelFunc
+	timer  *time.Timer
+	reused atomic.Bool
+	state  atomic.Int32
+}
+
+// The states of a flight.
+const (
+	flying int32 = iota
+	settled
+	silenced
+)
+
+// newFlight returns the request for the backend server. A call that must run
+// at most once is shaped so that net/http never sends it again by itself: it
+// has no method, body or header that net/http takes for repeatable.
+func newFlight(ctx context.Context, r *http.Request, header http.Header, t *Target) *flight {
+	id, deadline := header[call.HeaderID], header[call.HeaderDeadline]
+	attempt := header[call.HeaderAttempt]
+	f := &flight{repeat: header.Get(call.HeaderRepeat) == call.Yes}
+	empty := r.ContentLength == 0 || header.Get(call.HeaderEmpty) == call.Yes
+	call.Strip(header)
+	call.StripHop(header)
+	header[call.HeaderID] = id
+	if len(deadline) > 0 {
+		header[call.HeaderDeadline] = deadline
+	}
+	if len(attempt) > 0 {
+		header[call.HeaderAttempt] = attempt
+	}
+	out := r.WithContext(ctx)
+	target := *r.URL
+	target.Scheme, target.Host = "http", t.Address
+	out.URL, out.Header, out.RequestURI, out.GetBody = &target, header, "", nil
+	out.TransferEncoding, out.Close, out.Trailer = nil, false, r.Trailer
+	if empty {
+		out.ContentLength, out.Body = 0, http.NoBody
+	}
+	if !f.repeat {
+		call.SendOnce(header)
+		if empty && lacksBody(r.Method) {
+			out.Body = hop.Empty{}
+		}
+	}
+	f.out = out
+	return f
+}
+
+// lacksBody tells for which methods net/http looks into a body of length 0
+// before it announces one.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions, http.MethodTrace, "PROPFIND", "SEARCH":
+		return true
+	}
+	return false
+}
+
+// watch cancels the flight when a reused connection stays silent.
+func (f *flight) watch(silent time.Duration) {
+	ctx, cancel := context.WithCancel(f.out.Context())
+	f.cancel = cancel
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { f.reused.Store(info.Reused) }}
+	f.out = f.out.WithContext(httptrace.WithClientTrace(ctx, trace))
+	f.timer = time.AfterFunc(silent, func() {
+		if f.reused.Load() && f.state.CompareAndSwap(flying, silenced) {
+			cancel()
+		}
+	})
+}
+
+// settle ends the watch and tells whether it had not struck.
+func (f *flight) settle() bool {
+	f.timer.Stop()
+	return f.state.CompareAndSwap(flying, settled)
+}
+
+// result sends a request and classifies what comes back.
+func (g *Gate) result(ctx context.Context, transport *http.Transport, out *http.Request) (*http.Response, *failed) {
+	resp, err := transport.RoundTrip(out)
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close()
+		err = errors.New("the backend server switched protocols")
+	}
+	if err == nil {
+		return resp, nil
+	}
+	return nil, g.classify(ctx, err)
+}
+
+func (g *Gate) classify(ctx context.Context, err error) *failed {
+	var op *net.OpError
+	dial := asDial(err, &op)
+	switch {
+	case dial:
+		return &failed{call.Dial, call.NotRun}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &failed{call.Deadline, call.Unknown}
+	case ctx.Err() != nil:
+		return &failed{call.Canceled, call.Unknown}
+	}
+	g.config.Sinks.Log.Warn("backend server", "error", err.Error())
+	return &failed{call.Broken, call.Unknown}
+}
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -4,21 +4,20 @@
 // # Usage
 //
 //	gate := backend.NewGate(backend.GateConfig{Policy: policyOf})
-//	gate.Serve(backend.Target{Service: "quotes", Address: "127.0.0.1:9001", Slots: 6})
-//	http.Serve(listener, gate)
+//	gate.Serve(&backend.Target{Service: "quotes", Address: "127.0.0.1:9001", Slots: 6})
+//	http.Serve(listener, gate)         // calls from other nodes
+//	resp, err := gate.RoundTrip(req)   // calls that enter at this node
 package backend
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/telemetry"
 )
@@ -35,168 +34,171 @@
 // GateConfig configures a Gate.
 type GateConfig struct {
 	Policy func(service string) record.Policy
-	Silent time.Duration
+	Silent time.Duration // silence after which a reused connection is doubted
 	Sinks  telemetry.Sinks
 }
 
 // Gate admits calls to the backend server and hands them over. It knows the
 // true count in progress, since every call passes it.
 type Gate struct {
-	config GateConfig
-	client *http.Transport
-	target atomic.Pointer[Target]
-
-	mu       sync.Mutex
-	progress int
-	drained  chan struct{}
-	closed   bool
+	config  GateConfig
+	reuse   *http.Transport // keeps connections
+	fresh   *http.Transport // a connection for each call
+	target  atomic.Pointer[Target]
+	calls   *hop.Calls
+	metrics *metrics
+
+	mu        sync.Mutex // held for one decision at a time
+	admission call.Admission
+	draining  bool
 }
 
+const (
+	// maxServerConns bounds the connections to the backend server, which takes
+	// 110; some are left for others.
+	maxServerConns = 100
+	// idleConn is how long an unused connection is kept. It is short, since a
+	// connection can go silent while nobody uses it and a new one costs 1 ms.
+	idleConn = time.Second
+)
+
 // NewGate returns a gate without a backend server.
 func NewGate(config GateConfig) *Gate {
 	config.Sinks = config.Sinks.OrDiscard()
-	dialer := &net.Dialer{Timeout: time.Second}
-	return &Gate{config: config, client: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true,
-	}}
+	if config.Silent <= 0 {
+		config.Silent = 400 * time.Millisecond
+	}
+	g := &Gate{config: config, calls: hop.NewCalls(), metrics: newMetrics(config.Sinks.Scope)}
+	g.reuse = &http.Transport{
+		DialContext: hop.Dialer(config.Silent).DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: maxServerConns, MaxConnsPerHost: maxServerConns, IdleConnTimeout: idleConn,
+	}
+	g.fresh = g.reuse.Clone()
+	g.fresh.DisableKeepAlives = true
+	return g
 }
 
-// Serve sets the backend server; nil means there is none.
-func (g *Gate) Serve(t *Target) { g.target.Store(t) }
+// Serve sets the backend server; nil means there is none. One that is leaving
+// gets no new call, and calls that wait for it are refused as not run.
+func (g *Gate) Serve(t *Target) {
+	old := g.target.Swap(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	switch {
+	case t == nil || t.Leaving:
+		g.wake(g.admission.Close())
+	case !g.draining:
+		g.admission.Open()
+	}
+	if old == nil || t == nil || old.Address != t.Address {
+		g.admission.Cold(false, now)
+	}
+	if t != nil {
+		g.admission.Cold(t.Cold, now)
+	}
+}
 
 // Target returns the backend server, or nil.
 func (g *Gate) Target() *Target { return g.target.Load() }
 
-// Progress returns the number of calls in progress.
+// Progress returns the number of calls that hold a slot.
 func (g *Gate) Progress() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.progress
+	return g.admission.Progress()
 }
 
-// Drain refuses new calls and waits for those in progress.
+// Drain refuses new calls and waits for those in progress. When the context
+// ends first, the error is a *hop.Cut.
 func (g *Gate) Drain(ctx context.Context) error {
 	g.mu.Lock()
-	g.closed = true
-	done := make(chan struct{})
-	if g.progress == 0 {
-		close(done)
-	} else {
-		g.drained = done
-	}
+	g.draining = true
+	g.wake(g.admission.Close())
 	g.mu.Unlock()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return g.calls.Drain(ctx)
 }
 
 // Close releases the connections to the backend server.
-func (g *Gate) Close() { g.client.CloseIdleConnections() }
+func (g *Gate) Close() {
+	g.reuse.CloseIdleConnections()
+	g.fresh.CloseIdleConnections()
+}
 
-// enter takes a slot, or returns why it could not.
-func (g *Gate) enter(service string) (*Target, string) {
+// wake tells waiters that they are decided. The caller holds g.mu.
+func (g *Gate) wake(decided []*call.Waiter) {
+	for _, w := range decided {
+		close(w.Ready)
+	}
+}
+
+// enter takes a slot for a call of a service, waiting in the queue if need be.
+// It returns the backend server, or why the call was not admitted.
+func (g *Gate) enter(ctx context.Context, service string) (*Target, call.Reason) {
 	t := g.target.Load()
 	if t == nil || t.Service != service {
-		return nil, "no-server"
+		return nil, call.NoServer
 	}
-	slots := t.Slots
-	if p := g.config.Policy(service); p.Slots > 0 {
-		slots = p.Slots
+	w := &call.Waiter{}
+	w.Deadline, _ = ctx.Deadline()
+	if g.ask(w, t) == call.Waiting {
+		g.wait(ctx, w)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case g.closed || t.Leaving:
-		return nil, "leaving"
-	case g.progress >= slots:
-		return nil, "busy"
+	if w.Verdict() == call.Admitted {
+		return t, ""
 	}
-	g.progress++
-	return t, ""
+	return nil, w.Reason()
 }
 
-func (g *Gate) leave() {
+func (g *Gate) ask(w *call.Waiter, t *Target) call.Verdict {
+	limits := g.limits(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.progress--
-	if g.progress == 0 && g.drained != nil {
-		close(g.drained)
-		g.drained = nil
+	now := time.Now()
+	g.wake(g.admission.Limit(limits, now))
+	verdict := g.admission.Enter(w, now)
+	if verdict == call.Waiting {
+		w.Ready = make(chan struct{})
 	}
+	return verdict
 }
 
-// ServeHTTP admits a call from another node or the own entry.
-func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get(call.HeaderID)
-	w.Header().Set(call.HeaderID, id)
-	t, reason := g.enter(r.Header.Get(call.HeaderService))
-	if t == nil {
-		refuse(w, reason)
+// wait waits until a queued call is decided or gives up.
+func (g *Gate) wait(ctx context.Context, w *call.Waiter) {
+	timer := time.NewTimer(time.Until(w.Until()))
+	defer timer.Stop()
+	select {
+	case <-w.Ready:
 		return
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	defer g.leave()
-	ctx := r.Context()
-	if ms, err := strconv.Atoi(r.Header.Get(call.HeaderDeadline)); err == nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-		defer cancel()
-	}
-	g.forward(ctx, w, r, t)
-}
-
-// refuse answers that the call was not run.
-func refuse(w http.ResponseWriter, reason string) {
-	w.Header().Set(call.HeaderRefused, reason)
-	w.WriteHeader(http.StatusServiceUnavailable)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Abandon(w, time.Now())
 }
 
-// fail answers that the call failed at the backend server.
-func fail(w http.ResponseWriter, status int, reason, ran string) {
-	w.Header().Set(call.HeaderReason, reason)
-	w.Header().Set(call.HeaderRan, ran)
-	w.WriteHeader(status)
+// limits returns what the policy allows at a backend server.
+func (g *Gate) limits(t *Target) call.Limits {
+	p := g.config.Policy(t.Service)
+	l := call.Limits{Slots: t.Slots, Queue: p.Queue.Length, Wait: p.Queue.Wait, Warmup: p.Warmup}
+	if p.Slots > 0 {
+		l.Slots = p.Slots
+	}
+	return l
 }
 
-func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, t *Target) {
-	out := r.Clone(ctx)
-	out.URL.Scheme, out.URL.Host = "http", t.Address
-	out.RequestURI, out.GetBody = "", nil
-	call.Strip(out.Header)
-	call.StripHop(out.Header)
-	out.Header.Set("X-Request-Id", r.Header.Get(call.HeaderID))
-	if r.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
-	resp, err := g.client.RoundTrip(out)
-	if err != nil {
-		g.failed(ctx, w, err)
-		return
-	}
-	defer resp.Body.Close()
-	call.Strip(resp.Header)
-	call.StripHop(resp.Header)
-	for k, v := range resp.Header {
-		w.Header()[k] = v
-	}
-	w.Header().Set(call.HeaderLoad, strconv.Itoa(g.Progress()))
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler) // the caller must see a broken answer
-	}
+// leave gives back a slot.
+func (g *Gate) leave(start time.Time) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wake(g.admission.Leave(now.Sub(start), now))
 }
 
-func (g *Gate) failed(ctx context.Context, w http.ResponseWriter, err error) {
-	var op *net.OpError
-	switch {
-	case ctx.Err() != nil:
-		fail(w, http.StatusGatewayTimeout, "deadline", "unknown")
-	case asDial(err, &op):
-		refuse(w, "dial")
-	default:
-		g.config.Sinks.Log.Warn("backend server", "error", err.Error())
-		fail(w, http.StatusBadGateway, "broken", "unknown")
-	}
+// load returns the load as answers carry it, and the average duration of calls.
+func (g *Gate) load() (call.Report, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Report(time.Now()), g.admission.Work()
 }
--- a/mesh/backendtest/server.go
+++ b/mesh/backendtest/server.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,8 +39,11 @@
 type Faults struct {
 	Slow   time.Duration `json:"slow"`   // added to every call
 	Cold   bool          `json:"cold"`   // announces itself cold
-	Shed   bool          `json:"shed"`   // answers 503 to every call
+	Shed   bool          `json:"shed"`   // answers 503 to every call, without running it
+	Fail   bool          `json:"fail"`   // answers 500 to every call, without running it
 	Silent bool          `json:"silent"` // takes calls and never answers
+	Drop   bool          `json:"drop"`   // runs a call and closes the connection
+	Cut    bool          `json:"cut"`    // breaks an answer off in its body
 }
 
 // Server answers each call with its own name and the call's key, and counts
@@ -51,6 +55,7 @@
 	progress atomic.Int64
 	peak     atomic.Int64
 	http     *http.Server
+	listener *Listener
 	addr     string
 
 	mu   sync.Mutex
@@ -72,10 +77,14 @@
 		return "", errors.Wrapf(err, "listen at %s", addr)
 	}
 	s.addr = l.Addr().String()
-	go func() { _ = s.http.Serve(l) }()
+	s.listener = NewListener(l)
+	go func() { _ = s.http.Serve(s.listener) }()
 	return s.addr, nil
 }
 
+// Connections returns the listener, whose connections can be made to fail.
+func (s *Server) Connections() *Listener { return s.listener }
+
 // Set replaces the switches.
 func (s *Server) Set(f Faults) { s.faults.Store(&f) }
 
@@ -114,25 +123,56 @@
 		return
 	}
 	f := s.faults.Load()
-	if f.Shed {
+	switch {
+	case f.Shed:
 		http.Error(w, "shedding load", http.StatusServiceUnavailable)
 		return
+	case f.Fail:
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
 	}
 	key := r.Header.Get("Key")
 	s.count(key)
-	if f.Silent {
-		<-r.Context().Done()
+	if !s.work(r.Context(), f, n) {
 		return
 	}
-	if wait := s.config.Work + f.Slow; wait > 0 {
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(wait):
-		}
-	}
 	w.Header().Set("Server-Name", s.config.Name)
-	fmt.Fprintf(w, "%s %s %s", s.config.Service, key, body)
+	answer := fmt.Sprintf("%s %s %s", s.config.Service, key, body)
+	switch {
+	case f.Drop:
+		panic(http.ErrAbortHandler)
+	case f.Cut:
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// coldWork is how much longer a call takes on a cold server, for each call in
+// progress.
+const coldWork = 3
+
+// work takes the time of one call and tells whether it was finished.
+func (s *Server) work(ctx context.Context, f *Faults, progress int64) bool {
+	wait := s.config.Work + f.Slow
+	if f.Cold {
+		wait += coldWork * time.Duration(progress) * s.config.Work
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return false
+	}
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 func (s *Server) count(key string) {
--- a/mesh/call/route.go
+++ b/mesh/call/route.go
@@ -1,16 +1,20 @@
 // Package call decides what happens to a call: its route, the backend server,
-// its attempts and its deadline. It opens no connection and starts no
-// goroutine.
+// its attempts, its deadline and its admission. It opens no connection and
+// starts no goroutine; time and randomness come from the caller of a method, so
+// that a test drives every decision by hand.
 //
 // # Usage
 //
 //	router := call.NewRouter(table)
 //	route := router.Match("quotes.example", "GET", "/quotes/7", header)
+//	instance := choice.Pick(policy, nil, now, rand.IntN)
+//	verdict := admission.Enter(waiter, now)
 package call
 
 import (
 	"net"
 	"net/http"
+	"net/textproto"
 	"slices"
 	"sort"
 	"strings"
@@ -19,28 +23,67 @@
 	"caroblift.dev/mesh/revision"
 )
 
-// Router matches calls against the routes of one table.
+// Router matches calls against the routes of one table. It is compiled once and
+// never changes.
 type Router struct {
 	Table *revision.Table
-	order []*record.Route // most specific first
+	hosts map[string]*prefixes // by lower-case host name
+	any   *prefixes            // routes without a host
 }
 
-// NewRouter returns the router of a table.
+// prefixes finds the routes of one host by path prefix.
+type prefixes struct {
+	longest int                 // bytes of the longest prefix
+	routes  map[string][]*route // by prefix, most specific first
+}
+
+// route is a route with its header names in canonical form.
+type route struct {
+	*record.Route
+	headers []header
+}
+
+type header struct{ name, value string }
+
+// NewRouter compiles the routes of a table.
 func NewRouter(t *revision.Table) *Router {
-	r := &Router{Table: t, order: slices.Clone(t.Routes)}
-	sort.SliceStable(r.order, func(i, j int) bool { return moreSpecific(r.order[i], r.order[j]) })
+	r := &Router{Table: t, hosts: map[string]*prefixes{}, any: newPrefixes()}
+	order := slices.Clone(t.Routes)
+	sort.SliceStable(order, func(i, j int) bool { return moreSpecific(order[i], order[j]) })
+	for _, rt := range order {
+		c := compile(rt)
+		if len(rt.Hosts) == 0 {
+			r.any.add(c)
+		}
+		for _, host := range rt.Hosts {
+			host = strings.ToLower(host)
+			if r.hosts[host] == nil {
+				r.hosts[host] = newPrefixes()
+			}
+			r.hosts[host].add(c)
+		}
+	}
 	return r
 }
 
-// moreSpecific orders routes: named hosts first, then longer prefixes, then
-// more headers, then named methods, then by name.
-func moreSpecific(a, b *record.Route) bool {
-	if (len(a.Hosts) > 0) != (len(b.Hosts) > 0) {
-		return len(a.Hosts) > 0
-	}
-	if len(a.Prefix) != len(b.Prefix) {
-		return len(a.Prefix) > len(b.Prefix)
+func newPrefixes() *prefixes { return &prefixes{routes: map[string][]*route{}} }
+
+func (p *prefixes) add(r *route) {
+	p.routes[r.Prefix] = append(p.routes[r.Prefix], r)
+	p.longest = max(p.longest, len(r.Prefix))
+}
+
+func compile(r *record.Route) *route {
+	c := &route{Route: r}
+	for name, value := range r.Headers {
+		c.headers = append(c.headers, header{textproto.CanonicalMIMEHeaderKey(name), value})
 	}
+	return c
+}
+
+// moreSpecific orders routes of one host and prefix: more headers first, then
+// named methods, then by name.
+func moreSpecific(a, b *record.Route) bool {
 	if len(a.Headers) != len(b.Headers) {
 		return len(a.Headers) > len(b.Headers)
 	}
@@ -50,46 +93,64 @@
 	return a.Name < b.Name
 }
 
-// Match returns the most specific route of a call, or nil.
+// Match returns the most specific route of a call, or nil: a named host goes
+// before none, then the longer prefix, then more headers, then a named method.
 func (r *Router) Match(host, method, path string, header http.Header) *record.Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
+	if len(r.hosts) > 0 {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			host = h
+		}
+		if p := r.hosts[strings.ToLower(host)]; p != nil {
+			if found := p.match(method, path, header); found != nil {
+				return found
+			}
+		}
 	}
-	for _, route := range r.order {
-		if matches(route, host, method, path, header) {
-			return route
+	return r.any.match(method, path, header)
+}
+
+// match tries the prefixes of a path that end at a segment, the longest first.
+func (p *prefixes) match(method, path string, header http.Header) *record.Route {
+	if found := p.at(path, method, header); found != nil {
+		return found
+	}
+	for i := min(len(path)-1, p.longest); i >= 0; i-- {
+		if path[i] != '/' {
+			continue
+		}
+		if found := p.at(path[:i+1], method, header); found != nil {
+			return found
+		}
+		if found := p.at(path[:i], method, header); found != nil {
+			return found
 		}
 	}
 	return nil
 }
 
-func matches(r *record.Route, host, method, path string, header http.Header) bool {
-	if len(r.Hosts) > 0 && !slices.ContainsFunc(r.Hosts, func(h string) bool { return strings.EqualFold(h, host) }) {
-		return false
-	}
-	if !underPrefix(path, r.Prefix) {
-		return false
+func (p *prefixes) at(prefix, method string, header http.Header) *record.Route {
+	for _, r := range p.routes[prefix] {
+		if r.accepts(method, header) {
+			return r.Route
+		}
 	}
+	return nil
+}
+
+func (r *route) accepts(method string, header http.Header) bool {
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
 		return false
 	}
-	for name, value := range r.Headers {
-		if header.Get(name) != value {
+	for _, h := range r.headers {
+		if v := header[h.name]; len(v) == 0 || v[0] != h.value {
 			return false
 		}
 	}
 	return true
 }
 
-// underPrefix matches whole path segments.
-func underPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return strings.HasSuffix(prefix, "/") || len(path) == len(prefix) || path[len(prefix)] == '/'
-}
-
-// Idempotent tells whether a call of the route may run more than once.
+// Idempotent tells whether a call of the route may run more than once: the
+// route decides, and where it does not, the method.
 func Idempotent(r *record.Route, method string) bool {
 	switch r.Repeat {
 	case record.RepeatAlways:
--- /dev/null
+++ b/mesh/caller/exchange.go
@@ -0,0 +1,137 @@
+package caller
+
+// This file takes one call through its attempts.
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
+	"caroblift.dev/mesh/record"
+)
+
+// The shape of retries where the policy names none.
+const (
+	defaultAttempts = 3
+	defaultPercent  = 10 // of calls, for retries and for hedges
+)
+
+// exchange is one call and its answer.
+type exchange struct {
+	proxy *Proxy
+	w     http.ResponseWriter
+	r     *http.Request
+
+	id         string
+	directory  *directory
+	route      *record.Route
+	service    *service
+	idempotent bool
+	extra      bool // the call is part of an extra attempt upstream
+	body       *hop.Body
+	ctx        context.Context
+	cancel     context.CancelFunc
+	deadline   time.Time
+	span       trace.Span
+
+	tried    []*call.Instance
+	attempts int
+}
+
+// result is what became of an attempt.
+type result struct {
+	instance *call.Instance
+	resp     *http.Response // of an answer, which may be the backend server's own refusal
+	reason   call.Reason    // empty when the attempt succeeded
+	outcome  call.Outcome
+}
+
+func (r *result) close() {
+	if r.resp != nil {
+		_ = r.resp.Body.Close()
+	}
+}
+
+// serve makes attempts until one succeeds or none may follow.
+func (x *exchange) serve() {
+	percent := x.service.policy.Retry.Percent
+	if percent == 0 {
+		percent = defaultPercent
+	}
+	x.service.retry.Pay(percent)
+	last := &result{reason: call.NoServer, outcome: call.NotRun}
+	for {
+		instance := x.pick()
+		if instance == nil {
+			break
+		}
+		next := x.attempt(instance)
+		last.close()
+		if next.reason != "" {
+			next.outcome = next.outcome.Worst(last.outcome)
+		}
+		last = next
+		if last.reason == "" || !x.again(last) {
+			break
+		}
+		x.proxy.metrics.retries.Inc(1)
+	}
+	x.finish(last)
+}
+
+// pick chooses an instance that was not tried, or nil.
+func (x *exchange) pick() *call.Instance {
+	i := x.service.choice.Pick(*x.proxy.policy.Load(), x.tried, time.Now(), rand.IntN)
+	if i != nil {
+		x.tried = append(x.tried, i)
+	}
+	return i
+}
+
+// attempt sends the call once, or twice where it may be hedged.
+func (x *exchange) attempt(i *call.Instance) *result {
+	if len(x.tried) == 1 && x.route.Hedge && x.idempotent && !x.extra && !x.body.Streamed() {
+		return x.race(i)
+	}
+	return x.prepared(x.ctx, i).send()
+}
+
+// again tells whether another attempt may follow a failed one.
+func (x *exchange) again(last *result) bool {
+	most := x.service.policy.Retry.Attempts
+	if most == 0 {
+		most = defaultAttempts
+	}
+	switch {
+	case x.ctx.Err() != nil, len(x.tried) >= most, x.body.Streamed():
+		return false
+	case !call.Repeatable(last.outcome, x.idempotent, x.extra):
+		return false
+	}
+	return last.reason.Free() || x.service.retry.Take()
+}
+
+// finish answers the caller.
+func (x *exchange) finish(last *result) {
+	x.report(last)
+	if last.resp == nil {
+		reason := last.reason
+		if x.ctx.Err() != nil {
+			reason = call.Deadline
+		}
+		hop.Fail(x.w, reason, last.outcome)
+		return
+	}
+	defer last.resp.Body.Close()
+	call.Strip(last.resp.Header)
+	if last.reason != "" {
+		x.w.Header()[call.HeaderReason] = []string{string(last.reason)}
+		x.w.Header()[call.HeaderRan] = []string{last.outcome.String()}
+	}
+	hop.Copy(x.w, last.resp)
+}
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -8,288 +8,154 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
-
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/member"
-	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/telemetry"
-	"caroblift.dev/wire"
 )
 
-// Config configures a Proxy. Every field but Sinks is required.
+// Config configures a Proxy. Every field but Sinks, Own and Policy is required.
 type Config struct {
 	Table    func() *revision.Table
 	Ready    func() bool // whether the table may be served
 	View     func() *member.View
+	Own      http.RoundTripper // to the own backend server; nil means through Hop
 	Hop      http.RoundTripper // to other nodes
 	Evidence func(name string, reached bool)
 	Timeout  time.Duration // of a call whose route names none
+	Policy   call.Policy   // nil means DefaultPolicy
 	Sinks    telemetry.Sinks
 }
 
-// maxAttempts bounds the attempts of one call.
-const maxAttempts = 3
+// DefaultPolicy returns the policy that picks backend servers.
+func DefaultPolicy() call.Policy { return call.TwoChoices[call.Latency]{} }
 
 // Proxy is the handler of the callers' port.
 type Proxy struct {
-	config Config
-	router atomic.Pointer[call.Router]
-	loads  sync.Map // instance name to *atomic.Int64, own calls outstanding
-	open   sync.WaitGroup
+	config  Config
+	metrics *metrics
+	namer   *hop.Namer
+	calls   *hop.Calls
+	leaving atomic.Bool
+	policy  atomic.Pointer[call.Policy]
+
+	directory atomic.Pointer[directory]
+	mu        sync.Mutex // held while the directory is renewed
+	known     known
 }
 
 // New returns a proxy.
 func New(config Config) *Proxy {
 	config.Sinks = config.Sinks.OrDiscard()
-	return &Proxy{config: config}
-}
-
-// Drain waits for the calls in progress.
-func (p *Proxy) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		p.open.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	p := &Proxy{
+		config: config, metrics: newMetrics(config.Sinks.Scope), namer: hop.NewNamer(), calls: hop.NewCalls(),
+		known: newKnown(),
 	}
-}
-
-// route returns the router of the table in force.
-func (p *Proxy) route() *call.Router {
-	t := p.config.Table()
-	if r := p.router.Load(); r != nil && r.Table == t {
-		return r
+	if config.Policy == nil {
+		config.Policy = DefaultPolicy()
 	}
-	r := call.NewRouter(t)
-	p.router.Store(r)
-	return r
+	p.Use(config.Policy)
+	return p
 }
 
-// ServeHTTP serves one call.
-func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.open.Add(1)
-	defer p.open.Done()
-	call.Strip(r.Header)
-	call.StripHop(r.Header)
-	id := uuid.NewString()
-	w.Header().Set(call.HeaderID, id)
-	if !p.config.Ready() {
-		refuse(w, http.StatusServiceUnavailable, "not-ready", "no")
-		return
-	}
-	router := p.route()
-	route := router.Match(r.Host, r.Method, r.URL.Path, r.Header)
-	if route == nil {
-		refuse(w, http.StatusNotFound, "no-route", "no")
-		return
-	}
-	timeout := route.Timeout
-	if timeout == 0 {
-		timeout = p.config.Timeout
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
-	defer cancel()
-	r.Header.Set(call.HeaderID, id)
-	r.Header.Set(call.HeaderService, route.Service)
-	w.Header().Set(call.HeaderRevision, strconv.FormatUint(router.Table.Number, 10))
-	p.attempt(ctx, w, r, route)
-}
+// Use replaces the policy that picks backend servers.
+func (p *Proxy) Use(policy call.Policy) { p.policy.Store(&policy) }
 
-// refuse answers a call that has failed.
-func refuse(w http.ResponseWriter, status int, reason, ran string) {
-	w.Header().Set(call.HeaderReason, reason)
-	w.Header().Set(call.HeaderRan, ran)
-	w.WriteHeader(status)
+// Drain refuses new calls and waits for those in progress. When the context
+// ends first, the error is a *hop.Cut.
+func (p *Proxy) Drain(ctx context.Context) error {
+	p.leaving.Store(true)
+	return p.calls.Drain(ctx)
 }
 
-// attempt sends the call to one backend server after another while it was not
-// run.
-func (p *Proxy) attempt(ctx context.Context, w http.ResponseWriter, r *http.Request, route *record.Route) {
-	body, err := newReplayBody(r)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "short-body", "no")
+// ServeHTTP serves one call.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := p.namer.Next()
+	entry := p.calls.Begin(id)
+	defer p.calls.End(entry)
+	start := time.Now()
+	w.Header()[call.HeaderID] = []string{id}
+	x := &exchange{proxy: p, w: w, r: r, id: id}
+	reason := x.prepare()
+	if reason != "" {
+		x.refuse(reason)
 		return
 	}
-	tried := map[string]bool{}
-	reason, ran := "no-server", "no"
-	for range maxAttempts {
-		m := p.pick(route.Service, tried)
-		if m == nil {
-			break
-		}
-		tried[m.GetName()] = true
-		sent, ok := body.attempt()
-		if !ok {
-			break
-		}
-		resp, err := p.send(ctx, r, m, sent)
-		if err == nil && resp.Header.Get(call.HeaderRefused) == "" {
-			p.answer(w, resp, m)
-			return
-		}
-		reason, ran = p.outcome(ctx, resp, err, m)
-		again := ran == "no" || call.Idempotent(route, r.Method)
-		if ctx.Err() != nil || !again {
-			break
-		}
-	}
-	status := http.StatusServiceUnavailable
-	if ctx.Err() != nil {
-		status, reason = http.StatusGatewayTimeout, "deadline"
-	}
-	refuse(w, status, reason, ran)
-}
-
-// outcome classifies an attempt that was not answered.
-func (p *Proxy) outcome(ctx context.Context, resp *http.Response, err error, m *wire.Member) (reason, ran string) {
-	if err == nil {
-		_ = resp.Body.Close()
-		return resp.Header.Get(call.HeaderRefused), "no"
-	}
-	if ctx.Err() != nil {
-		return "deadline", "unknown"
-	}
-	p.config.Evidence(m.GetName(), false)
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return "dial", "no"
-	}
-	return "broken", "unknown"
-}
-
-func (p *Proxy) send(ctx context.Context, r *http.Request, m *wire.Member, body io.ReadCloser) (*http.Response, error) {
-	load := p.load(m.GetName())
-	load.Add(1)
-	out := r.Clone(ctx)
-	out.URL.Scheme, out.URL.Host = "http", m.GetHop()
-	out.RequestURI, out.GetBody = "", nil
-	out.Body = body
-	if r.ContentLength == 0 {
-		out.Body = http.NoBody
+	defer x.cancel()
+	defer x.span.End()
+	x.serve()
+	p.metrics.latency.RecordDuration(time.Since(start))
+}
+
+// prepare routes the call and shapes its header for the next hop. It returns
+// why the call cannot be served, or nothing.
+func (x *exchange) prepare() call.Reason {
+	p, r := x.proxy, x.r
+	carried, attempt := r.Header.Get(call.HeaderDeadline), r.Header.Get(call.HeaderAttempt)
+	switch {
+	case p.leaving.Load():
+		x.w.Header()["Connection"] = []string{"close"}
+		return call.Leaving
+	case !p.config.Ready():
+		return call.NotReady
+	case hop.Upgrades(r):
+		return call.Upgrade
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
-	resp, err := p.config.Hop.RoundTrip(out)
+	call.Strip(r.Header)
+	call.StripHop(r.Header)
+	x.directory = p.renew()
+	route := x.directory.router.Match(r.Host, r.Method, r.URL.Path, r.Header)
+	if route == nil {
+		return call.NoRoute
+	}
+	x.route = route
+	x.service = x.directory.service(p, route.Service)
+	x.idempotent = call.Idempotent(route, r.Method)
+	x.extra = attempt != "" && attempt != "1"
+	x.w.Header()[call.HeaderRevision] = []string{strconv.FormatUint(x.directory.router.Table.Number, 10)}
+	timeout := call.Timeout(route.Timeout, p.config.Timeout, carried)
+	x.ctx, x.cancel = context.WithTimeout(r.Context(), timeout)
+	x.deadline, _ = x.ctx.Deadline()
+	x.ctx, x.span = p.startSpan(x.ctx, x)
+	return x.shape()
+}
+
+// shape reads a small body and sets the headers of the first attempt.
+func (x *exchange) shape() call.Reason {
+	body, err := hop.NewBody(x.r)
 	if err != nil {
-		load.Add(-1)
-		return nil, err
-	}
-	resp.Body = &doneBody{ReadCloser: resp.Body, done: func() { load.Add(-1) }}
-	if got := resp.Header.Get(call.HeaderID); got != r.Header.Get(call.HeaderID) {
-		_ = resp.Body.Close()
-		return nil, errors.Errorf("answer of call %q for call %q", got, r.Header.Get(call.HeaderID))
-	}
-	return resp, nil
-}
-
-func (p *Proxy) load(name string) *atomic.Int64 {
-	if v, ok := p.loads.Load(name); ok {
-		return v.(*atomic.Int64)
-	}
-	v, _ := p.loads.LoadOrStore(name, new(atomic.Int64))
-	return v.(*atomic.Int64)
-}
-
-// answer copies an answer to the caller.
-func (p *Proxy) answer(w http.ResponseWriter, resp *http.Response, _ *wire.Member) {
-	defer resp.Body.Close()
-	reason, ran := resp.Header.Get(call.HeaderReason), resp.Header.Get(call.HeaderRan)
-	call.Strip(resp.Header)
-	call.StripHop(resp.Header)
-	for k, v := range resp.Header {
-		w.Header()[k] = v
-	}
-	if reason != "" {
-		w.Header().Set(call.HeaderReason, reason)
-		w.Header().Set(call.HeaderRan, ran)
+		x.cancel()
+		x.span.End()
+		return call.ShortBody
 	}
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler) // the caller must see a broken answer
+	x.body = body
+	if body.Streamed() {
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
-}
-
-// pick returns the less loaded of two random nodes that offer the service.
-func (p *Proxy) pick(service string, tried map[string]bool) *wire.Member {
-	var able []*wire.Member
-	for _, o := range p.config.View().Offers(service) {
-		if o.Node.GetState() == wire.State_STATE_ALIVE && !o.Server.GetLeaving() && !tried[o.Node.GetName()] {
-			able = append(able, o.Node)
-		}
-	}
-	switch len(able) {
-	case 0:
-		return nil
-	case 1:
-		return able[0]
-	}
-	i := rand.IntN(len(able))
-	j := rand.IntN(len(able) - 1)
-	if j >= i {
-		j++
+	h := x.r.Header
+	h[call.HeaderID] = []string{x.id}
+	h[call.HeaderService] = []string{x.route.Service}
+	if x.idempotent {
+		h[call.HeaderRepeat] = []string{call.Yes}
+	} else {
+		call.SendOnce(h)
 	}
-	if p.load(able[j].GetName()).Load() < p.load(able[i].GetName()).Load() {
-		return able[j]
+	if body.Empty() {
+		h[call.HeaderEmpty] = []string{call.Yes}
 	}
-	return able[i]
-}
-
-// maxReplay bounds the body that is kept for another attempt, in bytes.
-const maxReplay = 64 << 10
-
-// replayBody keeps a small body so that an attempt that was not run can be
-// followed by another. A larger one is streamed and can be sent once.
-type replayBody struct {
-	small []byte
-	large io.ReadCloser // nil when the body is small
-	used  atomic.Bool
-}
-
-// newReplayBody reads a body of known small length.
-func newReplayBody(r *http.Request) (*replayBody, error) {
-	if r.ContentLength < 0 || r.ContentLength > maxReplay {
-		return &replayBody{large: r.Body}, nil
-	}
-	small, err := io.ReadAll(r.Body)
-	return &replayBody{small: small}, errors.Wrap(err, "read body")
-}
-
-// attempt returns the body of one attempt, and false when it was used up.
-func (b *replayBody) attempt() (io.ReadCloser, bool) {
-	if b.large == nil {
-		return io.NopCloser(bytes.NewReader(b.small)), true
-	}
-	return b.large, !b.used.Swap(true)
-}
-
-// doneBody runs a function once when it is closed.
-type doneBody struct {
-	io.ReadCloser
-	once sync.Once
-	done func()
+	return ""
 }
 
-func (b *doneBody) Close() error {
-	b.once.Do(b.done)
-	return b.ReadCloser.Close()
+// refuse answers a call that was not run.
+func (x *exchange) refuse(reason call.Reason) {
+	x.proxy.metrics.refused(reason)
+	hop.Fail(x.w, reason, call.NotRun)
 }
--- /dev/null
+++ b/mesh/caller/report.go
@@ -0,0 +1,80 @@
+package caller
+
+// This file reports what the proxy does: metrics and a span for each call.
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"caroblift.dev/mesh/call"
+)
+
+// metrics are the proxy's metrics, made once.
+type metrics struct {
+	scope                      tally.Scope
+	outcomes                   [call.Answered + 1]tally.Counter
+	retries, hedges, ejections tally.Counter
+	latency                    tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{
+		scope: scope, retries: scope.Counter("retries"), hedges: scope.Counter("hedges"), ejections: scope.Counter("ejections"),
+		latency: scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
+	}
+	for _, o := range []call.Outcome{call.Unknown, call.NotRun, call.Answered} {
+		m.outcomes[o] = scope.Tagged(map[string]string{"ran": o.String()}).Counter("calls")
+	}
+	return m
+}
+
+// refused counts a call that was not run.
+func (m *metrics) refused(reason call.Reason) {
+	m.outcomes[call.NotRun].Inc(1)
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refusals").Inc(1)
+}
+
+// report counts what became of a call and ends its span's story.
+func (x *exchange) report(last *result) {
+	m := x.proxy.metrics
+	if last.reason == "" || last.outcome != call.NotRun {
+		m.outcomes[last.outcome].Inc(1)
+	} else {
+		m.refused(last.reason)
+	}
+	if !x.span.IsRecording() {
+		return
+	}
+	x.span.SetAttributes(attribute.Int("attempts", x.attempts), attribute.String("ran", last.outcome.String()))
+	if last.reason != "" {
+		x.span.SetStatus(codes.Error, string(last.reason))
+	}
+}
+
+// startSpan starts the span of one call at its entry node, and writes its
+// context for the next hop.
+func (p *Proxy) startSpan(ctx context.Context, x *exchange) (context.Context, trace.Span) {
+	carrier := propagation.HeaderCarrier(x.r.Header)
+	if x.r.Header["Traceparent"] != nil {
+		ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	}
+	ctx, span := p.config.Sinks.Tracer.Start(ctx, "call", trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("call", x.id),
+			attribute.String("route", x.route.Name),
+			attribute.String("service", x.route.Service),
+		)
+		propagation.TraceContext{}.Inject(ctx, carrier)
+	}
+	return ctx, span
+}
+
+// InProgress returns the number of calls in progress.
+func (p *Proxy) InProgress() int { return p.calls.Count() }
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -180,13 +180,13 @@
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
-	n.hops = peer.NewTransport(silent, new(peer.Counter))
+	n.hops = peer.NewTransport(silent/2, new(peer.Counter)) // a ping after the first half, its answer within the second
 	n.Gate = backend.NewGate(backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		Silent: silent, Sinks: n.sinks.Sub("backend"),
 	})
 	n.Proxy = caller.New(caller.Config{
-		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
+		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Own: n.Gate, Hop: n.hops,
 		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("caller"),
 	})
 	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{Lease: ms(s.GetLease()), Change: n.announced})
