Build the caller tests' views with the membership agent

Change: the tests' view comes from an agent that heard of the same members. Result: go test ./mesh/caller passes; assertions are unchanged.

--- a/mesh/caller/stack_test.go
+++ b/mesh/caller/stack_test.go
@@ -105,11 +105,13 @@
 
 // announce makes the view that the entry node sees, without the sides named.
 func (s *stack) announce(without ...string) {
-	table := member.NewTable(member.TableConfig{Suspect: time.Second, Forget: time.Minute},
-		&wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}, time.Now())
+	now := time.Now()
+	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second},
+		&wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}, now)
+	var members []*wire.Member
 	for _, d := range s.sides {
 		m := &wire.Member{
-			Name: d.name, Hop: d.hops.Addr().String(), Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
+			Name: d.name, Peer: "127.0.0.1:1", Hop: d.hops.Addr().String(), Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
 			Servers: []*wire.Server{{Service: "quotes", Slots: testSlots}},
 		}
 		for _, name := range without {
@@ -117,9 +119,11 @@
 				m.State = wire.State_STATE_LEAVING
 			}
 		}
-		table.Merge(m, time.Now())
+		members = append(members, m)
 	}
-	s.view.Store(table.View())
+	agent.Probed(now, &wire.ProbeRequest{Events: members})
+	agent.Tick(now.Add(time.Second / 2))
+	s.view.Store(agent.View())
 }
 
 func (s *stack) close() {
