Make carobctl whole: diff, wait, members, completion, exit codes

Cause: carobctl wrote record after record and stopped at the first mistake, wrote over what other operators changed, and could not tell when a change was in force everywhere.

--- /dev/null
+++ b/carobctl/main_test.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/node"
+	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/telemetry"
+	"caroblift.dev/wire"
+	"caroblift.dev/wire/wireconnect"
+)
+
+// startNode runs one node against a stand-in for the platform and returns its
+// operator address.
+func startNode(t *testing.T) string {
+	store := httptest.NewServer(platformtest.New())
+	t.Cleanup(store.Close)
+	s := settings.Defaults()
+	s.Instance = &wire.Instance{Name: "quotes-1", Domain: "xitun"}
+	const free = "127.0.0.1:0"
+	s.Listen = &wire.Listen{Caller: free, Hop: free, Peer: free, Backend: free, Operator: free}
+	s.Platform.Addresses = []string{strings.TrimPrefix(store.URL, "http://")}
+	s.Peers.Beat = 50
+	n, err := node.New(s, telemetry.Sinks{})
+	require.NoError(t, err)
+	n.Start()
+	t.Cleanup(n.Kill)
+	return n.Addresses().Operator
+}
+
+// console is what one run of carobctl left.
+type console struct {
+	code     int
+	out, err string
+}
+
+// carobctl runs a command line against a node.
+func carobctl(addr, in string, args ...string) console {
+	var out, errOut bytes.Buffer
+	code := run(append([]string{"--node", addr}, args...), strings.NewReader(in), &out, &errOut)
+	return console{code, out.String(), errOut.String()}
+}
+
+const (
+	service = `{"kind": "service", "name": "quotes", "schema": 2, "spec": {}}`
+	route   = `{"kind": "route", "name": "stock", "schema": 2, "spec": {"prefix": "/stock", "service": "quotes"}}`
+)
+
+// TestFlow goes the way of an operator: write, read, compare, write over what
+// was read, lose a race, delete.
+func TestFlow(t *testing.T) {
+	addr := startNode(t)
+	c := carobctl(addr, service+"\n"+route, "apply", "-f", "-", "--wait", "--bound", "30s")
+	require.Zero(t, c.code, c.err)
+	require.Contains(t, c.out, "route/stock written as version")
+	require.Contains(t, c.out, "in force on all 1 nodes after")
+	require.Contains(t, c.err, "in force on 1 of 1 nodes")
+
+	c = carobctl(addr, service, "apply", "-f", "-")
+	require.Zero(t, c.code, c.err)
+	require.Contains(t, c.out, "service/quotes unchanged")
+
+	seen := carobctl(addr, "", "get", "route/stock").out
+	next := strings.Replace(seen, "/stock", "/store", 1)
+	plan := filepath.Join(t.TempDir(), "plan.json")
+	c = carobctl(addr, next, "diff", "-f", "-", "--save", plan)
+	require.Equal(t, exitDiffers, c.code, c.err)
+	require.Contains(t, c.out, "  - spec.prefix: \"/stock\"\n  + spec.prefix: \"/store\"\n")
+	require.Zero(t, carobctl(addr, seen, "diff", "-f", "-").code)
+
+	c = carobctl(addr, strings.Replace(route, "}}", `, "timeout": "2s"}}`, 1), "apply", "-f", "-")
+	require.Zero(t, c.code, c.err)
+	c = carobctl(addr, "", "apply", "-f", plan)
+	require.Equal(t, exitConflict, c.code, c.err)
+	require.Contains(t, c.err, plan+":1: route/stock: conflict: the change starts from version")
+	require.Contains(t, c.err, "nothing was written")
+	require.Zero(t, carobctl(addr, "", "apply", "-f", plan, "--force", "--json").code)
+
+	c = carobctl(addr, "", "delete", "route/stock", "--wait", "--bound", "30s")
+	require.Zero(t, c.code, c.err)
+	require.Equal(t, console{exitRefused, "", "route/stock does not exist\n"}, carobctl(addr, "", "get", "route/stock"))
+	require.Equal(t, exitRefused, carobctl(addr, "", "delete", "route/stock").code)
+
+	require.Contains(t, carobctl(addr, "", "status").out, "DOMAIN  REVISION  NODES\nxitun")
+	require.Contains(t, carobctl(addr, "", "status", "--json").out, `"nodes":1`)
+	require.Contains(t, carobctl(addr, "", "members").out, "quotes-1  xitun")
+	require.Contains(t, carobctl(addr, "", "members", "--json").out, `"name":"quotes-1"`)
+
+	t.Setenv("GO_FLAGS_COMPLETION", "1")
+	require.Equal(t, "service/quotes\n", carobctl(addr, "", "get", "ser").out)
+}
+
+func TestMistakes(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   string
+		args []string
+		code int
+		want []string
+	}{
+		"no command":      {"", nil, exitUsage, []string{"Please specify one command"}},
+		"no file":         {"", []string{"apply"}, exitUsage, []string{"`-f, --file' was not specified"}},
+		"file missing":    {"", []string{"apply", "-f", "none.json"}, exitUsage, []string{"none.json: open none.json: no such file"}},
+		"kind unknown":    {"", []string{"get", "rout"}, exitUsage, []string{`kind "rout" is none of service, route, policy`}},
+		"delete a kind":   {"", []string{"delete", "route"}, exitUsage, []string{"route names no record"}},
+		"cut file":        {service + "\n" + route[:40], []string{"apply", "-f", "-"}, exitUsage, []string{"-:2: document is not valid JSON: unexpected EOF"}},
+		"unknown field":   {strings.Replace(service, "spec", "specs", 1), []string{"apply", "-f", "-"}, exitRefused, []string{`-:1: document is no record: json: unknown field "specs"`}},
+		"record twice":    {service + "\n\n" + service, []string{"diff", "-f", "-"}, exitRefused, []string{"-:3: service/quotes: stands there twice, first at -:1"}},
+		"node down":       {service, []string{"apply", "-f", "-"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
+		"node down, read": {"", []string{"status"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
+		"all at once": {
+			`{"kind": "router", "name": "a"}` + "\n" + strings.Replace(route, "/stock", "stock", 1) + "\n" + strings.Replace(service, "2", "9", 1),
+			[]string{"apply", "-f", "-", "-f", "none.json"},
+			exitUsage,
+			[]string{`-:1: kind: "router" is none of`, `-:2: route/stock: prefix: "stock" does not start`, "-:3: service/quotes: schema: schema version 9", "none.json: open"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := carobctl("127.0.0.1:1", c.in, c.args...)
+			require.Equal(t, c.code, got.code, got.err)
+			for _, want := range c.want {
+				require.Contains(t, got.err, want)
+			}
+		})
+	}
+}
+
+// scripted is a node that answers what a test says.
+type scripted struct {
+	wireconnect.UnimplementedOperatorHandler
+	status *wire.StatusResponse
+	err    error
+}
+
+func (s *scripted) Get(context.Context, *connect.Request[wire.GetRequest]) (*connect.Response[wire.GetResponse], error) {
+	return connect.NewResponse(&wire.GetResponse{}), nil
+}
+
+func (s *scripted) Apply(_ context.Context, r *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
+	if s.err != nil && !r.Msg.GetCheck() {
+		return nil, s.err
+	}
+	return connect.NewResponse(&wire.ApplyResponse{Record: r.Msg.GetRecord()}), nil
+}
+
+func (s *scripted) Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
+	return connect.NewResponse(s.status), nil
+}
+
+func TestWait(t *testing.T) {
+	behind := &wire.Report{
+		Counts:   []*wire.Count{{Domain: "xitun", Revision: 9, Nodes: 2}, {Domain: "nantun", Revision: 8, Nodes: 1}},
+		Laggards: []*wire.Lag{{Name: "drawings-1", Domain: "nantun", Revision: 8, Findings: []*wire.Finding{{Place: "revision", Reason: "digest"}}}},
+	}
+	held := []*wire.Held{{Kind: wire.Kind_KIND_SERVICE, Name: "quotes", Version: 3, Findings: []*wire.Finding{{Place: "service/quotes", Field: "policy", Reason: "policy/x does not exist"}}}}
+	for name, c := range map[string]struct {
+		status *wire.StatusResponse
+		err    error
+		code   int
+		want   string
+	}{
+		"everywhere": {&wire.StatusResponse{Revision: 9, Accepted: 9, Nodes: 2, Report: &wire.Report{Counts: behind.Counts[:1]}}, nil, 0, "revision 9 in force on 2 of 2 nodes"},
+		"behind":     {&wire.StatusResponse{Revision: 9, Accepted: 9, Nodes: 3, Report: behind}, nil, exitTimeout, "2 of 3 nodes hold revision 9 after 1ms\n  behind: 1 nodes of nantun at revision 8\n  behind: drawings-1 (nantun) at revision 8: revision: digest"},
+		"held":       {&wire.StatusResponse{Revision: 9, Nodes: 2, Held: held}, nil, exitRefused, "written, and held back:\n  service/quotes: policy: policy/x does not exist"},
+		"no reader":  {&wire.StatusResponse{Revision: 8, Nodes: 2}, nil, exitTimeout, "written, and in no revision within 1ms"},
+		"overtaken":  {nil, connect.NewError(connect.CodeAborted, os.ErrExist), exitConflict, "aborted"},
+		"lost":       {nil, connect.NewError(connect.CodeUnknown, os.ErrDeadlineExceeded), exitUnknown, "unknown"},
+		"down":       {nil, connect.NewError(connect.CodeUnavailable, os.ErrClosed), exitDown, "unavailable"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, handler := wireconnect.NewOperatorHandler(&scripted{status: c.status, err: c.err})
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			got := carobctl(strings.TrimPrefix(server.URL, "http://"), service, "apply", "-f", "-", "--wait", "--bound", time.Millisecond.String())
+			require.Equal(t, c.code, got.code, got.err)
+			require.Contains(t, got.err, c.want)
+		})
+	}
+}
+
+func TestHelpNamesEveryExitCode(t *testing.T) {
+	got := carobctl("", "", "--help")
+	require.Zero(t, got.code)
+	for _, want := range []string{"0 done", "1 diff", "2 wrong", "3 record", "4 another", "5 node", "6 not", "7 answer"} {
+		require.Contains(t, got.out, want)
+	}
+	for _, c := range (&app{}).commands() {
+		require.Contains(t, carobctl("", "", c.name, "--help").out, "$ ", c.name)
+	}
+}
+
+// FuzzDocuments checks that no file breaks the reader, that places are lines
+// of the file, and that what was read is printed and read back the same.
+func FuzzDocuments(f *testing.F) {
+	for _, seed := range []string{"", service + "\n" + route, `{"kind":"route","version":0}{"kind":1}`, "[]\n{", "\xff{}"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := &reading{seen: map[record.Key]string{}}
+		r.documents("f", data)
+		for _, one := range r.findings {
+			require.Regexp(t, `^f:[1-9]\d*`, one.GetPlace())
+		}
+		if len(r.findings) > 0 {
+			return
+		}
+		var b bytes.Buffer
+		for _, e := range r.entries {
+			require.NoError(t, printDocument(&b, e.record))
+		}
+		again := &reading{seen: map[record.Key]string{}}
+		again.documents("f", b.Bytes())
+		require.Empty(t, again.findings)
+		require.Len(t, again.entries, len(r.entries))
+		for i, e := range r.entries {
+			require.Empty(t, compare(e.record, again.entries[i].record).Changes)
+		}
+	})
+}
