--- a/carobbench/examples/examples.go
+++ b/carobbench/examples/examples.go
@@ -4,9 +4,10 @@
 // # Usage
 //
 //	records := examples.Jieming
+//	files, err := fs.Glob(examples.Settings, "jieming/*.ini")
 package examples
 
-import _ "embed"
+import "embed"
 
 // Jieming holds the records of the quoting and drawings services.
 //
@@ -17,3 +18,8 @@
 //
 //go:embed tamirhane/records.json
 var Tamirhane []byte
+
+// Settings holds the settings of each instance as DEPLOYMENT/INSTANCE.ini.
+//
+//go:embed jieming/*.ini tamirhane/*.ini
+var Settings embed.FS
--- a/caroblift/main.go
+++ b/caroblift/main.go
@@ -12,6 +12,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -32,40 +33,43 @@
 	Describe bool   `long:"describe" description:"print every key of the settings and exit"`
 }
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run() int {
+// run runs one command line and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
 	var opts options
-	if _, err := flags.Parse(&opts); err != nil {
+	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
+			fmt.Fprintln(out, err)
 			return 0
 		}
+		fmt.Fprintln(errOut, err)
 		return exitSettings
 	}
 	switch {
 	case opts.Describe:
-		return report(settings.Describe(os.Stdout))
+		return report(errOut, settings.Describe(out))
 	case opts.Config == "":
-		fmt.Fprintln(os.Stderr, "--config is required")
+		fmt.Fprintln(errOut, "--config is required")
 		return exitSettings
 	}
 	s, findings := settings.Load(opts.Config)
 	if len(findings) > 0 {
-		fmt.Fprintln(os.Stderr, findings.Error())
+		fmt.Fprintln(errOut, findings.Error())
 		return exitSettings
 	}
 	if opts.Check {
-		fmt.Println("settings are valid")
+		fmt.Fprintln(out, "settings are valid")
 		return 0
 	}
-	return report(serve(opts.Config, s))
+	return report(errOut, serve(opts.Config, s))
 }
 
 // report prints an error and returns the exit code.
-func report(err error) int {
+func report(errOut io.Writer, err error) int {
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(errOut, err)
 	return exitFailed
 }
--- /dev/null
+++ b/caroblift/main_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/telemetry"
+)
+
+const fiveMistakes = `[instance]
+name = quotes-1
+
+[listen]
+caller = localhost:7101
+hop = 127.0.0.1:7102
+peer = 127.0.0.1:7102
+backend = 127.0.0.1:7104
+operator = 127.0.0.1:7105
+
+[platform]
+addresses = 127.0.0.1:7000
+wiat = 20000
+poll = 10
+`
+
+const node1 = "../carobbench/examples/node1.ini"
+
+func command(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestCheckNamesEveryMistake(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.ini")
+	require.NoError(t, os.WriteFile(path, []byte(fiveMistakes), 0o600))
+	code, out, errOut := command("--config", path, "--check")
+	require.Equal(t, exitSettings, code)
+	require.Empty(t, out)
+	require.Equal(t, []string{
+		path + ":1: instance.domain: is required (word)",
+		path + `:5: listen.caller: "localhost:7101" is not an IP:port`,
+		path + ":7: listen.peer: 127.0.0.1:7102 is taken by listen.hop already",
+		path + `:13: platform.wiat: key is unknown; did you mean "wait"?`,
+		path + ":14: platform.poll: 10 is outside 50 to 60000 ms",
+	}, strings.Split(strings.TrimSpace(errOut), "\n"))
+}
+
+func TestCommandLine(t *testing.T) {
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"check":       {[]string{"--config", node1, "--check"}, 0, "settings are valid"},
+		"describe":    {[]string{"--describe"}, 0, "# Settings of a node"},
+		"help":        {[]string{"--help"}, 0, "--config="},
+		"no config":   {nil, exitSettings, "--config is required"},
+		"no file":     {[]string{"--config", "none.ini"}, exitSettings, "none.ini: open none.ini: no such file"},
+		"unknown":     {[]string{"--conf", "x"}, exitSettings, "unknown flag `conf'"},
+		"a directory": {[]string{"--config", "."}, exitSettings, "is a directory"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			code, out, errOut := command(c.args...)
+			require.Equal(t, c.code, code)
+			require.Contains(t, out+errOut, c.want)
+		})
+	}
+}
+
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.ini")
+	text, err := os.ReadFile(node1)
+	require.NoError(t, err)
+	write := func(more string) { require.NoError(t, os.WriteFile(path, append(text, more...), 0o600)) }
+	write("")
+	s, findings := settings.Load(path)
+	require.NoError(t, findings.Err())
+	var out bytes.Buffer
+	p := &process{path: path, settings: s, level: new(slog.LevelVar)}
+	p.log = telemetry.Log(&out, p.level)
+
+	write("[log]\nlevel = debug\n[calls]\ndrain = 5000\n")
+	p.reload()
+	require.Equal(t, slog.LevelDebug, p.level.Level())
+	require.Contains(t, out.String(), `"taken":["log.level"],"restart":["calls.drain"]`)
+
+	write("[log]\nlevel = loud\n")
+	p.reload()
+	require.Equal(t, slog.LevelDebug, p.level.Level())
+	require.Contains(t, out.String(), "settings not reloaded")
+
+	write("[log]\nlevel = error\n")
+	p.reload()
+	require.Equal(t, slog.LevelError, p.level.Level())
+}
--- a/mesh/telemetry/metric.go
+++ b/mesh/telemetry/metric.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -22,7 +23,8 @@
 const maxSeries = 1000
 
 // Metrics is a scope and the handler that its values are scraped from. Names
-// start with caroblift_.
+// start with caroblift_; those of the process and of the Go runtime come with
+// their usual names.
 type Metrics struct {
 	Scope tally.Scope
 
@@ -33,6 +35,7 @@
 // NewMetrics returns metrics of one node. Close ends its reports.
 func NewMetrics() *Metrics {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
 	})
