Write the report page out of the runs' last lines

Cause: the figures of the runs were lines of JSON that nobody could compare. Change: carobbench report reads the last line of each file, tells the run by its keys, and writes one HTML page with inline SVG plots (gonum.org/v1/plot) and tables of convergence, control bytes, platform calls, added latency, policies, one node at the target's size and the herd, against their targets.

--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	carobbench demo
+//	carobbench demo > demo.txt; carobbench report --out report.html demo.txt
 //	carobbench platform --listen 127.0.0.1:7000
 //	carobbench server --service quotes --listen 127.0.0.1:9001 --announce http://127.0.0.1:7104/announce
 package main
@@ -28,6 +29,7 @@
 		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
 		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
 		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
+		{"report", "Write a page with plots of other runs", &reportCommand{}},
 		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.data); err != nil {
--- /dev/null
+++ b/carobbench/report.go
@@ -0,0 +1,195 @@
+package main
+
+// This file writes one HTML page with plots out of the last lines of the other
+// runs.
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxRun bounds a file of a run, in bytes.
+const maxRun = 64 << 20
+
+type reportCommand struct {
+	Out  string `long:"out" default:"report.html" value-name:"FILE" description:"page to write"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1" description:"output of a run, whose last line is its JSON"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute writes the page.
+func (c *reportCommand) Execute([]string) error {
+	var runs []*runFile
+	for _, path := range c.Args.Files {
+		r, err := readRun(path)
+		if err != nil {
+			return err
+		}
+		runs = append(runs, r)
+	}
+	page, err := renderReport(runs)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Out, page, 0o644); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Printf("%s: %d runs, %d bytes\n", c.Out, len(runs), len(page))
+	return nil
+}
+
+// quantiles are latencies in ms.
+type quantiles struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// spreadFigures are what a run of converge measures of one way to distribute.
+type spreadFigures struct {
+	P50   float64 `json:"p50"` // ms
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+	Bytes float64 `json:"bytes"` // control bytes per node and change
+	Idle  float64 `json:"idle"`  // control bytes per node and second
+	Calls float64 `json:"calls"` // platform calls per second
+}
+
+// policyFigures are what a run of call measures of one policy.
+type policyFigures struct {
+	P99     float64 `json:"p99"` // ms
+	P999    float64 `json:"p999"`
+	Goodput float64 `json:"goodput"` // share of the capacity, or calls per second
+}
+
+// runFile is one run, known by the keys of its last line.
+type runFile struct {
+	Name string // of the file
+	Kind string // demo, faults, converge, call, hold or herd
+	Line string // as it was printed
+
+	Nodes     int
+	Converged float64 // demo, ms
+	spreadFigures
+	Base     *spreadFigures
+	Direct   *quantiles
+	Proxied  *quantiles
+	Added    *float64 // ms at p99
+	Policies map[string]policyFigures
+	Servers  int
+	RSS      float64 // MB
+	Core     float64 // percent
+	Whole    float64 // ms
+	Peak     float64 // platform calls per second
+}
+
+// kindKeys tell the runs apart: the first kind whose keys are all there.
+var kindKeys = []struct {
+	kind string
+	keys []string
+}{
+	{"converge", []string{"nodes", "changes", "p50", "max", "base"}},
+	{"call", []string{"direct", "proxied"}},
+	{"hold", []string{"servers", "rss", "core", "bytes"}},
+	{"herd", []string{"nodes", "whole", "peak"}},
+	{"faults", []string{"faults", "settled"}},
+	{"demo", []string{"nodes", "revision", "converged"}},
+}
+
+// readRun reads the last line of a file.
+func readRun(path string) (*runFile, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	if info.Size() > maxRun {
+		return nil, errors.Errorf("%s holds %d bytes, more than %d", path, info.Size(), maxRun)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	data = bytes.TrimSpace(data)
+	line := data[bytes.LastIndexByte(data, '\n')+1:]
+	r, err := parseRun(line)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: last line", path)
+	}
+	r.Name = filepath.Base(path)
+	return r, nil
+}
+
+// parseRun decodes the last line of a run.
+func parseRun(line []byte) (*runFile, error) {
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(line, &keys); err != nil {
+		return nil, errors.Wrap(err, "is no JSON object")
+	}
+	for _, k := range kindKeys {
+		if slices.ContainsFunc(k.keys, func(key string) bool { return keys[key] == nil }) {
+			continue
+		}
+		r := &runFile{Kind: k.kind, Line: string(line)}
+		return r, errors.Wrapf(json.Unmarshal(line, r), "as %s", k.kind)
+	}
+	return nil, errors.Errorf("is of no known run: %s", line)
+}
+
+//go:embed report.html
+var reportText string
+
+var reportTemplate = template.Must(template.New("report").Parse(reportText))
+
+// figure is one plot with its table.
+type figure struct {
+	Title string
+	Note  string
+	Plot  template.HTML // inline SVG
+	Head  []string
+	Rows  [][]string
+}
+
+// renderReport returns the page for a set of runs.
+func renderReport(runs []*runFile) ([]byte, error) {
+	slices.SortStableFunc(runs, func(a, b *runFile) int { return strings.Compare(a.Kind, b.Kind) })
+	var figures []figure
+	for _, draw := range []func([]*runFile) (figure, error){
+		convergenceFigure, bytesFigure, platformFigure, latencyFigure, policyFigure, holdFigure, herdFigure,
+	} {
+		f, err := draw(runs)
+		if err != nil {
+			return nil, err
+		}
+		if len(f.Rows) > 0 {
+			figures = append(figures, f)
+		}
+	}
+	var page bytes.Buffer
+	err := reportTemplate.Execute(&page, struct {
+		Figures []figure
+		Runs    []*runFile
+	}{figures, runs})
+	return page.Bytes(), errors.Wrap(err, "report")
+}
+
+// ofKind returns the runs of one kind, by number of nodes.
+func ofKind(runs []*runFile, kind string) []*runFile {
+	var out []*runFile
+	for _, r := range runs {
+		if r.Kind == kind {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *runFile) int { return a.Nodes - b.Nodes })
+	return out
+}
