Check records with every rule before writing, and measure the pages

Change: carobctl checks with record.Check and prints warnings with file and line; the process's own log lines name the instance. Spans are exported over OTLP to a collector in a test. Benchmarks of pages with 7,000 members and 190 services, of log lines and of a scrape.

--- a/carobbench/examples/examples_test.go
+++ b/carobbench/examples/examples_test.go
@@ -75,7 +75,7 @@
 func TestRecords(t *testing.T) {
 	for name, d := range deployments {
 		t.Run(name, func(t *testing.T) {
-			res := revision.Compose(&revision.Table{}, decode(t, d.records))
+			res := revision.Compose(&revision.Table{}, decode(t, d.records), revision.FormatNow)
 			require.Empty(t, res.Held)
 			rev, err := revision.Next(&revision.Table{}, res, "change", "test", 1)
 			require.NoError(t, err)
@@ -118,8 +118,9 @@
 		kind, ok := record.ParseKind(doc.Kind)
 		require.True(t, ok, doc.Kind)
 		r := &wire.Record{Kind: kind, Name: doc.Name, Schema: doc.Schema, Version: uint64(len(out) + 1), Body: doc.Spec}
-		_, findings := record.Decode(r)
+		findings, warnings := record.Check(r)
 		require.NoError(t, findings.Err())
+		require.NoError(t, warnings.Err())
 		out = append(out, r)
 	}
 }
--- a/carobctl/document.go
+++ b/carobctl/document.go
@@ -38,12 +38,14 @@
 type reading struct {
 	entries  []entry
 	findings record.Findings
+	warnings record.Findings // do not keep a record from being written
 	broken   bool // a file could not be read to its end
 	seen     map[record.Key]string
 }
 
 // readFiles reads the records of files of JSON documents, one after another;
-// "-" is the standard input. The error lists every mistake of every file.
+// "-" is the standard input. The error lists every mistake of every file; fields
+// that the schema does not know are warned of.
 func (a *app) readFiles(paths []string) ([]entry, error) {
 	r := &reading{seen: map[record.Key]string{}}
 	for _, path := range paths {
@@ -55,6 +57,9 @@
 		}
 		r.documents(path, data)
 	}
+	for _, w := range r.warnings {
+		fmt.Fprintln(a.err, "warning: "+record.Line(w))
+	}
 	if len(r.findings) == 0 {
 		return r.entries, nil
 	}
@@ -127,10 +132,13 @@
 	if d.Version != nil {
 		rec.Version = *d.Version
 	}
-	_, findings := record.Decode(rec)
+	findings, warnings := record.Check(rec)
 	for _, f := range findings {
 		r.findings.Add(place+": "+f.GetPlace(), f.GetField(), f.GetReason())
 	}
+	for _, w := range warnings {
+		r.warnings.Add(place+": "+w.GetPlace(), w.GetField(), w.GetReason())
+	}
 	if first, ok := r.seen[record.KeyOf(rec)]; ok {
 		r.findings.Add(place+": "+record.KeyOf(rec).String(), "", "stands there twice, first at "+first)
 	}
--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -109,16 +109,17 @@
 		code int
 		want []string
 	}{
-		"no command":      {"", nil, exitUsage, []string{"Please specify one command"}},
-		"no file":         {"", []string{"apply"}, exitUsage, []string{"`-f, --file' was not specified"}},
-		"file missing":    {"", []string{"apply", "-f", "none.json"}, exitUsage, []string{"none.json: open none.json: no such file"}},
-		"kind unknown":    {"", []string{"get", "rout"}, exitUsage, []string{`kind "rout" is none of service, route, policy`}},
-		"delete a kind":   {"", []string{"delete", "route"}, exitUsage, []string{"route names no record"}},
-		"cut file":        {service + "\n" + route[:40], []string{"apply", "-f", "-"}, exitUsage, []string{"-:2: document is not valid JSON: unexpected EOF"}},
-		"unknown field":   {strings.Replace(service, "spec", "specs", 1), []string{"apply", "-f", "-"}, exitRefused, []string{`-:1: document is no record: json: unknown field "specs"`}},
-		"record twice":    {service + "\n\n" + service, []string{"diff", "-f", "-"}, exitRefused, []string{"-:3: service/quotes: stands there twice, first at -:1"}},
-		"node down":       {service, []string{"apply", "-f", "-"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
-		"node down, read": {"", []string{"status"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
+		"no command":         {"", nil, exitUsage, []string{"Please specify one command"}},
+		"no file":            {"", []string{"apply"}, exitUsage, []string{"`-f, --file' was not specified"}},
+		"file missing":       {"", []string{"apply", "-f", "none.json"}, exitUsage, []string{"none.json: open none.json: no such file"}},
+		"kind unknown":       {"", []string{"get", "rout"}, exitUsage, []string{`kind "rout" is none of service, route, policy`}},
+		"delete a kind":      {"", []string{"delete", "route"}, exitUsage, []string{"route names no record"}},
+		"cut file":           {service + "\n" + route[:40], []string{"apply", "-f", "-"}, exitUsage, []string{"-:2: document is not valid JSON: unexpected EOF"}},
+		"unknown field":      {strings.Replace(service, "spec", "specs", 1), []string{"apply", "-f", "-"}, exitRefused, []string{`-:1: document is no record: json: unknown field "specs"`}},
+		"record twice":       {service + "\n\n" + service, []string{"diff", "-f", "-"}, exitRefused, []string{"-:3: service/quotes: stands there twice, first at -:1"}},
+		"node down":          {service, []string{"apply", "-f", "-"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
+		"node down, read":    {"", []string{"status"}, exitDown, []string{"node 127.0.0.1:1: unavailable"}},
+		"unknown spec field": {strings.Replace(route, "/stock", "/stock\", \"retries\": \"3", 1), []string{"apply", "-f", "-"}, exitDown, []string{"warning: -:1: route/stock: retries: "}},
 		"all at once": {
 			`{"kind": "router", "name": "a"}` + "\n" + strings.Replace(route, "/stock", "stock", 1) + "\n" + strings.Replace(service, "2", "9", 1),
 			[]string{"apply", "-f", "-", "-f", "none.json"},
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -4,10 +4,10 @@
 
 import (
 	"fmt"
-	"strings"
 	"text/tabwriter"
 	"time"
 
+	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
 )
@@ -114,8 +114,7 @@
 	if a.JSON {
 		return a.printJSON(m)
 	}
-	state := strings.ToLower(strings.TrimPrefix(m.GetState().String(), "STATE_"))
-	row := fmt.Sprintf("%s\t%s\t%s\t%s", m.GetName(), m.GetDomain(), m.GetRegion(), state)
+	row := fmt.Sprintf("%s\t%s\t%s\t%s", m.GetName(), m.GetDomain(), m.GetRegion(), operator.StateWord(m.GetState()))
 	if len(m.GetServers()) == 0 {
 		_, err := fmt.Fprintf(t, "%s\t-\t-\t-\t%s\n", row, m.GetHop())
 		return err
--- a/caroblift/serve.go
+++ b/caroblift/serve.go
@@ -38,15 +38,17 @@
 	}
 	p := &process{path: path, settings: s, level: new(slog.LevelVar)}
 	p.level.Set(telemetry.ParseLevel(s.GetLog().GetLevel()))
-	p.log = telemetry.Log(out, p.level)
-	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, s.GetInstance().GetName(), s.GetInstance().GetDomain())
+	log := telemetry.Log(out, p.level)
+	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
+	p.log = log.With("instance", instance, "domain", domain)
+	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, instance, domain)
 	if err != nil {
 		return err
 	}
 	metrics := telemetry.NewMetrics()
 	defer metrics.Close()
 	n, err := node.New(s, telemetry.Sinks{
-		Log: p.log, Scope: metrics.Scope, Metrics: metrics.Handler(), Tracer: traces.Tracer,
+		Log: log, Scope: metrics.Scope, Metrics: metrics.Handler(), Tracer: traces.Tracer,
 	})
 	if err != nil {
 		return err
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -117,10 +117,7 @@
 
 // members counts the members by state.
 func (s *state) members() {
-	counts := map[wire.State]int{}
-	for _, m := range s.node.Members.View().Members {
-		counts[m.GetState()]++
-	}
+	counts := operator.CountStates(s.node.Members.View())
 	for _, one := range []wire.State{wire.State_STATE_ALIVE, wire.State_STATE_SUSPECT, wire.State_STATE_LEAVING} {
 		s.scope.Tagged(map[string]string{"state": operator.StateWord(one)}).Gauge("members").Update(float64(counts[one]))
 	}
--- a/mesh/operator/pages.go
+++ b/mesh/operator/pages.go
@@ -236,13 +236,8 @@
 	if at := d.Status.GetChecked(); at > 0 {
 		d.Age = time.Since(time.UnixMilli(at)).Round(100 * time.Millisecond).String()
 	}
-	for _, m := range v.Members {
-		d.States[StateWord(m.GetState())]++
+	for state, n := range CountStates(v) {
+		d.States[StateWord(state)] = n
 	}
 	return d
 }
-
-// StateWord returns the word for a member's state.
-func StateWord(s wire.State) string {
-	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
-}
--- a/mesh/operator/pages_test.go
+++ b/mesh/operator/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -144,3 +145,52 @@
 	service(t).Handler().ServeHTTP(w, r)
 	require.Equal(t, http.StatusForbidden, w.Code)
 }
+
+// BenchmarkPages asks for each page at the target's size: 7,000 members of 190
+// services.
+func BenchmarkPages(b *testing.B) {
+	table := member.NewTable(member.TableConfig{}, &wire.Member{Name: "i-0", Domain: "d-0", State: wire.State_STATE_ALIVE}, time.Now())
+	for i := range 7000 {
+		table.Merge(&wire.Member{
+			Name: fmt.Sprintf("i-%d", i+1), Domain: fmt.Sprintf("d-%d", i%7), State: wire.State_STATE_ALIVE, Incarnation: 1,
+			Servers: []*wire.Server{{Service: fmt.Sprintf("s-%d", i%190), Slots: 10}},
+		}, time.Now())
+	}
+	view := table.View()
+	var changed []*wire.Record
+	for i := range 190 {
+		name := fmt.Sprintf("s-%d", i)
+		changed = append(changed,
+			&wire.Record{Kind: wire.Kind_KIND_SERVICE, Name: name, Schema: 2, Version: 1, Body: []byte(`{}`)},
+			&wire.Record{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Version: 1, Body: []byte(`{"prefix": "/` + name + `", "service": "` + name + `"}`)})
+	}
+	rev, err := revision.Next(&revision.Table{}, revision.Result{Changed: changed}, "change", "i-0", 1000)
+	require.NoError(b, err)
+	holder := &revision.Holder{}
+	require.NoError(b, holder.Apply(&wire.Update{Revisions: []*wire.Revision{rev}}))
+	h := New(Config{
+		Holder: holder, View: func() *member.View { return view }, Checked: func() int64 { return 1 }, Working: func() bool { return true },
+		Report: func(context.Context) *wire.Report { return &wire.Report{} },
+	}).Handler()
+	for _, page := range []string{"/", "/table", "/members", "/status", "/ready"} {
+		b.Run(page, func(b *testing.B) {
+			for b.Loop() {
+				if w := get(h, page); w.Code != http.StatusOK {
+					b.Fatal(w.Code)
+				}
+			}
+		})
+	}
+	b.Run("states", func(b *testing.B) {
+		for b.Loop() {
+			CountStates(view)
+		}
+	})
+	b.Run("audit", func(b *testing.B) {
+		for b.Loop() {
+			if err := new(revision.Holder).Apply(&wire.Update{Snapshot: holder.Table().Snapshot()}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/mesh/operator/status.go
+++ b/mesh/operator/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"connectrpc.com/connect"
 
@@ -103,3 +104,17 @@
 	}
 	return out
 }
+
+// CountStates returns the number of members in each state.
+func CountStates(v *member.View) map[wire.State]int {
+	counts := map[wire.State]int{}
+	for _, m := range v.Members {
+		counts[m.GetState()]++
+	}
+	return counts
+}
+
+// StateWord returns the word for a member's state.
+func StateWord(s wire.State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "STATE_"))
+}
--- a/mesh/telemetry/telemetry_test.go
+++ b/mesh/telemetry/telemetry_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -179,6 +181,28 @@
 	require.NoError(t, traces.Close(t.Context()))
 }
 
+// TestTracesOverOTLP exports a span to a collector over HTTP.
+func TestTracesOverOTLP(t *testing.T) {
+	var path string
+	var body []byte
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		path = r.URL.Path
+		body, _ = io.ReadAll(r.Body)
+	}))
+	traces, err := NewTraces(&wire.Trace{
+		Percent: 100, Exporter: "otlp", Endpoint: strings.TrimPrefix(collector.URL, "http://"),
+	}, nil, "quotes-1", "xitun")
+	require.NoError(t, err)
+	_, span := traces.Tracer.Start(t.Context(), "hop")
+	span.End()
+	require.NoError(t, traces.Close(t.Context()))
+	collector.Close()
+	require.Equal(t, "/v1/traces", path)
+	for _, want := range []string{"hop", "quotes-1", "xitun"} {
+		require.Contains(t, string(body), want)
+	}
+}
+
 // blockedExporter never finishes an export.
 type blockedExporter struct{ sdktrace.SpanExporter }
 
@@ -202,3 +226,30 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// BenchmarkLog writes one line, or counts it once its burst is used up.
+func BenchmarkLog(b *testing.B) {
+	for name, burst := range map[string]int{"written": 1 << 30, "counted": 1} {
+		b.Run(name, func(b *testing.B) {
+			l := NewLimiter(slog.NewJSONHandler(io.Discard, nil), LimiterConfig{Burst: burst})
+			log := slog.New(l).With(partKey, "caller")
+			for b.Loop() {
+				log.Warn("call failed", "error", "deadline")
+			}
+		})
+	}
+}
+
+// BenchmarkScrape serves the metrics of a node with 200 series of its own.
+func BenchmarkScrape(b *testing.B) {
+	m := NewMetrics()
+	for i := range 200 {
+		m.Scope.Tagged(map[string]string{"kind": fmt.Sprint(i)}).Counter("calls").Inc(1)
+	}
+	m.Close()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		b.SetBytes(int64(w.Body.Len()))
+	}
+}
