--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -5,6 +5,7 @@
 //
 //	carobbench demo
 //	carobbench converge --nodes 50 --changes 40
+//	carobbench demo > demo.txt; carobbench report --out report.html demo.txt
 //	carobbench platform --listen 127.0.0.1:7000
 //	carobbench server --service quotes --listen 127.0.0.1:9001 --announce http://127.0.0.1:7104/announce
 package main
@@ -30,6 +31,7 @@
 		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
 		{"converge", "Measure convergence time and control bytes", &convergeCommand{}},
 		{"platform", "Serve the stand-in for the platform", &platformCommand{}},
+		{"report", "Write a page with plots of other runs", &reportCommand{}},
 		{"server", "Serve the stand-in for a backend server", &serverCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.data); err != nil {
