--- a/carobctl/document.go
+++ b/carobctl/document.go
@@ -39,7 +39,7 @@
 	entries  []entry
 	findings record.Findings
 	warnings record.Findings // do not keep a record from being written
-	broken   bool // a file could not be read to its end
+	broken   bool            // a file could not be read to its end
 	seen     map[record.Key]string
 }
 
