Serve on while a newer revision is read

Cause: a reader raised its floor to each revision that it read from the platform before it was applied, so it answered 503 not-ready for some ms at every change, and for good where the revision could not be applied. Ruled out: late answers of peers (ignored once the floor is known) and the floor that joining hands over (never above what the instance reported). Change: the platform's head raises the floor of a starting node only.

--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -168,10 +168,12 @@
 // tells whether the node may take it now.
 func (s *State) Platform(number uint64, now time.Time) bool {
 	s.floor.platform = true
-	if !s.floor.known && len(s.shape.View.Names) < 2 {
-		s.floor.known = true
+	if s.floor.known {
+		return true // a table that is served stays served until the next is applied
 	}
-	if !s.floor.known && !s.concluded(now) {
+	if len(s.shape.View.Names) < 2 {
+		s.floor.known = true
+	} else if !s.concluded(now) {
 		return false
 	}
 	s.config.Holder.Raise(number)
