--- a/carobbench/report.go
+++ b/carobbench/report.go
@@ -48,7 +48,7 @@
 	return nil
 }
 
-// latencies are latencies in ms.
+// latencies are quantiles in ms.
 type latencies struct {
 	P50  float64 `json:"p50"`
 	P99  float64 `json:"p99"`
--- a/carobctl/apply.go
+++ b/carobctl/apply.go
@@ -45,18 +45,18 @@
 	if err := c.check(entries); err != nil || c.Check {
 		return err
 	}
-	var written []*wire.Record
+	var done []*wire.Record
 	for _, e := range entries {
 		r, err := c.write(e)
 		if err != nil {
-			return c.partial(written, err)
+			return partial(done, err)
 		}
-		written = append(written, r)
+		done = append(done, r)
 	}
 	if !c.Wait {
 		return nil
 	}
-	return c.app.wait(written, c.Bound)
+	return c.app.wait(done, c.Bound)
 }
 
 // base gives each record the version that it is to replace.
@@ -124,6 +124,14 @@
 	return fmt.Sprintf("version %d", r.GetVersion())
 }
 
+// written is what apply and delete print of one record with --json.
+type written struct {
+	Record    string `json:"record"`
+	Version   uint64 `json:"version"`
+	Unchanged bool   `json:"unchanged,omitempty"` // the platform held it already
+	Deleted   bool   `json:"deleted,omitempty"`
+}
+
 func (c *applyCommand) write(e entry) (*wire.Record, error) {
 	a := c.app
 	resp, err := call(a, true, a.client().Apply, &wire.ApplyRequest{Record: e.record, Force: c.Force})
@@ -136,7 +144,7 @@
 	key, version := record.KeyOf(e.record), resp.GetRecord().GetVersion()
 	switch {
 	case a.JSON:
-		return resp.GetRecord(), a.printJSON(resp)
+		return resp.GetRecord(), a.printLine(written{Record: key.String(), Version: version, Unchanged: resp.GetUnchanged()})
 	case resp.GetUnchanged():
 		fmt.Fprintf(a.out, "%s unchanged at version %d\n", key, version)
 	default:
@@ -146,13 +154,13 @@
 }
 
 // partial adds to an error which records were written before it.
-func (c *applyCommand) partial(written []*wire.Record, err error) error {
+func partial(done []*wire.Record, err error) error {
 	exit, ok := err.(*exitError)
-	if !ok || len(written) == 0 {
+	if !ok || len(done) == 0 {
 		return err
 	}
-	names := make([]string, len(written))
-	for i, r := range written {
+	names := make([]string, len(done))
+	for i, r := range done {
 		names[i] = record.KeyOf(r).String()
 	}
 	return exitf(exit.code, "%s\nwritten before: %s", exit.text, strings.Join(names, ", "))
--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -72,3 +72,13 @@
 	fmt.Fprintln(a.out, line.String())
 	return nil
 }
+
+// printLine prints a value as JSON on a line.
+func (a *app) printLine(v any) error {
+	line, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(a.out, string(line))
+	return err
+}
--- a/carobctl/diff.go
+++ b/carobctl/diff.go
@@ -91,11 +91,7 @@
 func (a *app) printDifference(d difference) error {
 	switch {
 	case a.JSON:
-		line, err := json.Marshal(d)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(a.out, string(line))
+		return a.printLine(d)
 	case len(d.Changes) == 0:
 		fmt.Fprintf(a.out, "%s: no change at version %d\n", d.Record, d.Version)
 	default:
--- a/carobctl/read.go
+++ b/carobctl/read.go
@@ -90,7 +90,7 @@
 	case resp.GetConflict():
 		return exitf(exitConflict, "%s: conflict: the platform holds %s", key, versionText(resp.GetPresent()))
 	case a.JSON:
-		if err := a.printJSON(resp); err != nil {
+		if err := a.printLine(written{Record: key.String(), Version: resp.GetRecord().GetVersion(), Deleted: true}); err != nil {
 			return err
 		}
 	default:
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -46,9 +46,13 @@
 	for _, n := range m.GetReport().GetCounts() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", n.GetDomain(), n.GetRevision(), n.GetNodes())
 	}
+	for _, n := range m.GetReport().GetUnknown() {
+		fmt.Fprintf(t, "%s\tunknown\t%d\n", n.GetDomain(), n.GetNodes())
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	fmt.Fprintf(a.out, "\nsummed up by %s from reports up to %d ms old\n", m.GetReport().GetTop(), m.GetReport().GetAge())
 	a.printBehind(m)
 	a.printHeld(m.GetHeld())
 	return nil
--- a/carobctl/wait.go
+++ b/carobctl/wait.go
@@ -3,7 +3,6 @@
 // This file waits until records are in force on every node.
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
@@ -100,6 +99,9 @@
 			p.Behind = append(p.Behind, fmt.Sprintf("%d nodes of %s at revision %d", c.GetNodes(), c.GetDomain(), c.GetRevision()))
 		}
 	}
+	for _, c := range report.GetUnknown() {
+		p.Behind = append(p.Behind, fmt.Sprintf("%d nodes of %s, which no report covers", c.GetNodes(), c.GetDomain()))
+	}
 	for _, l := range report.GetLaggards() {
 		if l.GetRevision() < p.Revision {
 			p.Behind = append(p.Behind, lagText(l))
@@ -129,11 +131,9 @@
 // waited reports the end of a wait.
 func (a *app) waited(p progress, bound time.Duration) error {
 	if a.JSON {
-		line, err := json.Marshal(p)
-		if err != nil {
+		if err := a.printLine(p); err != nil {
 			return err
 		}
-		fmt.Fprintln(a.out, string(line))
 	}
 	switch {
 	case p.done():
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -231,7 +231,7 @@
 func (n *Node) Start() {
 	path, rpc := peer.NewHandler(&peer.Handler{Spread: n.Spread, Members: n.Members}, n.pool.Kinds)
 	mux := http.NewServeMux()
-	mux.Handle(path, meter(n.sinks.Scope, rpc))
+	mux.Handle(path, rpc)
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
 	n.serve(n.listeners.hop, n.Gate)
 	n.serve(n.listeners.caller, n.Proxy)
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"net/http"
-	"path"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -33,13 +31,16 @@
 	scope       tally.Scope
 	convergence tally.Histogram
 	last        *revision.Table
-	in, out     int64  // control bytes reported so far
-	calls       uint64 // platform calls reported so far
+	calls       int64            // to the platform, reported so far
+	sums        map[string]int64 // that counters were brought to, by name and tag
 }
 
 func newState(n *Node) *state {
 	scope := n.sinks.Scope.SubScope("node")
-	s := &state{node: n, scope: scope, last: n.Holder.Table(), convergence: scope.Histogram("convergence_seconds", convergenceBuckets)}
+	s := &state{
+		node: n, scope: scope, last: n.Holder.Table(), sums: map[string]int64{},
+		convergence: scope.Histogram("convergence_seconds", convergenceBuckets),
+	}
 	for _, promise := range []string{"backwards", "partial"} {
 		s.broken(promise).Inc(0)
 	}
@@ -123,77 +124,21 @@
 	}
 }
 
-// traffic counts every control byte, framing included, and the platform calls.
+// traffic counts every control byte, framing included, the bytes of control
+// messages by kind, framing left out, and the platform calls.
 func (s *state) traffic() {
 	in, out := s.node.controlBytes()
-	s.bytes("in").Inc(in - s.in)
-	s.bytes("out").Inc(out - s.out)
-	calls := s.node.PlatformCalls()
-	s.scope.Counter("platform_calls").Inc(int64(calls - s.calls))
-	s.in, s.out, s.calls = in, out, calls
-}
-
-func (s *state) bytes(direction string) tally.Counter {
-	return s.scope.Tagged(map[string]string{"direction": direction}).Counter("control_bytes")
-}
-
-// kindMeter counts the messages of one kind.
-type kindMeter struct {
-	messages, requests, responses tally.Counter
-}
-
-func newKindMeter(scope tally.Scope, kind string) kindMeter {
-	tagged := scope.Tagged(map[string]string{"kind": kind})
-	return kindMeter{tagged.Counter("messages"), tagged.Counter("request_bytes"), tagged.Counter("response_bytes")}
-}
-
-// meter counts the requests of a control service by kind, and the bytes of
-// their bodies as they are on the wire.
-func meter(scope tally.Scope, h http.Handler) http.Handler {
-	scope = scope.SubScope("control")
-	other := newKindMeter(scope, "other")
-	kinds := map[string]kindMeter{}
-	for _, kind := range peerKinds() {
-		kinds[kind] = newKindMeter(scope, kind)
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		m, ok := kinds[path.Base(r.URL.Path)]
-		if !ok {
-			m = other
-		}
-		counted := &countedWriter{ResponseWriter: w}
-		h.ServeHTTP(counted, r)
-		m.messages.Inc(1)
-		m.requests.Inc(max(r.ContentLength, 0))
-		m.responses.Inc(counted.bytes)
-	})
-}
-
-// peerKinds returns the calls of the Peer service.
-func peerKinds() []string {
-	methods := wire.File_peer_proto.Services().ByName("Peer").Methods()
-	kinds := make([]string, methods.Len())
-	for i := range kinds {
-		kinds[i] = string(methods.Get(i).Name())
-	}
-	return kinds
+	s.grow("control_bytes", "direction", "in", in)
+	s.grow("control_bytes", "direction", "out", out)
+	s.node.pool.Kinds.Each(func(kind string, bytes int64) { s.grow("message_bytes", "kind", kind, bytes) })
+	calls := int64(s.node.PlatformCalls())
+	s.scope.Counter("platform_calls").Inc(calls - s.calls)
+	s.calls = calls
 }
 
-// countedWriter counts the bytes of an answer's body.
-type countedWriter struct {
-	http.ResponseWriter
-	bytes int64
+// grow brings a counter with one tag to a sum that is kept elsewhere.
+func (s *state) grow(name, tag, value string, sum int64) {
+	key := name + "/" + value
+	s.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(sum - s.sums[key])
+	s.sums[key] = sum
 }
-
-// Write implements io.Writer.
-func (w *countedWriter) Write(b []byte) (int, error) {
-	n, err := w.ResponseWriter.Write(b)
-	w.bytes += int64(n)
-	return n, err
-}
-
-// Unwrap lets http.ResponseController reach what it wraps.
-func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// Flush implements http.Flusher.
-func (w *countedWriter) Flush() { _ = http.NewResponseController(w.ResponseWriter).Flush() }
