Prove at most once, stop whole, and measure calls

Cause: nothing showed that net/http sends a booking once, a stop did not say what it cut, and the cost of two nodes and the policies were not measured. Change: counting servers that break HTTP/1 and HTTP/2 in each way that net/http answers with another attempt; a rapid state machine over faults with counting servers; the fault matrix also at the own node; a stop refuses first, then announces, drains and names what it cuts; carobbench call.

--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -26,6 +26,7 @@
 func main() {
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []command{
+		{"call", "Measure what two nodes add to a call and compare policies", &callCommand{}},
 		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
 		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
 		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -109,13 +109,18 @@
 	return g.admission.Progress()
 }
 
-// Drain refuses new calls and waits for those in progress. When the context
-// ends first, the error is a *hop.Cut.
-func (g *Gate) Drain(ctx context.Context) error {
+// Refuse refuses new calls, and those that wait, as not run from now on.
+func (g *Gate) Refuse() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.draining = true
 	g.wake(g.admission.Close())
-	g.mu.Unlock()
+}
+
+// Drain refuses new calls and waits for those in progress. When the context
+// ends first, the error is a *hop.Cut.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.Refuse()
 	return g.calls.Drain(ctx)
 }
 
--- a/mesh/backendtest/server.go
+++ b/mesh/backendtest/server.go
@@ -82,6 +82,9 @@
 	return s.addr, nil
 }
 
+// Address returns the address that the server listens at.
+func (s *Server) Address() string { return s.addr }
+
 // Connections returns the listener, whose connections can be made to fail.
 func (s *Server) Connections() *Listener { return s.listener }
 
--- /dev/null
+++ b/mesh/call/admission_test.go
@@ -0,0 +1,135 @@
+package call_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"caroblift.dev/mesh/call"
+)
+
+// admissionModel drives an admission by hand beside an oracle that counts the
+// slots given and given back.
+type admissionModel struct {
+	admission call.Admission
+	limits    call.Limits
+	now       time.Time
+	closed    bool
+	running   []*call.Waiter
+	waiting   []*call.Waiter
+}
+
+// take sorts out the waiters that the admission has decided.
+func (m *admissionModel) take(t *rapid.T, decided []*call.Waiter) {
+	for _, w := range decided {
+		at := -1
+		for n, one := range m.waiting {
+			if one == w {
+				at = n
+			}
+		}
+		require.GreaterOrEqual(t, at, 0, "a waiter was decided twice")
+		for _, before := range m.waiting[:at] {
+			first := w.Verdict() == call.Admitted && before.Verdict() == call.Waiting
+			require.False(t, first, "a younger waiter was admitted first")
+		}
+		m.waiting = append(m.waiting[:at:at], m.waiting[at+1:]...)
+		m.settle(t, w)
+	}
+}
+
+func (m *admissionModel) settle(t *rapid.T, w *call.Waiter) {
+	switch w.Verdict() {
+	case call.Admitted:
+		require.False(t, m.closed, "admitted after the drain began")
+		require.True(t, w.Deadline.IsZero() || m.now.Before(w.Deadline), "admitted after its deadline")
+		m.running = append(m.running, w)
+		require.LessOrEqual(t, len(m.running), m.limits.Slots)
+	case call.Rejected:
+		require.NotEmpty(t, w.Reason())
+	case call.Waiting:
+		m.waiting = append(m.waiting, w)
+	}
+}
+
+func (m *admissionModel) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			require.Equal(t, len(m.running), m.admission.Progress())
+			require.Equal(t, len(m.running)+len(m.waiting), m.admission.Report(m.now).Progress)
+			if len(m.running) == 0 {
+				require.Empty(t, m.waiting, "calls wait beside free slots")
+			}
+		},
+		"pass": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+		},
+		"enter": func(t *rapid.T) {
+			w := &call.Waiter{}
+			if rapid.Bool().Draw(t, "bounded") {
+				w.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "left")) * time.Millisecond)
+			}
+			m.admission.Enter(w, m.now)
+			m.settle(t, w)
+		},
+		"leave": func(t *rapid.T) {
+			if len(m.running) == 0 {
+				t.Skip("nothing runs")
+			}
+			m.running = m.running[1:]
+			m.take(t, m.admission.Leave(time.Duration(rapid.IntRange(0, 100).Draw(t, "took"))*time.Millisecond, m.now))
+		},
+		"abandon": func(t *rapid.T) {
+			if len(m.waiting) == 0 {
+				t.Skip("nothing waits")
+			}
+			w := rapid.SampledFrom(m.waiting).Draw(t, "waiter")
+			require.Equal(t, call.Rejected, m.admission.Abandon(w, m.now))
+			m.take(t, []*call.Waiter{w})
+		},
+		"cold":  func(t *rapid.T) { m.admission.Cold(rapid.Bool().Draw(t, "cold"), m.now) },
+		"close": func(t *rapid.T) { m.closed = true; m.take(t, m.admission.Close()); require.Empty(t, m.waiting) },
+		"open":  func(*rapid.T) { m.closed = false; m.admission.Open() },
+	}
+}
+
+// TestAdmission checks that slots are exact, the queue is first in first out,
+// nobody starts after a deadline and nobody is decided twice.
+func TestAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &admissionModel{now: time.Unix(1000, 0), limits: call.Limits{
+			Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Queue: rapid.IntRange(0, 3).Draw(t, "queue"),
+		}}
+		require.Empty(t, m.admission.Limit(m.limits, m.now))
+		t.Repeat(m.actions())
+	})
+}
+
+// TestSlowStart gives a cold backend server more slots with time.
+func TestSlowStart(t *testing.T) {
+	var a call.Admission
+	now := time.Unix(1000, 0)
+	a.Limit(call.Limits{Slots: 10, Warmup: 10 * time.Second}, now)
+	a.Cold(true, now)
+	for seconds, slots := range map[int]int{0: 1, 1: 1, 3: 3, 9: 9, 10: 10, 60: 10} {
+		require.Equal(t, slots, a.Slots(now.Add(time.Duration(seconds)*time.Second)))
+	}
+	a.Cold(false, now)
+	require.Equal(t, 10, a.Slots(now))
+}
+
+// TestQueueDeadline refuses at once what could not finish in time.
+func TestQueueDeadline(t *testing.T) {
+	var a call.Admission
+	now := time.Unix(1000, 0)
+	a.Limit(call.Limits{Slots: 1, Queue: 5, Wait: time.Second}, now)
+	require.Equal(t, call.Admitted, a.Enter(&call.Waiter{}, now))
+	a.Leave(50*time.Millisecond, now)
+	require.Equal(t, call.Admitted, a.Enter(&call.Waiter{}, now))
+	hurried := &call.Waiter{Deadline: now.Add(60 * time.Millisecond)}
+	require.Equal(t, call.Rejected, a.Enter(hurried, now))
+	require.Equal(t, call.Late, hurried.Reason())
+	require.Equal(t, call.Waiting, a.Enter(&call.Waiter{Deadline: now.Add(200 * time.Millisecond)}, now))
+}
--- a/mesh/caller/matrix_test.go
+++ b/mesh/caller/matrix_test.go
@@ -58,7 +58,8 @@
 }
 
 // TestFaultMatrixCall causes each fault at each step where it can occur, under
-// calls of every kind, and checks every promise.
+// calls of every kind, and checks every promise. Calls enter at another node
+// and at the own node of the instance that fails.
 func TestFaultMatrixCall(t *testing.T) {
 	for name, c := range map[string]cell{
 		"admit/busy":         {fault: func(_ *stack, d *side) { d.target.Slots = 1; d.gate.Serve(&d.target) }, after: served},
@@ -88,16 +89,22 @@
 		}, after: served},
 		"run/slow and lost": {fault: set(backendtest.Faults{Slow: 5 * time.Millisecond, Drop: true}), after: served},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			s := newStack(t, 2)
-			allServed(t, s, s.load(t, "before", 2, 8))
-			c.fault(s, s.sides[0])
-			c.after(t, s, s.load(t, "after", 4, 12))
-			for _, d := range s.sides {
-				require.LessOrEqual(t, d.server.Peak(), testSlots)
-			}
-		})
+		for place, own := range map[string]bool{"elsewhere": false, "own": true} {
+			t.Run(name+"/"+place, func(t *testing.T) {
+				t.Parallel()
+				c.run(t, newStackAt(t, 2, own))
+			})
+		}
+	}
+}
+
+// run causes the fault under calls and checks what must hold.
+func (c cell) run(t *testing.T, s *stack) {
+	allServed(t, s, s.load(t, "before", 2, 8))
+	c.fault(s, s.sides[0])
+	c.after(t, s, s.load(t, "after", 4, 12))
+	for _, d := range s.sides {
+		require.LessOrEqual(t, d.server.Peak(), testSlots)
 	}
 }
 
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -117,8 +117,10 @@
 		x.blame(res, now)
 		return res
 	}
-	i.Took(took, now)
-	x.service.slow.Add(took)
+	if resp.StatusCode < http.StatusInternalServerError { // errors are quick
+		i.Took(took, now)
+		x.service.slow.Add(took)
+	}
 	res := &result{instance: i, resp: resp, outcome: call.Answered}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		res.reason = call.Shed
--- a/mesh/caller/stack_test.go
+++ b/mesh/caller/stack_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,7 @@
 	proxy  *caller.Proxy
 	entry  *httptest.Server
 	sides  []*side
+	self   *wire.Member
 	view   atomic.Pointer[member.View]
 	table  *revision.Table
 	client *http.Client
@@ -64,7 +66,12 @@
 	{Name: "short", Prefix: "/short", Service: "quotes", Timeout: 150 * time.Millisecond},
 }
 
-func newStack(t testing.TB, instances int) *stack {
+// newStack returns a stack whose entry node has no backend server.
+func newStack(t testing.TB, instances int) *stack { return newStackAt(t, instances, false) }
+
+// newStackAt returns a stack. The entry node is the first instance's own if own
+// is set.
+func newStackAt(t testing.TB, instances int, own bool) *stack {
 	s := &stack{client: &http.Client{Transport: &http.Transport{}}, peers: peer.NewTransport(testSilent, new(peer.Counter))}
 	s.table = &revision.Table{
 		Number: 7, Routes: routes, Services: map[string]*record.Service{"quotes": {Name: "quotes", Policy: "p"}},
@@ -73,11 +80,16 @@
 	for n := range instances {
 		s.sides = append(s.sides, s.newSide(t, n))
 	}
-	s.announce()
-	s.proxy = caller.New(caller.Config{
+	config := caller.Config{
 		Table: func() *revision.Table { return s.table }, Ready: func() bool { return true }, View: s.view.Load,
 		Hop: s.peers, Evidence: func(string, bool) {}, Timeout: 2 * time.Second,
-	})
+	}
+	s.self = &wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}
+	if own {
+		s.self, config.Own = s.sides[0].member(), s.sides[0].gate
+	}
+	s.announce()
+	s.proxy = caller.New(config)
 	s.entry = httptest.NewServer(s.proxy)
 	t.Cleanup(s.close)
 	return s
@@ -103,29 +115,43 @@
 
 func (s *stack) tablePolicy(service string) record.Policy { return s.table.Policy(service) }
 
-// announce makes the view that the entry node sees, without the sides named.
-func (s *stack) announce(without ...string) {
-	now := time.Now()
-	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second},
-		&wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}, now)
+// member returns the instance as others see it.
+func (d *side) member() *wire.Member {
+	return &wire.Member{
+		Name: d.name, Peer: "127.0.0.1:1", Hop: d.hops.Addr().String(), Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
+		Servers: []*wire.Server{{Service: "quotes", Slots: testSlots}},
+	}
+}
+
+// announce makes the view that the entry node sees; the sides named are leaving.
+func (s *stack) announce(leaving ...string) {
 	var members []*wire.Member
 	for _, d := range s.sides {
-		m := &wire.Member{
-			Name: d.name, Peer: "127.0.0.1:1", Hop: d.hops.Addr().String(), Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
-			Servers: []*wire.Server{{Service: "quotes", Slots: testSlots}},
-		}
-		for _, name := range without {
-			if name == d.name {
-				m.State = wire.State_STATE_LEAVING
-			}
+		m := d.member()
+		if slices.Contains(leaving, d.name) {
+			m.State = wire.State_STATE_LEAVING
 		}
 		members = append(members, m)
 	}
+	s.show(members)
+}
+
+// show makes a view of members.
+func (s *stack) show(members []*wire.Member) {
+	now := time.Now()
+	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second}, s.self, now)
 	agent.Probed(now, &wire.ProbeRequest{Events: members})
 	agent.Tick(now.Add(time.Second / 2))
 	s.view.Store(agent.View())
 }
 
+// redirect makes the only instance listen elsewhere for calls.
+func (s *stack) redirect(addr string) {
+	m := s.sides[0].member()
+	m.Name, m.Hop = "elsewhere", addr
+	s.show([]*wire.Member{m})
+}
+
 func (s *stack) close() {
 	s.entry.CloseClientConnections()
 	s.entry.Close()
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -17,7 +17,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -262,46 +261,6 @@
 // Dead returns a channel that is closed when the node has stopped.
 func (n *Node) Dead() <-chan struct{} { return n.tomb.Dead() }
 
-// Stop shuts the node down gracefully: it announces that it leaves, refuses
-// new work, finishes what is in progress and then closes. The context bounds
-// the wait.
-func (n *Node) Stop(ctx context.Context) error {
-	n.Members.Leave(ctx)
-	err := n.Gate.Drain(ctx)
-	if drainErr := n.Proxy.Drain(ctx); err == nil {
-		err = drainErr
-	}
-	cut := n.Gate.Progress()
-	n.linger(ctx)
-	n.shutServers(ctx)
-	n.sinks.Log.Info("drained", "cut", cut)
-	n.Kill()
-	return err
-}
-
-// lingerTime is how long a node that has drained goes on refusing calls, so
-// that nodes that have not heard of its leaving get an answer.
-const lingerTime = 1500 * time.Millisecond
-
-func (n *Node) linger(ctx context.Context) {
-	timer := time.NewTimer(lingerTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// shutServers lets refusals that are on their way reach the other end before
-// the connections close.
-func (n *Node) shutServers(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, s := range n.servers {
-		wg.Go(func() { _ = s.Shutdown(ctx) })
-	}
-	wg.Wait()
-}
-
 // Kill stops the node at once, as a crash does.
 func (n *Node) Kill() {
 	n.tomb.Kill(nil)
