--- a/carobbench/call.go
+++ b/carobbench/call.go
@@ -32,8 +32,8 @@
 
 // callSummary is the last line of the report.
 type callSummary struct {
-	Direct   quantiles               `json:"direct"`
-	Proxied  quantiles               `json:"proxied"`
+	Direct   callTimes               `json:"direct"`
+	Proxied  callTimes               `json:"proxied"`
 	Added    float64                 `json:"added"` // ms at p99
 	Rate     int                     `json:"rate"`  // calls a second for each node
 	Errors   int                     `json:"errors"`
@@ -41,8 +41,8 @@
 	Policies map[string]policyResult `json:"policies"`
 }
 
-// quantiles are latencies in ms.
-type quantiles struct {
+// callTimes are latencies in ms.
+type callTimes struct {
 	P50  float64 `json:"p50"`
 	P99  float64 `json:"p99"`
 	P999 float64 `json:"p999"`
@@ -240,7 +240,7 @@
 }
 
 // phase sends one load and returns latencies and good answers a second.
-func (c *callCommand) phase(f *callFleet, rate int) (quantiles, float64) {
+func (c *callCommand) phase(f *callFleet, rate int) (callTimes, float64) {
 	l := newSchedule(fmt.Sprintf("phase%d", rate), urls(f.entries), rate)
 	l.run(time.Second)
 	l.reset()
--- a/carobbench/schedule.go
+++ b/carobbench/schedule.go
@@ -122,15 +122,15 @@
 }
 
 // quantiles returns the latencies of the good answers.
-func (s *schedule) quantiles() quantiles {
+func (s *schedule) quantiles() callTimes {
 	if len(s.took) == 0 {
-		return quantiles{}
+		return callTimes{}
 	}
 	slices.Sort(s.took)
 	at := func(q float64) float64 {
 		return round(s.took[int(q*float64(len(s.took)-1))].Seconds() * 1000)
 	}
-	return quantiles{P50: at(0.5), P99: at(0.99), P999: at(0.999)}
+	return callTimes{P50: at(0.5), P99: at(0.99), P999: at(0.999)}
 }
 
 // round keeps three decimals.
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -56,14 +57,23 @@
 	start := time.Now()
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
-		g.leave(start)
+		if failure.outcome == call.NotRun {
+			g.leave(start)
+		} else {
+			g.leaveLater(start)
+		}
 		done()
 		g.metrics.failed(failure.reason)
 		return g.failure(id, failure)
 	}
 	call.Strip(resp.Header)
-	resp.Body = hop.OnDone(resp.Body, func(error) {
-		g.leave(start)
+	empty := resp.Body == http.NoBody
+	resp.Body = hop.OnDone(resp.Body, func(err error) {
+		if err == io.EOF || empty {
+			g.leave(start)
+		} else {
+			g.leaveLater(start)
+		}
 		done()
 		g.metrics.answered(time.Since(start))
 	})
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -35,6 +35,7 @@
 type GateConfig struct {
 	Policy func(service string) record.Policy
 	Silent time.Duration // silence after which a reused connection is doubted
+	Settle time.Duration // in which the backend server ends a call that was broken off; zero means 20 ms
 	Sinks  telemetry.Sinks
 }
 
@@ -60,6 +61,8 @@
 	// idleConn is how long an unused connection is kept. It is short, since a
 	// connection can go silent while nobody uses it and a new one costs 1 ms.
 	idleConn = time.Second
+	// defaultSettle is how long the slot of a call that was broken off is kept.
+	defaultSettle = 20 * time.Millisecond
 )
 
 // NewGate returns a gate without a backend server.
@@ -68,6 +71,9 @@
 	if config.Silent <= 0 {
 		config.Silent = 400 * time.Millisecond
 	}
+	if config.Settle <= 0 {
+		config.Settle = defaultSettle
+	}
 	g := &Gate{config: config, calls: hop.NewCalls(), metrics: newMetrics(config.Sinks.Scope)}
 	g.reuse = &http.Transport{
 		DialContext: hop.Dialer(config.Silent).DialContext, DisableCompression: true,
@@ -201,6 +207,12 @@
 	g.wake(g.admission.Leave(now.Sub(start), now))
 }
 
+// leaveLater gives back the slot of a call that was broken off, once the
+// backend server has had the time to notice; until then it may be at work.
+func (g *Gate) leaveLater(start time.Time) {
+	time.AfterFunc(g.config.Settle, func() { g.leave(start) })
+}
+
 // load returns the load as answers carry it, and the average duration of calls.
 func (g *Gate) load() (call.Report, time.Duration) {
 	g.mu.Lock()
--- a/mesh/caller/stack_test.go
+++ b/mesh/caller/stack_test.go
@@ -34,6 +34,7 @@
 const (
 	testSlots  = 3
 	testSilent = 500 * time.Millisecond
+	testSettle = 250 * time.Millisecond
 )
 
 // side is one instance: a gate behind a hop port and a backend server.
@@ -102,7 +103,7 @@
 	require.NoError(t, err)
 	d.target = backend.Target{Service: "quotes", Address: addr, Slots: testSlots}
 	d.gate = backend.NewGate(backend.GateConfig{
-		Policy: s.tablePolicy, Silent: testSilent,
+		Policy: s.tablePolicy, Silent: testSilent, Settle: testSettle,
 	})
 	d.gate.Serve(&d.target)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
