--- a/mesh/platform/archive.go
+++ b/mesh/platform/archive.go
@@ -28,35 +28,45 @@
 	holder *revision.Holder
 	every  uint64 // revisions between two snapshots; 0 for no snapshots
 	newest uint64 // snapshot that the pointer named last
+
+	// pending names a snapshot whose pieces are written and whose pointer may
+	// be; trying again uses the same pieces.
+	pending *wire.Pointer
 }
 
 // due tells whether a snapshot may be needed. It asks nobody.
 func (a *archiver) due() bool {
-	return a.every > 0 && a.holder.Table().Number >= a.newest+a.every
+	return a.every > 0 && (a.pending != nil || a.holder.Table().Number >= a.newest+a.every)
 }
 
 // run writes a snapshot of the table in force if it is needed.
 func (a *archiver) run(ctx context.Context) error {
-	t := a.holder.Table()
 	p, version, err := readPointer(ctx, a.store)
 	if err != nil {
 		return err
 	}
 	a.newest = max(a.newest, p.GetSnapshot())
-	if t.Number < a.newest+a.every {
-		return nil
+	if a.pending != nil && p.GetSnapshot() >= a.pending.GetSnapshot() {
+		a.pending = nil // this attempt took effect unnoticed, or another writer was faster
+		return a.remove(ctx, p)
 	}
-	next := &wire.Pointer{
-		Snapshot: t.Number, Change: uuid.NewString(),
-		Previous: p.GetSnapshot(), Before: p.GetChange(), Oldest: p.GetSnapshot() + 1,
-	}
-	if err := a.writePieces(ctx, next, t.Snapshot()); err != nil {
-		return err
+	t := a.holder.Table()
+	if a.pending == nil {
+		if t.Number < a.newest+a.every {
+			return nil
+		}
+		next := &wire.Pointer{Snapshot: t.Number, Change: uuid.NewString()}
+		if err := a.writePieces(ctx, next, t.Snapshot()); err != nil {
+			return err
+		}
+		a.pending = next
 	}
+	next := a.pending
+	next.Previous, next.Before, next.Oldest = p.GetSnapshot(), p.GetChange(), p.GetSnapshot()+1
 	if err := a.writePointer(ctx, next, version); err != nil {
 		return err
 	}
-	a.newest = next.GetSnapshot()
+	a.newest, a.pending = max(a.newest, next.GetSnapshot()), nil
 	return a.remove(ctx, next)
 }
 
--- a/mesh/platformtest/store.go
+++ b/mesh/platformtest/store.go
@@ -57,6 +57,10 @@
 	Reads  *rate.Limiter // nil for no limit
 	Writes *rate.Limiter // nil for no limit
 
+	// Observe is called for every change with the object before and after;
+	// nil for none. It must not call the store.
+	Observe func(old, written platform.Object)
+
 	mu      sync.Mutex
 	now     objects
 	frozen  objects           // what stale reads see
@@ -274,8 +278,12 @@
 	if s.now.byKind[o.Kind][o.Name].Version != o.Version {
 		return platform.Object{}, platform.ErrConflict
 	}
+	old := s.now.byKind[o.Kind][o.Name]
 	s.now.version++
 	o.Version = s.now.version
+	if s.Observe != nil {
+		s.Observe(old, o)
+	}
 	if s.now.byKind[o.Kind] == nil {
 		s.now.byKind[o.Kind] = map[string]platform.Object{}
 	}
