--- a/mesh/operator/records.go
+++ b/mesh/operator/records.go
@@ -90,6 +90,9 @@
 		if w.lost != nil && !p.follows(w.base) {
 			continue
 		}
+		if p.record.GetVersion() != w.base.record.GetVersion() {
+			w.lost = nil // another write took the version that every attempt was to replace
+		}
 		if resp := w.refuse(p); resp != nil {
 			return resp, nil
 		}
@@ -98,9 +101,11 @@
 		case err == nil:
 			written, err := platform.DecodeRecord(o)
 			return &wire.ApplyResponse{Record: written}, err
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+			// Also a conflict may hide the answer to this write, when the
+			// request arrived twice.
 			w.lost, w.base = err, p
-		case !errors.Is(err, platform.ErrConflict):
+		default:
 			return nil, w.unavailable(err)
 		}
 	}
--- a/mesh/platform/archive.go
+++ b/mesh/platform/archive.go
@@ -29,9 +29,10 @@
 	every  uint64 // revisions between two snapshots; 0 for no snapshots
 	newest uint64 // snapshot that the pointer named last
 
-	// pending names a snapshot whose pieces are written and whose pointer may
-	// be; trying again uses the same pieces.
+	// pending names a snapshot that was begun; trying again goes on with it,
+	// under the same names. Its pieces that are not written yet are in pieces.
 	pending *wire.Pointer
+	pieces  [][]byte
 }
 
 // due tells whether a snapshot may be needed. It asks nobody.
@@ -47,19 +48,19 @@
 	}
 	a.newest = max(a.newest, p.GetSnapshot())
 	if a.pending != nil && p.GetSnapshot() >= a.pending.GetSnapshot() {
-		a.pending = nil // this attempt took effect unnoticed, or another writer was faster
+		a.pending, a.pieces = nil, nil // this attempt took effect unnoticed, or another writer was faster
 		return a.remove(ctx, p)
 	}
-	t := a.holder.Table()
 	if a.pending == nil {
-		if t.Number < a.newest+a.every {
+		if a.holder.Table().Number < a.newest+a.every {
 			return nil
 		}
-		next := &wire.Pointer{Snapshot: t.Number, Change: uuid.NewString()}
-		if err := a.writePieces(ctx, next, t.Snapshot()); err != nil {
+		if err := a.begin(a.holder.Table()); err != nil {
 			return err
 		}
-		a.pending = next
+	}
+	if err := a.writePieces(ctx); err != nil {
+		return err
 	}
 	next := a.pending
 	next.Previous, next.Before, next.Oldest = p.GetSnapshot(), p.GetChange(), p.GetSnapshot()+1
@@ -70,16 +71,24 @@
 	return a.remove(ctx, next)
 }
 
-func (a *archiver) writePieces(ctx context.Context, p *wire.Pointer, s *wire.Snapshot) error {
-	pieces, err := encodeSnapshot(s)
+// begin encodes a snapshot of a table.
+func (a *archiver) begin(t *revision.Table) error {
+	pieces, err := encodeSnapshot(t.Snapshot())
 	if err != nil {
 		return err
 	}
-	p.Pieces = uint32(len(pieces))
-	for i, body := range pieces {
-		if err := a.writePiece(ctx, pieceName(p.GetSnapshot(), p.GetChange(), i), body); err != nil {
+	a.pending = &wire.Pointer{Snapshot: t.Number, Change: uuid.NewString(), Pieces: uint32(len(pieces))}
+	a.pieces = pieces
+	return nil
+}
+
+func (a *archiver) writePieces(ctx context.Context) error {
+	for len(a.pieces) > 0 {
+		index := int(a.pending.GetPieces()) - len(a.pieces)
+		if err := a.writePiece(ctx, pieceName(a.pending.GetSnapshot(), a.pending.GetChange(), index), a.pieces[0]); err != nil {
 			return err
 		}
+		a.pieces = a.pieces[1:]
 	}
 	return nil
 }
--- a/mesh/platform/records.go
+++ b/mesh/platform/records.go
@@ -87,16 +87,19 @@
 }
 
 // watch waits for changes, or looks once when wait is zero. A version that is
-// too old for the platform asks for a new list.
+// too old for the platform makes the next call list again; it counts as a
+// failure, because a list that is stale may lead to the same answer again.
 func (s *recordSet) watch(ctx context.Context, store Store, wait time.Duration) error {
 	version, listed := s.from()
 	if !listed {
-		return s.list(ctx, store)
+		if err := s.list(ctx, store); err != nil {
+			return err
+		}
+		version, _ = s.from()
 	}
 	objs, next, err := store.Watch(ctx, KindRecord, version, wait)
 	if errors.Is(err, ErrGone) {
 		s.relist()
-		return s.list(ctx, store)
 	}
 	if err != nil {
 		return err
