--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -17,6 +17,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -155,7 +156,7 @@
 	})
 	n.Spread = peer.NewSpread(peer.SpreadConfig{
 		Tree: n.tree(), Pool: n.pool, Holder: n.Holder, View: n.Members.View,
-		Checked: func() int64 { return n.Reader.Checked() }, Alone: n.alone(), Snapshots: int(s.GetPeers().GetJoiners()),
+		Checked: func() int64 { return n.Reader.Checked() }, Alone: n.alone(), Snapshots: int(s.GetPeers().GetJoiners()), Head: n.head,
 		Beat: ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("spread"),
 	})
 }
@@ -166,6 +167,17 @@
 func (c carrier) Number() uint64                   { return c.node.Spread.Number() }
 func (c carrier) Heard(name string, number uint64) { c.node.Spread.Heard(name, number) }
 
+// head returns the newest revision on the platform after the one given.
+func (n *Node) head(ctx context.Context, after uint64) (uint64, error) {
+	objs, _, err := platform.ListAll(ctx, n.poll, platform.KindRevision, platform.RevisionName(after))
+	for _, o := range objs {
+		if number, err := strconv.ParseUint(o.Name, 10, 64); err == nil {
+			after = max(after, number)
+		}
+	}
+	return after, err
+}
+
 // alone tells whether the settings name no other node to join.
 func (n *Node) alone() bool {
 	for _, seed := range n.settings.GetPeers().GetSeeds() {
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -30,8 +30,8 @@
 // know the lowest revision that it may serve.
 var ErrUnsettled = errors.New("the lowest revision that may be served is not known yet")
 
-// SpreadConfig configures a Spread. Every field but Snapshots, Alone and Sinks
-// is required.
+// SpreadConfig configures a Spread. Every field but Snapshots, Alone, Head and
+// Sinks is required.
 type SpreadConfig struct {
 	Tree      spread.Tree
 	Pool      *Pool
@@ -42,7 +42,10 @@
 	Exchange  time.Duration
 	Snapshots int  // snapshots started within one beat, 8 when zero
 	Alone     bool // no other node is to be joined
-	Sinks     telemetry.Sinks
+	// Head returns the newest revision on the platform if it is newer than the
+	// one given, or else that one. A starting node calls it once.
+	Head  func(ctx context.Context, after uint64) (uint64, error)
+	Sinks telemetry.Sinks
 }
 
 // Spread hands revisions from parent to child and repairs what push misses.
@@ -61,7 +64,7 @@
 	config.Sinks = config.Sinks.OrDiscard()
 	return &Spread{config: config, wake: make(chan struct{}, 1), state: spread.New(spread.Config{
 		Tree: config.Tree, Holder: config.Holder, Beat: config.Beat, Exchange: config.Exchange,
-		Snapshots: config.Snapshots, Alone: config.Alone,
+		Snapshots: config.Snapshots, Alone: config.Alone, Head: config.Head != nil,
 	}, config.View(), time.Now())}
 }
 
@@ -138,6 +141,11 @@
 		s.push(ctx, a)
 	case spread.ActionFetch:
 		s.fetch(ctx, a)
+	case spread.ActionHead:
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		number, err := s.config.Head(ctx, a.From.Number)
+		s.with(func(st *spread.State, now time.Time) { st.Headed(number, err == nil, now) })
 	}
 }
 
@@ -167,7 +175,7 @@
 	if err == nil {
 		msg = resp.Msg
 	}
-	s.with(func(st *spread.State, now time.Time) { st.Pushed(a, lastMark(u), msg, now) })
+	s.with(func(st *spread.State, now time.Time) { st.Pushed(a, spread.LastMark(u), msg, now) })
 }
 
 func (s *Spread) admit() bool {
@@ -176,15 +184,6 @@
 	return s.state.Admit(time.Now())
 }
 
-// lastMark returns the place that an update leads to.
-func lastMark(u *wire.Update) spread.Mark {
-	if n := len(u.GetRevisions()); n > 0 {
-		last := u.GetRevisions()[n-1]
-		return spread.Mark{Number: last.GetNumber(), Digest: last.GetDigest()}
-	}
-	return spread.Mark{Number: u.GetSnapshot().GetNumber(), Digest: u.GetSnapshot().GetDigest()}
-}
-
 func (s *Spread) fetch(ctx context.Context, a spread.Action) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -223,7 +222,7 @@
 // node must ask its peers first, or the reason why the update was refused.
 func (s *Spread) Accept(u *wire.Update) error {
 	s.mu.Lock()
-	ready := s.state.Platform(lastMark(u).Number, time.Now())
+	ready := s.state.Platform(spread.LastMark(u).Number, time.Now())
 	s.mu.Unlock()
 	if !ready {
 		return ErrUnsettled
@@ -281,22 +280,9 @@
 
 // Push implements the Peer service.
 func (s *Spread) Push(_ context.Context, req *connect.Request[wire.PushRequest]) (*connect.Response[wire.PushResponse], error) {
-	resp := &wire.PushResponse{}
 	err := s.offer(req.Msg.GetUpdate())
-	if err != nil {
-		resp.Findings = []*wire.Finding{{Place: "revision", Reason: err.Error()}}
-	}
-	t := s.config.Holder.Table()
-	resp.Revision = t.Number
-	if t.Number != lastMark(req.Msg.GetUpdate()).Number {
-		resp.Digest = t.Digest
-	}
-	s.with(func(st *spread.State, _ time.Time) {
-		if err == nil {
-			st.Confirm(req.Msg.GetTime())
-		}
-		st.Told(req.Msg.GetName(), t.Number)
-	})
+	var resp *wire.PushResponse
+	s.with(func(st *spread.State, _ time.Time) { resp = st.Took(req.Msg, err) })
 	return connect.NewResponse(resp), nil
 }
 
--- a/mesh/spread/children.go
+++ b/mesh/spread/children.go
@@ -31,7 +31,7 @@
 	report      *wire.Report  // of its subtree without itself
 	pushing     bool
 	retry       time.Time // no push before
-	failures    int
+	failures    int       // pushes that the child refused in a row
 	behind      time.Time // when it fell behind; zero when it is not
 }
 
@@ -166,7 +166,11 @@
 	if at.Number == sent.Number {
 		at.Digest = sent.Digest
 	}
-	if resp == nil || at.Number <= a.From.Number {
+	switch {
+	case resp == nil:
+		c.retry = now.Add(s.config.Beat)
+		return
+	case at.Number <= a.From.Number:
 		c.retry = now.Add(s.backoff(c.failures))
 		c.failures++
 		return
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -62,20 +62,24 @@
 	rounds   int             // rounds in which no peer knew
 	next     time.Time       // when the next round may start
 	platform bool            // the platform has been read
+	heading  bool            // a read of the platform's head is under way
+	checked  bool            // that read is over
 }
 
 // Settled tells whether the floor is known. Until then the node takes no
 // table.
 func (s *State) Settled() bool { return s.floor.known }
 
-// learnFloor asks peers first and relies on the platform when no peer knows.
+// learnFloor asks peers, then the platform for what is newer than they know.
+// When no peer knows, it waits for a reader to read the platform; when the
+// platform does not answer, it relies on the peers.
 func (s *State) learnFloor(now time.Time, checked int64) bool {
 	f := &s.floor
 	f.platform = f.platform || checked > 0
 	if f.known || s.concluded(now) {
 		return true
 	}
-	if len(f.asked) > 0 || now.Before(f.next) {
+	if f.heading || len(f.asked) > 0 || now.Before(f.next) {
 		return false
 	}
 	f.asked, f.ready = map[string]bool{}, 0
@@ -141,6 +145,21 @@
 	}
 }
 
+// Headed takes the newest revision on the platform, or false when it did not
+// answer.
+func (s *State) Headed(number uint64, ok bool, now time.Time) {
+	if s.floor.known || !s.floor.heading {
+		return
+	}
+	s.floor.heading, s.floor.checked = false, true
+	if ok {
+		s.config.Holder.Raise(number)
+	}
+	if s.concluded(now) {
+		s.renew(now)
+	}
+}
+
 // concluded ends a round once all peers have answered or failed.
 func (s *State) concluded(now time.Time) bool {
 	f := &s.floor
@@ -149,7 +168,12 @@
 			return false
 		}
 	}
-	if f.asked == nil {
+	if f.asked == nil || f.heading {
+		return false
+	}
+	if f.ready > 0 && !f.platform && !f.checked && s.config.Head {
+		f.heading = true
+		s.emit(Action{Kind: ActionHead, From: Mark{Number: s.config.Holder.Floor()}})
 		return false
 	}
 	if f.ready > 0 || f.platform {
--- a/mesh/spread/parent.go
+++ b/mesh/spread/parent.go
@@ -21,10 +21,23 @@
 
 // avoidance keeps a node from trying a parent.
 type avoidance struct {
+	since    time.Time
 	until    time.Time
 	failures int
 }
 
+// orphanWait is how many beats a node without a parent avoids one at most.
+const orphanWait = 4
+
+// avoided tells whether a parent is not to be tried now.
+func (s *State) avoided(name string, now time.Time) bool {
+	a, ok := s.avoid[name]
+	if !ok || s.parent.name == "" && now.Sub(a.since) >= orphanWait*s.config.Beat {
+		return false
+	}
+	return now.Before(a.until)
+}
+
 // renew sends the heartbeat to the parent and looks for a better one.
 func (s *State) renew(now time.Time) {
 	if s.parent.name != "" && !s.shape.Fits(s.parent.name) {
@@ -45,10 +58,7 @@
 	if s.trying != "" || s.tries == maxTries {
 		return
 	}
-	best := s.shape.Best(func(name string) bool {
-		a, ok := s.avoid[name]
-		return ok && now.Before(a.until)
-	})
+	best := s.shape.Best(func(name string) bool { return s.avoided(name, now) })
 	if best == nil || best.GetName() == s.parent.name {
 		return
 	}
@@ -132,6 +142,7 @@
 	a := s.avoid[name]
 	a.until = now.Add(max(s.backoff(a.failures+1), time.Duration(resp.GetLater())*time.Millisecond))
 	a.failures++
+	a.since = now
 	s.avoid[name] = a
 	if name == s.parent.name {
 		s.parent = link{}
@@ -140,11 +151,3 @@
 		s.seek(now)
 	}
 }
-
-// Told takes note that the parent has been told the revision in force by the
-// answer to its push.
-func (s *State) Told(parent string, number uint64) {
-	if parent == s.parent.name {
-		s.parent.told = max(s.parent.told, number)
-	}
-}
--- a/mesh/spread/repair.go
+++ b/mesh/spread/repair.go
@@ -26,6 +26,9 @@
 	busy     map[string]time.Time // peers that asked to come back later
 }
 
+// maxSilence bounds the doublings of the backoff when peers do not answer.
+const maxSilence = 3
+
 // Heard takes the revision that a peer names in any message.
 func (s *State) Heard(name string, number uint64, now time.Time) {
 	s.memory.remember(name, number, now)
@@ -135,7 +138,7 @@
 	r := &s.repair
 	r.fetching = false
 	if resp == nil {
-		r.next = now.Add(s.backoff(r.failures))
+		r.next = now.Add(s.backoff(min(r.failures, maxSilence)))
 		r.failures++
 		return
 	}
@@ -171,6 +174,33 @@
 	}
 }
 
+// Took answers a push after the outcome of applying it has been Offered.
+func (s *State) Took(req *wire.PushRequest, err error) *wire.PushResponse {
+	t := s.config.Holder.Table()
+	resp := &wire.PushResponse{Revision: t.Number}
+	if t.Number != LastMark(req.GetUpdate()).Number {
+		resp.Digest = t.Digest
+	}
+	if err != nil {
+		resp.Findings = []*wire.Finding{{Place: "revision", Reason: err.Error()}}
+		return resp
+	}
+	s.Confirm(req.GetTime())
+	if req.GetName() == s.parent.name {
+		s.parent.told = max(s.parent.told, t.Number)
+	}
+	return resp
+}
+
+// LastMark returns the place that an update leads to.
+func LastMark(u *wire.Update) Mark {
+	if n := len(u.GetRevisions()); n > 0 {
+		last := u.GetRevisions()[n-1]
+		return Mark{Number: last.GetNumber(), Digest: last.GetDigest()}
+	}
+	return Mark{Number: u.GetSnapshot().GetNumber(), Digest: u.GetSnapshot().GetDigest()}
+}
+
 // Offered takes the outcome of applying an update to the holder.
 func (s *State) Offered(err error, now time.Time) {
 	r := &s.repair
--- a/mesh/spread/state.go
+++ b/mesh/spread/state.go
@@ -12,8 +12,8 @@
 	"caroblift.dev/wire"
 )
 
-// Config configures a State. Every field but Snapshots, Alone and Rand is
-// required.
+// Config configures a State. Every field but Snapshots, Alone, Head and Rand
+// is required.
 type Config struct {
 	Tree      Tree
 	Holder    *revision.Holder
@@ -21,6 +21,7 @@
 	Exchange  time.Duration // of the digest exchange with a random peer
 	Snapshots int           // snapshots started within one beat, 8 when zero
 	Alone     bool          // no other node is to be joined
+	Head      bool          // the owner can read the platform's head
 	Rand      *rand.Rand    // seeded from the clock when nil
 }
 
@@ -32,6 +33,7 @@
 	ActionAttach ActionKind = iota + 1 // send Attach, hand the answer to Attached
 	ActionPush                         // send what follows From, hand the answer to Pushed
 	ActionFetch                        // send Fetch, hand the answer to Fetched
+	ActionHead                         // read the revisions after From on the platform, hand the newest to Headed
 )
 
 // Mark is a place in the history of the configuration.
