--- /dev/null
+++ b/mesh/peer/spread_test.go
@@ -0,0 +1,154 @@
+package peer_test
+
+// This file tests the input and output of the spread over connections, and the
+// decoding of compressed messages.
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/klauspost/compress/zstd"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/peer"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/spread"
+	"caroblift.dev/wire"
+)
+
+// site is a node that only spreads.
+type site struct {
+	spread *peer.Spread
+	holder *revision.Holder
+	pool   *peer.Pool
+	server *http.Server
+	addr   string
+	stop   func()
+}
+
+func startSite(t *testing.T, view *member.View, l net.Listener) *site {
+	s := &site{holder: &revision.Holder{}, pool: peer.NewPool(peer.PoolConfig{Silent: 400 * time.Millisecond}), addr: l.Addr().String()}
+	s.spread = peer.NewSpread(peer.SpreadConfig{
+		Tree: spread.Tree{Fanout: 4, Readers: 1}, Pool: s.pool, Holder: s.holder,
+		View: func() *member.View { return view }, Checked: func() int64 { return 1 },
+		Beat: 20 * time.Millisecond, Exchange: 100 * time.Millisecond,
+		Head: func(context.Context, uint64) (uint64, error) { return 0, nil },
+	})
+	path, rpc := peer.NewHandler(&peer.Handler{Spread: s.spread, Members: &peer.Members{}}, s.pool.Kinds)
+	mux := http.NewServeMux()
+	mux.Handle(path, rpc)
+	s.server = &http.Server{Handler: mux, Protocols: peer.Protocols(), ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	ran, served := make(chan error, 1), make(chan error, 1)
+	go func() { ran <- s.spread.Run(ctx) }()
+	go func() { served <- s.server.Serve(l) }()
+	s.stop = func() {
+		cancel()
+		require.NoError(t, <-ran)
+		require.NoError(t, s.server.Close())
+		require.ErrorIs(t, <-served, http.ErrServerClosed)
+		s.pool.Close()
+	}
+	return s
+}
+
+// TestSpreadOverConnections lets the platform's revision reach the lowest node
+// by way of the others, reads the fleet's report from it, and checks that
+// nothing runs on after Run.
+func TestSpreadOverConnections(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	tree := spread.Tree{Fanout: 4}
+	members := map[string]*wire.Member{}
+	var names []string
+	listeners := map[string]net.Listener{}
+	for i := range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		name := fmt.Sprintf("n%d", i)
+		names, listeners[name] = append(names, name), l
+		members[name] = &wire.Member{Name: name, Domain: "d", Peer: l.Addr().String(), State: wire.State_STATE_ALIVE, Incarnation: 1}
+	}
+	sites := map[string]*site{}
+	top, low := "n0", "n0"
+	for _, name := range names {
+		sites[name] = startSite(t, &member.View{Self: members[name], Members: members, Names: names}, listeners[name])
+		if tree.RankOf(name).Above(tree.RankOf(top)) {
+			top = name
+		}
+		if tree.RankOf(low).Above(tree.RankOf(name)) {
+			low = name
+		}
+	}
+	body := []byte(`{"owner":"` + strings.Repeat("x", 2000) + `"}`)
+	rev, err := revision.Next(sites[top].holder.Table(), revision.Result{Changed: []*wire.Record{{
+		Kind: wire.Kind_KIND_SERVICE, Name: "s", Schema: 1, Version: 1, Body: body,
+	}}}, "c", "t", 1)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return sites[top].spread.Accept(&wire.Update{Revisions: []*wire.Revision{rev}}) == nil
+	}, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return sites[low].holder.Ready() }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		r := sites[low].spread.Report(context.Background())
+		c := r.GetCounts()
+		return r.GetTop() == top && len(c) == 1 && c[0].GetNodes() == 4 && c[0].GetRevision() == 1 && len(r.GetUnknown()) == 0
+	}, 20*time.Second, 5*time.Millisecond)
+	kinds := map[string]int64{}
+	sites[low].pool.Kinds.Each(func(kind string, n int64) { kinds[kind] = n })
+	require.Positive(t, kinds["attach"])
+	require.Less(t, kinds["push"]+kinds["fetch"], int64(len(body)), "the update is compressed")
+	for _, s := range sites {
+		s.stop()
+	}
+	goleak.VerifyNone(t, ignore)
+}
+
+// FuzzDecompress sends bytes that claim to be a compressed message: the answer
+// is an error or comes from the message that they hold.
+func FuzzDecompress(f *testing.F) {
+	enc, err := zstd.NewWriter(nil)
+	require.NoError(f, err)
+	f.Add(enc.EncodeAll([]byte("\x0a\x01a"), nil))
+	f.Add([]byte("\x28\xb5\x2f\xfd"))
+	f.Add([]byte{})
+	path, handler := "/caroblift.Peer/Fleet", connect.NewUnaryHandler("/caroblift.Peer/Fleet",
+		func(_ context.Context, r *connect.Request[wire.FleetRequest]) (*connect.Response[wire.FleetResponse], error) {
+			return connect.NewResponse(&wire.FleetResponse{Report: &wire.Report{Top: r.Msg.GetName()}}), nil
+		}, peer.HandlerOptions())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		req, err := http.NewRequest(http.MethodPost, path, bytes.NewReader(data))
+		require.NoError(t, err)
+		req.Header.Set("Content-Type", "application/proto")
+		req.Header.Set("Content-Encoding", "zstd")
+		w := &answer{header: http.Header{}}
+		handler.ServeHTTP(w, req)
+		require.NotZero(t, w.status)
+		require.Less(t, w.status, http.StatusInternalServerError)
+	})
+}
+
+// answer keeps the status of an answer.
+type answer struct {
+	header http.Header
+	status int
+}
+
+func (a *answer) Header() http.Header { return a.header }
+
+func (a *answer) Write(p []byte) (int, error) {
+	if a.status == 0 {
+		a.status = http.StatusOK
+	}
+	return len(p), nil
+}
+
+func (a *answer) WriteHeader(status int) { a.status = status }
