Measure flat gossip, the cost of a heartbeat and of a beat

Cause: the tree was not weighed against gossip, and no slopes were known. Forgetting runs every 30 s, not each beat.

--- a/carobbench/converge.go
+++ b/carobbench/converge.go
@@ -33,6 +33,7 @@
 	Services int           `long:"services" default:"190" description:"services, each with a route and a policy"`
 	Domains  int           `long:"domains" default:"4" description:"failure domains"`
 	Every    time.Duration `long:"every" default:"250ms" description:"interval of changes"`
+	Gossip   bool          `long:"gossip" description:"measure flat gossip too"`
 	Idle     time.Duration `long:"idle" default:"10s" description:"time without changes that is measured"`
 }
 
@@ -46,6 +47,7 @@
 	Bytes   int64    `json:"bytes"` // for each node and change
 	Idle    int64    `json:"idle"`  // bytes/s for each node
 	Calls   float64  `json:"calls"` // to the platform, for each second of changes
+	Gossip  *figures `json:"gossip,omitempty"`
 	Base    *figures `json:"base,omitempty"`
 }
 
@@ -59,6 +61,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Gossip {
+		if result.Gossip, err = c.gossip(); err != nil {
+			return err
+		}
+	}
 	if result.Base, err = c.base(); err != nil {
 		return err
 	}
@@ -242,7 +249,7 @@
 }
 
 // changed returns the service whose route a change amends.
-func (r *convergence) changed(i int) string { return fmt.Sprintf("service-%d", i%r.Services) }
+func (c *convergeCommand) changed(i int) string { return fmt.Sprintf("service-%d", i%c.Services) }
 
 func (r *convergence) change(i int) error {
 	ctx, name := context.Background(), r.changed(i)
@@ -280,8 +287,12 @@
 	}
 }
 
+func routeKey(service string) record.Key {
+	return record.Key{Kind: wire.Kind_KIND_ROUTE, Name: service}
+}
+
 func (r *convergence) inForce(service, body string) bool {
-	key := record.Key{Kind: wire.Kind_KIND_ROUTE, Name: service}
+	key := routeKey(service)
 	for _, m := range r.fleet.Live() {
 		if string(m.Node.Holder.Table().Records[key].GetBody()) != body {
 			return false
--- a/mesh/peer/spread_test.go
+++ b/mesh/peer/spread_test.go
@@ -35,7 +35,7 @@
 	stop   func()
 }
 
-func startSite(t *testing.T, view *member.View, l net.Listener) *site {
+func startSite(t testing.TB, view *member.View, l net.Listener) *site {
 	s := &site{holder: &revision.Holder{}, pool: peer.NewPool(peer.PoolConfig{Silent: 400 * time.Millisecond}), addr: l.Addr().String()}
 	s.spread = peer.NewSpread(peer.SpreadConfig{
 		Tree: spread.Tree{Fanout: 4, Readers: 1}, Pool: s.pool, Holder: s.holder,
--- /dev/null
+++ b/mesh/spread/bench_test.go
@@ -0,0 +1,93 @@
+package spread_test
+
+// This file measures what decisions cost at the size of the target.
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/spread"
+	"caroblift.dev/wire"
+)
+
+func largeView(members int) *member.View {
+	v := &member.View{Members: map[string]*wire.Member{}}
+	for i := range members {
+		m := &wire.Member{Name: fmt.Sprintf("service-%d-%d", i%190, i/190), Domain: fmt.Sprintf("d%d", i%7), State: wire.State_STATE_ALIVE}
+		v.Members[m.GetName()] = m
+		v.Names = append(v.Names, m.GetName())
+	}
+	v.Self = v.Members[v.Names[0]]
+	return v
+}
+
+// BenchmarkShape works out the place of a node among the members.
+func BenchmarkShape(b *testing.B) {
+	for _, members := range []int{700, 7000} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			v, tree := largeView(members), spread.Tree{Fanout: 16, Readers: 2}
+			b.ReportAllocs()
+			for b.Loop() {
+				tree.Shape(v)
+			}
+		})
+	}
+}
+
+// BenchmarkBeat runs one beat of a node among 7,000 members with children that
+// all attach, and reports the memory of a child.
+func BenchmarkBeat(b *testing.B) {
+	for _, children := range []int{0, 16, 32} {
+		b.Run(fmt.Sprint(children), func(b *testing.B) {
+			v, tree := largeView(7000), spread.Tree{Fanout: 16, Readers: 2}
+			for _, name := range v.Names { // the top has the most children
+				if tree.RankOf(name).Above(tree.RankOf(v.Self.GetName())) {
+					v.Self = v.Members[name]
+				}
+			}
+			now := time.Unix(1e9, 0)
+			s := spread.New(spread.Config{Tree: tree, Holder: &revision.Holder{}, Beat: time.Second, Exchange: 5 * time.Second}, v, now)
+			before := heapInUse()
+			for range 100 { // the peers do not answer, so the platform settles the floor
+				now = now.Add(time.Second)
+				s.Tick(now, v, 1)
+				for _, a := range s.Actions() {
+					s.Fetched(a, nil, now)
+				}
+			}
+			require.True(b, s.Settled())
+			var reqs []*wire.AttachRequest
+			for _, name := range v.Names {
+				if len(reqs) < children && name != v.Self.GetName() {
+					req := &wire.AttachRequest{Name: name, Peer: "127.0.0.1:1", Domain: "d"}
+					require.False(b, s.Attach(req, now).GetRefused())
+					reqs = append(reqs, &wire.AttachRequest{Name: name})
+				}
+			}
+			perChild := float64(heapInUse()-before) / float64(max(children, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				for _, req := range reqs {
+					s.Attach(req, now)
+				}
+				s.Tick(now, v, 1)
+				s.Actions()
+			}
+			b.ReportMetric(perChild, "heap-B/child")
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -15,6 +15,7 @@
 const (
 	memoryTime = 10 * time.Minute // after the member has gone
 	memorySize = 16384            // instances
+	memoryScan = 30 * time.Second // between two scans for what to forget
 )
 
 // memory holds the newest revision that each instance reported.
--- a/mesh/spread/state.go
+++ b/mesh/spread/state.go
@@ -73,6 +73,7 @@
 	avoid    map[string]avoidance
 	children map[string]*child
 	memory   memory
+	scanned  time.Time // when the memory was last scanned
 	floor    floor
 	repair   repair
 	served   []time.Time // when snapshots were started
@@ -140,7 +141,10 @@
 		s.shape = s.config.Tree.Shape(v)
 	}
 	s.Confirm(checked)
-	s.memory.forget(v, now)
+	if now.Sub(s.scanned) >= memoryScan {
+		s.memory.forget(v, now)
+		s.scanned = now
+	}
 	s.expire(now)
 	if !s.learnFloor(now, checked) {
 		return
