--- a/mesh/operator/pages_test.go
+++ b/mesh/operator/pages_test.go
@@ -37,14 +37,9 @@
 		Name: "quotes-1", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
 		Servers: []*wire.Server{{Service: "quotes", Slots: 6}},
 	}
-	now := time.Now()
-	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second}, self, now)
-	agent.Probed(now, &wire.ProbeRequest{Events: []*wire.Member{
-		{Name: "drawings-1", Peer: "127.0.0.1:1", Domain: "nantun", State: wire.State_STATE_ALIVE, Incarnation: 1},
-	}})
-	agent.Tick(now.Add(time.Second / 2))
+	view := viewOf(self, &wire.Member{Name: "drawings-1", Peer: "127.0.0.1:1", Domain: "nantun", State: wire.State_STATE_ALIVE, Incarnation: 1})
 	return New(Config{
-		Holder: holder, View: agent.View, Checked: func() int64 { return time.Now().UnixMilli() }, Working: func() bool { return true },
+		Holder: holder, View: func() *member.View { return view }, Checked: func() int64 { return time.Now().UnixMilli() }, Working: func() bool { return true },
 		Report: func(context.Context) *wire.Report {
 			return &wire.Report{Counts: []*wire.Count{{Domain: "xitun", Revision: 1, Nodes: 2}}}
 		},
@@ -52,6 +47,15 @@
 	})
 }
 
+// viewOf returns the view of a node that heard of other members.
+func viewOf(self *wire.Member, others ...*wire.Member) *member.View {
+	now := time.Now()
+	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second}, self, now)
+	agent.Probed(now, &wire.ProbeRequest{Events: others})
+	agent.Tick(now.Add(time.Second / 2))
+	return agent.View()
+}
+
 func get(h http.Handler, path string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
@@ -153,18 +157,15 @@
 // BenchmarkPages asks for each page at the target's size: 7,000 members of 190
 // services.
 func BenchmarkPages(b *testing.B) {
-	now := time.Now()
-	agent := member.New(member.Config{Beat: time.Second, Suspect: time.Second}, &wire.Member{Name: "i-0", Domain: "d-0", State: wire.State_STATE_ALIVE}, now)
-	var events []*wire.Member
+	var members []*wire.Member
 	for i := range 7000 {
-		events = append(events, &wire.Member{
+		members = append(members, &wire.Member{
 			Name: fmt.Sprintf("i-%d", i+1), Peer: "127.0.0.1:1", Domain: fmt.Sprintf("d-%d", i%7), State: wire.State_STATE_ALIVE, Incarnation: 1,
 			Servers: []*wire.Server{{Service: fmt.Sprintf("s-%d", i%190), Slots: 10}},
 		})
 	}
-	agent.Probed(now, &wire.ProbeRequest{Events: events})
-	agent.Tick(now.Add(time.Second / 2))
-	view := agent.View()
+	view := viewOf(&wire.Member{Name: "i-0", Domain: "d-0", State: wire.State_STATE_ALIVE}, members...)
+	require.Len(b, view.Members, 7001)
 	var changed []*wire.Record
 	for i := range 190 {
 		name := fmt.Sprintf("s-%d", i)
