Count failures in the latency policy, and name the policies to compare

Cause: an instance that answers every call with 500 had no latency and went first. Change: the share of failures, which fades, adds to the latency that is compared.

--- a/carobbench/call.go
+++ b/carobbench/call.go
@@ -10,6 +10,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,7 +28,7 @@
 	Time     time.Duration `long:"time" default:"15s" description:"duration of the comparison with direct calls"`
 	Phase    time.Duration `long:"phase" default:"5s" description:"duration of each load of a policy"`
 	Rate     int           `long:"rate" default:"50" description:"calls a second for each node"`
-	Policies string        `long:"policies" default:"all" choice:"all" choice:"none" description:"policies to compare"`
+	Policies string        `long:"policies" default:"all" description:"policies to compare: all, none or names with commas between"`
 }
 
 // callSummary is the last line of the report.
@@ -62,11 +63,12 @@
 	if err := c.compare(&s); err != nil {
 		return err
 	}
-	if c.Policies == "all" {
-		for _, name := range slices.Sorted(maps.Keys(call.Policies())) {
-			if err := c.policy(name, &s); err != nil {
-				return err
-			}
+	for _, name := range slices.Sorted(maps.Keys(call.Policies())) {
+		if c.Policies != "all" && !slices.Contains(strings.Split(c.Policies, ","), name) {
+			continue
+		}
+		if err := c.policy(name, &s); err != nil {
+			return err
 		}
 	}
 	line, err := json.Marshal(s)
@@ -202,8 +204,8 @@
 const (
 	policyServers = 7
 	policySlots   = 6
-	policyWork    = 20 * time.Millisecond
-	slowWork      = 80 * time.Millisecond // added
+	policyWork    = 60 * time.Millisecond
+	slowWork      = 240 * time.Millisecond // added
 	good          = policyServers - 3
 )
 
@@ -245,5 +247,6 @@
 	l.run(time.Second)
 	l.reset()
 	l.run(c.Phase)
+	fmt.Printf("%d calls a second, not good: %v\n", rate, l.failed)
 	return l.quantiles(), float64(len(l.took)) / c.Phase.Seconds()
 }
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -13,7 +13,7 @@
 
 const (
 	reportHorizon   = time.Second      // after which a carried load counts for nothing
-	latencyHalf     = 10 * time.Second // in which an unused latency counts for half
+	fadeHalf        = 10 * time.Second // in which an average that is not renewed counts for half
 	latencyShare    = 0.1              // of a new latency in the average
 	loadShare       = 0.1              // of a new load in mean and deviation
 	failureShare    = 0.2              // of a new result in the failure rate
@@ -81,6 +81,12 @@
 	a.set(v)
 }
 
+// faded returns the average, halved for each fadeHalf since its last update.
+func (a *average) faded(now time.Time) float64 {
+	age := now.UnixNano() - a.at.Load()
+	return a.value() * math.Exp2(-float64(age)/float64(fadeHalf))
+}
+
 // NewInstance returns an instance with the slots that it announced.
 func NewInstance(name string, slots int) *Instance {
 	i := &Instance{Name: name}
@@ -146,12 +152,13 @@
 	i.latency.add(d.Seconds(), latencyShare, now)
 }
 
-// Latency returns the average latency in seconds, which fades while the
-// instance is not used, so that a slow one is tried again.
-func (i *Instance) Latency(now time.Time) float64 {
-	age := now.UnixNano() - i.latency.at.Load()
-	return i.latency.value() * math.Exp2(-float64(age)/float64(latencyHalf))
-}
+// Latency returns the average latency in seconds. It fades while the instance
+// is not used, so that a slow one is tried again.
+func (i *Instance) Latency(now time.Time) float64 { return i.latency.faded(now) }
+
+// Failing returns the share of failures among the last results, which fades in
+// the same way.
+func (i *Instance) Failing(now time.Time) float64 { return i.failures.faded(now) }
 
 // Ejected tells whether calls avoid the instance for now.
 func (i *Instance) Ejected(now time.Time) bool { return i.until.Load() > now.UnixNano() }
--- a/mesh/call/policy.go
+++ b/mesh/call/policy.go
@@ -78,13 +78,17 @@
 	return (i.InProgress(now) + 1) / float64(i.slots.Load())
 }
 
-// Latency weighs the carried count by the average latency. An instance whose
-// latency is not known goes first.
+// Latency weighs the carried count by the average latency, to which each share
+// of failures adds, since failing is quick. An instance that is not known goes
+// first.
 type Latency struct{}
 
+// failureLatency is what failing each time adds to a latency, in seconds.
+const failureLatency = 1.0
+
 // Of implements Load.
 func (Latency) Of(i *Instance, now time.Time) float64 {
-	return Carried{}.Of(i, now) * i.Latency(now)
+	return Carried{}.Of(i, now) * (i.Latency(now) + failureLatency*i.Failing(now))
 }
 
 // Risk weighs the carried count by the chance that the load exceeds the slots,
