--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -220,7 +220,8 @@
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
-	n.hops = peer.NewTransport(silent/2, new(peer.Counter)) // a ping after the first half, its answer within the second
+	n.hops = peer.NewTransport(silent, new(peer.Counter))
+	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
 	n.Gate = backend.NewGate(backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		Silent: silent, Sinks: n.sinks.Sub("backend"),
