Bound the memory of a stream, and slots by connections

Cause: HTTP/2 between nodes let each stream hold up to 4 MB for a slow reader; slots beyond the connections to a server waited in net/http, outside the queue. Change: 256 KB for a stream; slots are at most the 100 connections of the gate.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -196,6 +196,7 @@
 	if p.Slots > 0 {
 		l.Slots = p.Slots
 	}
+	l.Slots = min(l.Slots, maxServerConns) // each call in progress takes a connection
 	return l
 }
 
--- a/mesh/caller/matrix_test.go
+++ b/mesh/caller/matrix_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,6 +211,45 @@
 	require.Equal(t, fmt.Sprintf("%d end", 50*len(piece)), resp.Trailer.Get("Sum"))
 }
 
+// TestSlowReader keeps a backend server from running ahead of a caller that
+// does not read, so a large answer never gathers on the way.
+func TestSlowReader(t *testing.T) {
+	const size = 64 << 20
+	s := newStack(t, 1)
+	s.peers.HTTP2.MaxReceiveBufferPerStream = 256 << 10
+	var written atomic.Int64
+	big := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		piece := make([]byte, 64<<10)
+		for written.Load() < size {
+			n, err := w.Write(piece)
+			if err != nil {
+				return
+			}
+			written.Add(int64(n))
+		}
+	})}
+	l := listen(t)
+	go func() { _ = big.Serve(l) }()
+	defer big.Close()
+	s.sides[0].target.Address = l.Addr().String()
+	s.sides[0].gate.Serve(&s.sides[0].target)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.entry.URL+"/book", nil)
+	require.NoError(t, err)
+	resp, err := s.client.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	stalled := func() bool {
+		before := written.Load()
+		time.Sleep(100 * time.Millisecond)
+		return written.Load() == before && before > 0
+	}
+	wait(t, stalled)
+	require.Less(t, written.Load(), int64(size/2), "the server ran ahead of a caller that did not read")
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, int64(size), n)
+}
+
 // TestHead and a refused upgrade leave the connection usable.
 func TestHeadAndUpgrade(t *testing.T) {
 	s := newStack(t, 1)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -221,6 +221,7 @@
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
 	n.hops = peer.NewTransport(silent, new(peer.Counter))
+	n.hops.HTTP2.MaxReceiveBufferPerStream = streamBuffer
 	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
 	n.Gate = backend.NewGate(backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
@@ -257,9 +258,12 @@
 	n.sinks.Log.Info("started", "addresses", n.Addresses())
 }
 
+// streamBuffer bounds what one HTTP/2 stream holds for a slow reader, in bytes.
+const streamBuffer = 256 << 10
+
 func (n *Node) serve(l net.Listener, h http.Handler) {
 	server := &http.Server{
-		Handler: h, Protocols: peer.Protocols(), ReadHeaderTimeout: 10 * time.Second,
+		Handler: h, Protocols: peer.Protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer}, ReadHeaderTimeout: 10 * time.Second,
 		ErrorLog: slog.NewLogLogger(n.sinks.Log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, server)
