Avoid an instance whose old connection broke

A connection that had been in use and broke counted for nothing, so the next booking tried the fresh connection, and the next, until the failure rate ejected the instance. Ruled out: membership, which probes on a fresh connection at the first evidence.

--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -151,8 +151,8 @@
 }
 
 // failed classifies an attempt without an answer. A connection that was in use
-// before and broke says nothing about the instance: the next call gets a fresh
-// one.
+// before and broke counts for nothing against the instance, but calls avoid it
+// for a moment, in which membership probes it on a fresh connection.
 func (x *exchange) failed(ctx context.Context, i *call.Instance, err error, reused bool) *result {
 	res := &result{instance: i}
 	res.reason, res.outcome = classify(ctx, err)
@@ -160,6 +160,7 @@
 		return res
 	}
 	if res.reason != call.Deadline && res.reason != call.Refused {
+		i.Avoid(time.Now())
 		x.proxy.config.Evidence(i.Name, false)
 	}
 	if !reused || res.reason == call.Deadline {
