Decide leases of announcements, and let lost parts of a fleet meet again

Change: backend.lease decides (renewal, epoch, damping of appearances to 3 in 30 s, leaving at once), findings name everything that is wrong; the table keeps the addresses of the dead for its tombstones' time and now and then tells one of them what is said of it; a failure domain that falls silent whole is held.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -1,13 +1,13 @@
 package backend
 
-// This file takes the announcements of the backend server.
+// This file takes the announcements of the backend server over HTTP.
 
 import (
 	"context"
 	"encoding/json"
 	"net"
 	"net/http"
-	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,35 +22,29 @@
 // maxAnnouncement bounds the body of an announcement, in bytes.
 const maxAnnouncement = 4 << 10
 
-// Announcement is what a backend server says of itself with PUT /announce.
-type Announcement struct {
-	Service string `json:"service"`
-	Address string `json:"address"` // IP:port
-	Slots   int    `json:"slots"`
-	Cold    bool   `json:"cold"`
-	Leaving bool   `json:"leaving"`
-	Epoch   uint64 `json:"epoch"` // grows when the server restarts
-}
-
 // AnnouncerConfig configures an Announcer.
 type AnnouncerConfig struct {
-	Lease  time.Duration       // how long an announcement holds
-	Change func(*Announcement) // takes each change; nil when the server is gone
+	Lease  time.Duration          // how long an announcement holds
+	Change func(*Announcement)    // takes each change; nil when the server is gone
+	Local  func(host string) bool // whether an address is of this instance; loopback always is
 }
 
 // Announcer takes the announcements of the backend server and lets them lapse.
 type Announcer struct {
 	config AnnouncerConfig
 
-	mu   sync.Mutex
-	last *Announcement
-	seen time.Time
+	mu    sync.Mutex
+	lease lease
 }
 
 // NewAnnouncer returns an announcer without a backend server.
-func NewAnnouncer(config AnnouncerConfig) *Announcer { return &Announcer{config: config} }
+func NewAnnouncer(config AnnouncerConfig) *Announcer {
+	return &Announcer{config: config, lease: lease{term: config.Lease}}
+}
 
-// Handler serves PUT /announce.
+// Handler serves PUT /announce. It answers 204 for an announcement that holds,
+// with the milliseconds until it lapses in Caroblift-Lease; 400 with every
+// finding; and 409 for one of an earlier life of the server.
 func (a *Announcer) Handler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Put("/announce"), a.serve)
@@ -64,62 +58,56 @@
 		http.Error(w, errors.Wrap(err, "announcement").Error(), http.StatusBadRequest)
 		return
 	}
-	if err := check(&in).Err(); err != nil {
+	if err := in.check(a.config.Local).Err(); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	a.take(&in)
+	if !a.take(&in) {
+		f := record.Findings{{Place: place, Field: "epoch", Reason: "is older than the one in force"}}
+		http.Error(w, f.Error(), http.StatusConflict)
+		return
+	}
+	w.Header().Set("Caroblift-Lease", strconv.FormatInt(a.config.Lease.Milliseconds(), 10))
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func check(in *Announcement) record.Findings {
-	var f record.Findings
-	if in.Service == "" {
-		f.Add("announcement", "service", "must not be empty")
-	}
-	if _, err := netip.ParseAddrPort(in.Address); err != nil {
-		f.Add("announcement", "address", "is not an IP:port")
-	}
-	if in.Slots < 1 {
-		f.Add("announcement", "slots", "must be at least 1")
-	}
-	return f
+// take renews the lease, and tells whether the announcement holds.
+func (a *Announcer) take(in *Announcement) bool {
+	return a.step(func(now time.Time) (bool, *Announcement, bool) {
+		held := a.lease.renew(in, now)
+		next, changed := a.lease.effect(now)
+		return held, next, changed
+	})
 }
 
-func (a *Announcer) take(in *Announcement) {
+// step runs one decision and hands over what changed.
+func (a *Announcer) step(decide func(now time.Time) (bool, *Announcement, bool)) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.seen = time.Now()
-	if a.last != nil && *a.last == *in {
-		return
+	ok, next, changed := decide(time.Now())
+	if changed {
+		a.config.Change(next)
 	}
-	a.last = in
-	a.config.Change(in)
+	return ok
 }
 
-// Run lets an announcement lapse that is not renewed.
+// Run lets an announcement lapse that is not renewed, until the context ends.
 func (a *Announcer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(a.config.Lease / 4)
+	ticker := time.NewTicker(max(a.config.Lease/16, time.Millisecond))
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			a.lapse()
+			a.step(func(now time.Time) (bool, *Announcement, bool) {
+				next, changed := a.lease.effect(now)
+				return true, next, changed
+			})
 		}
 	}
 }
 
-func (a *Announcer) lapse() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.last != nil && time.Since(a.seen) > a.config.Lease {
-		a.last = nil
-		a.config.Change(nil)
-	}
-}
-
 // Wire returns the announcement as it spreads to other nodes.
 func (in *Announcement) Wire() []*wire.Server {
 	if in == nil {
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -4,6 +4,8 @@
 // connection, and the word of others.
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"caroblift.dev/wire"
@@ -47,7 +49,7 @@
 	if a.beats%healBeats == 0 {
 		out = append(out, a.heal(now)...)
 	}
-	for name, until := range a.avoided {
+	for name, until := range a.avoided { // order does not matter
 		if now.After(until) {
 			a.embrace(name)
 		}
@@ -67,8 +69,9 @@
 	return []Action{act}
 }
 
-// heal tries to reach a member that was lost, or a seed that is not known:
-// two parts of a fleet that forgot each other meet again by it.
+// heal tries to reach a member that is silent, one that was found dead, or a
+// seed that is not known: two parts of a fleet that took each other for dead
+// meet again by it.
 func (a *Agent) heal(now time.Time) []Action {
 	known := map[string]bool{}
 	var silent []string
@@ -82,6 +85,15 @@
 	if len(silent) > 0 {
 		return a.beatTo(now, silent[a.rand.IntN(len(silent))])
 	}
+	if lost := a.table.lost(); len(lost) > 0 && a.rand.IntN(2) == 0 {
+		name := lost[a.rand.IntN(len(lost))]
+		e := a.table.members[name]
+		act := Action{Kind: News, Addr: e.addr, At: now, Probe: &wire.ProbeRequest{
+			Name: a.table.self.GetName(), Incarnation: a.table.self.GetIncarnation(), Digest: a.table.Digest(),
+			Events: []*wire.Member{a.table.self, NewVerdict(name, e.died, wire.State_STATE_DEAD)},
+		}}
+		return []Action{act}
+	}
 	for _, s := range a.joiner.seeds {
 		if !known[s] && a.joiner.joined {
 			act := a.probe(now, News, "")
@@ -277,8 +289,8 @@
 	if len(a.doubts) == 0 || a.stale {
 		return
 	}
-	for name, d := range a.doubts {
-		e := a.table.members[name]
+	for _, name := range slices.Sorted(maps.Keys(a.doubts)) {
+		d, e := a.doubts[name], a.table.members[name]
 		if e == nil || e.member == nil || (d.beats == 0 && now.Sub(d.since) > 2*avoidBeats*a.config.Beat) {
 			delete(a.doubts, name)
 			continue
@@ -335,6 +347,9 @@
 // that nobody of it is declared dead.
 func (a *Agent) held(name string) bool {
 	n := a.census[a.table.Get(name).GetDomain()]
+	if n.suspects >= 2 && n.suspects == n.members {
+		return true
+	}
 	return n.suspects >= minMass && (n.suspects >= largeMass || massShare*n.suspects >= n.members)
 }
 
--- a/mesh/member/digest.go
+++ b/mesh/member/digest.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,14 +75,16 @@
 	if len(differ) == 0 {
 		return nil
 	}
+	var names []string
 	for name, e := range t.members {
 		if differ[e.hash%Buckets] {
-			out = append(out, t.Events(name)...)
-		}
-		if len(out) >= limit {
-			break
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
+	for _, name := range names[:min(limit, len(names))] {
+		out = append(out, t.Events(name)...)
+	}
 	return out
 }
 
--- a/mesh/member/matrix_test.go
+++ b/mesh/member/matrix_test.go
@@ -171,3 +171,23 @@
 	w.run(60 * testBeat)
 	w.check(t)
 }
+
+// TestPartsMeetAgain checks that two parts of a fleet that took each other for
+// dead, one member after another, find back to each other without a seed.
+func TestPartsMeetAgain(t *testing.T) {
+	w := newWorld(0, "a", "a", "a", "b", "b", "b", "c", "c", "c")
+	w.crash("n0")
+	w.part("a")
+	w.run(9 * testBeat)
+	w.crash("n2")
+	w.heal()
+	w.run(7 * testBeat)
+	w.crash("n5")
+	w.leave("n4")
+	w.run(4 * testBeat)
+	w.part("c")
+	w.run(7 * testBeat)
+	w.heal()
+	w.run(120 * testBeat)
+	w.check(t)
+}
--- a/mesh/member/table.go
+++ b/mesh/member/table.go
@@ -4,6 +4,7 @@
 // themselves with the verdicts of those that watch them.
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -38,6 +39,7 @@
 	member    *wire.Member // as it last said of itself; nil for the dead
 	suspected uint64       // newest incarnation that a watcher suspects
 	died      uint64       // newest incarnation that a watcher found dead
+	addr      string       // where one that was found dead last listened
 	since     time.Time    // when the present state began
 	shown     *wire.Member // as the view shows a suspect member
 	hash      uint64       // of the name
@@ -203,7 +205,7 @@
 func (t *Table) judge(name string, incarnation uint64, state wire.State, now time.Time) bool {
 	e := &entry{hash: hashName(name), since: now}
 	if old := t.members[name]; old != nil {
-		e.member, e.suspected, e.died = old.member, old.suspected, old.died
+		e.member, e.suspected, e.died, e.addr = old.member, old.suspected, old.died, old.addr
 	}
 	switch {
 	case state == wire.State_STATE_DEAD && incarnation > e.died:
@@ -213,8 +215,10 @@
 	default:
 		return false
 	}
-	if e.member.GetIncarnation() <= e.died {
-		e.member = nil
+	if m := e.member; m != nil && m.GetIncarnation() <= e.died {
+		if e.member = nil; m.GetState() != wire.State_STATE_LEAVING {
+			e.addr = m.GetPeer()
+		}
 	}
 	t.store(NewVerdict(name, incarnation, state), e)
 	return true
@@ -312,8 +316,20 @@
 // All returns the messages that tell another node the whole table.
 func (t *Table) All() []*wire.Member {
 	out := make([]*wire.Member, 0, len(t.members))
-	for name := range t.members {
+	for _, name := range slices.Sorted(maps.Keys(t.members)) {
 		out = append(out, t.Events(name)...)
 	}
 	return out
 }
+
+// lost returns the names of the dead that did not leave, sorted.
+func (t *Table) lost() []string {
+	var out []string
+	for name, e := range t.members {
+		if e.member == nil && e.addr != "" {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -231,7 +231,9 @@
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Own: n.Gate, Hop: n.hops,
 		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("caller"),
 	})
-	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{Lease: ms(s.GetLease()), Change: n.announced})
+	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{
+		Lease: ms(s.GetLease()), Change: n.announced, Local: backend.Hosts(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
+	})
 }
 
 // announced takes a change of the backend server beside this node.
