--- /dev/null
+++ b/carobbench/feeder/feeder.go
@@ -0,0 +1,251 @@
+// Package feeder speaks the peer protocol for thousands of nodes that do not
+// exist, so that one real node holds them all.
+//
+// # Usage
+//
+//	f, err := feeder.New(feeder.Config{Servers: 7000, Services: 190})
+//	defer f.Close()
+//	// start a node with f.Settings()
+//	err = f.Await(30 * time.Second)
+//	go f.Feed(ctx)
+//	f.Churn(0.1)
+package feeder
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/peer"
+	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/wire"
+	"caroblift.dev/wire/wireconnect"
+)
+
+// The shape of the target fleet.
+const (
+	regions = 3
+	domains = 7
+	slots   = 10
+)
+
+// Config configures a Feeder. Both fields are required.
+type Config struct {
+	Servers  int
+	Services int
+}
+
+// Feeder is the rest of the fleet, which agrees on one member table.
+type Feeder struct {
+	config   Config
+	counter  peer.Counter
+	client   *http.Client
+	server   *http.Server
+	platform *http.Server
+	store    net.Listener
+	joined   chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	table   *member.Table
+	members []*wire.Member
+	byAddr  map[string]string
+	node    *wire.Member // under measurement
+	events  int64
+	rate    float64 // of churn, events/s
+	queues  [watchers][]*wire.Member
+}
+
+// New opens a port for each of the members.
+func New(config Config) (*Feeder, error) {
+	f := &Feeder{config: config, joined: make(chan struct{}), byAddr: map[string]string{}}
+	f.client = &http.Client{Transport: peer.NewTransport(400*time.Millisecond, &f.counter)}
+	path, handler := wireconnect.NewPeerHandler(&service{feeder: f})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	quiet := slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
+	f.server = &http.Server{
+		Handler: mux, Protocols: peer.Protocols(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: quiet,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, addrKey{}, c.LocalAddr().String())
+		},
+	}
+	if err := f.listen(); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
+	f.store = l
+	f.platform = &http.Server{Handler: platformtest.New(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: quiet}
+	go func() { _ = f.platform.Serve(&peer.Listener{Listener: l, Counter: &f.counter}) }()
+	return f, nil
+}
+
+// addrKey is the key of the address that a call came in at.
+type addrKey struct{}
+
+func (f *Feeder) listen() error {
+	now := time.Now()
+	for i := range f.config.Servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrapf(err, "member %d", i)
+		}
+		m := f.member(i, l.Addr().String(), uint64(now.UnixMilli()))
+		f.members = append(f.members, m)
+		f.byAddr[m.GetPeer()] = m.GetName()
+		if f.table == nil {
+			f.table = member.NewTable(m, now)
+		}
+		f.table.Merge(m, now)
+		go func() { _ = f.server.Serve(&peer.Listener{Listener: l, Counter: &f.counter}) }()
+	}
+	f.table.News()
+	return nil
+}
+
+// member returns a member as large as a real one.
+func (f *Feeder) member(i int, addr string, incarnation uint64) *wire.Member {
+	domain := i % domains
+	return &wire.Member{
+		Name: fmt.Sprintf("instance-%05d", i), Peer: addr, Hop: addr, Domain: fmt.Sprintf("domain-%d", domain),
+		Region: fmt.Sprintf("region-%d", domain%regions), Incarnation: incarnation, State: wire.State_STATE_ALIVE,
+		Format: 1, Serial: 1, Servers: []*wire.Server{{
+			Service: fmt.Sprintf("service-%03d", i%f.config.Services), Slots: slots, Epoch: incarnation,
+		}},
+	}
+}
+
+// Settings returns the settings file of the node under measurement.
+func (f *Feeder) Settings() string {
+	return fmt.Sprintf(`[instance]
+name = node-under-measurement
+domain = domain-0
+region = region-0
+[listen]
+caller = 127.0.0.1:0
+hop = 127.0.0.1:0
+peer = 127.0.0.1:0
+backend = 127.0.0.1:0
+operator = 127.0.0.1:0
+[platform]
+addresses = %s
+[peers]
+seeds = %s
+[log]
+level = warn
+`, f.store.Addr(), f.members[0].GetPeer())
+}
+
+// Await waits until the node has joined.
+func (f *Feeder) Await(bound time.Duration) error {
+	select {
+	case <-f.joined:
+		return nil
+	case <-time.After(bound):
+		return errors.Errorf("the node did not join within %s", bound)
+	}
+}
+
+// Bytes returns the bytes to and from the node so far.
+func (f *Feeder) Bytes() int64 { return f.counter.In.Load() + f.counter.Out.Load() }
+
+// Events returns the events that the node was told of so far.
+func (f *Feeder) Events() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.events
+}
+
+// Size returns the number of members, without the node.
+func (f *Feeder) Size() int { return f.config.Servers }
+
+// Churn sets the rate of events.
+func (f *Feeder) Churn(rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rate = rate
+}
+
+// Close closes every port.
+func (f *Feeder) Close() {
+	_ = f.server.Close()
+	_ = f.platform.Close()
+	f.client.CloseIdleConnections()
+}
+
+// service answers the node in the name of every member.
+type service struct {
+	wireconnect.UnimplementedPeerHandler
+	feeder *Feeder
+}
+
+// self returns the member whose address a call came in at.
+func (s *service) self(ctx context.Context) string {
+	addr, _ := ctx.Value(addrKey{}).(string)
+	return s.feeder.byAddr[addr]
+}
+
+// merge takes what the node says.
+func (f *Feeder) merge(events []*wire.Member) {
+	for _, m := range events {
+		f.table.Merge(m, time.Now())
+		if f.node != nil && m.GetName() == f.node.GetName() && !member.IsVerdict(m) {
+			f.node = m
+		}
+	}
+	f.table.News()
+}
+
+// Probe implements the Peer service.
+func (s *service) Probe(ctx context.Context, req *connect.Request[wire.ProbeRequest]) (*connect.Response[wire.ProbeResponse], error) {
+	f := s.feeder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.merge(req.Msg.GetEvents())
+	name := s.self(ctx)
+	return connect.NewResponse(&wire.ProbeResponse{
+		Name: name, Incarnation: f.table.Incarnation(name), Digest: f.table.Digest(), Reached: true,
+	}), nil
+}
+
+// Sync implements the Peer service.
+func (s *service) Sync(_ context.Context, req *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
+	f := s.feeder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	resp := f.table.Sync(req.Msg, time.Now())
+	f.table.News()
+	return connect.NewResponse(resp), nil
+}
+
+// Join implements the Peer service.
+func (s *service) Join(_ context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	f := s.feeder
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.node = req.Msg.GetMember()
+	f.merge([]*wire.Member{f.node})
+	f.once.Do(func() { close(f.joined) })
+	return connect.NewResponse(&wire.JoinResponse{Members: f.table.All()}), nil
+}
+
+// Attach implements the Peer service.
+func (s *service) Attach(context.Context, *connect.Request[wire.AttachRequest]) (*connect.Response[wire.AttachResponse], error) {
+	return connect.NewResponse(&wire.AttachResponse{Time: time.Now().UnixMilli()}), nil
+}
+
+// Fetch implements the Peer service.
+func (s *service) Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	return connect.NewResponse(&wire.FetchResponse{Time: time.Now().UnixMilli()}), nil
+}
--- /dev/null
+++ b/carobbench/hold.go
@@ -0,0 +1,182 @@
+package main
+
+// This file measures one real node that holds a large member table: a feeder
+// speaks the peer protocol for all the others.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/carobbench/feeder"
+)
+
+type holdCommand struct {
+	Dir      string        `long:"dir" required:"true" description:"folder for settings and process ids; see carobbench/hold.sh"`
+	Servers  []int         `long:"servers" default:"100" default:"1000" default:"3500" default:"7000" description:"sizes of the fleet"`
+	Services int           `long:"services" default:"190" description:"services of the fleet"`
+	Time     time.Duration `long:"time" default:"20s" description:"duration of each phase"`
+	Fast     float64       `long:"fast" default:"5" description:"events a second of the second phase"`
+}
+
+// target is the churn of the target: 1,600 restarts and 13 failures a day, each
+// with four events (leaving, dead, joined cold, warm).
+const target = 1613.0 * 4 / 86400 // events/s
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// held is what a node spent in one phase.
+type held struct {
+	Servers  int     `json:"servers"`
+	Services int     `json:"services"`
+	RSS      float64 `json:"rss"`   // MB
+	Core     float64 `json:"core"`  // percent
+	Bytes    float64 `json:"bytes"` // per second, both directions
+	events   float64 // per second
+}
+
+// holdSlopes are per server and per event.
+type holdSlopes struct {
+	RSS   float64 `json:"rss"`   // bytes/server
+	Bytes float64 `json:"bytes"` // bytes/event
+	Core  float64 `json:"core"`  // us/event
+}
+
+// Execute measures a node of each size. The node is a process of its own that
+// the script starts, so that its memory is its own.
+func (c *holdCommand) Execute([]string) error {
+	var idle, fast []held
+	for _, n := range c.Servers {
+		a, b, err := c.measure(n)
+		if err != nil {
+			return errors.Wrapf(err, "%d servers", n)
+		}
+		idle, fast = append(idle, a), append(fast, b)
+		printLine(a)
+	}
+	first, last, busy := idle[0], idle[len(idle)-1], fast[len(fast)-1]
+	out := struct {
+		held
+		Slopes holdSlopes `json:"slopes"`
+	}{held: last}
+	if n := last.Servers - first.Servers; n > 0 {
+		out.Slopes.RSS = round((last.RSS - first.RSS) * (1 << 20) / float64(n))
+	}
+	if e := busy.events - last.events; e > 0 {
+		out.Slopes.Bytes = round((busy.Bytes - last.Bytes) / e)
+		out.Slopes.Core = round((busy.Core - last.Core) / 100 * 1e6 / e)
+	}
+	printLine(out)
+	return nil
+}
+
+func printLine(v any) {
+	line, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // numbers always encode
+	}
+	fmt.Println(string(line))
+}
+
+func round(v float64) float64 { return float64(int64(v*10)) / 10 }
+
+// measure runs both phases against one node.
+func (c *holdCommand) measure(n int) (idle, fast held, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := feeder.New(feeder.Config{Servers: n, Services: c.Services})
+	if err != nil {
+		return idle, fast, err
+	}
+	defer f.Close()
+	ini := filepath.Join(c.Dir, "node.ini")
+	if err := os.WriteFile(ini, []byte(f.Settings()), 0o600); err != nil {
+		return idle, fast, errors.Wrap(err, "write settings")
+	}
+	defer os.Remove(ini)
+	pid, err := c.pid(ctx)
+	if err != nil {
+		return idle, fast, err
+	}
+	defer os.Remove(filepath.Join(c.Dir, "pid"))
+	if err := f.Await(30 * time.Second); err != nil {
+		return idle, fast, err
+	}
+	go f.Feed(ctx)
+	time.Sleep(5 * time.Second) // the join is over
+	if idle, err = c.phase(f, pid, target); err != nil {
+		return idle, fast, err
+	}
+	fast, err = c.phase(f, pid, c.Fast)
+	return idle, fast, err
+}
+
+// pid waits for the process id of the node that the script started.
+func (c *holdCommand) pid(ctx context.Context) (string, error) {
+	for range 300 {
+		if data, err := os.ReadFile(filepath.Join(c.Dir, "pid")); err == nil && strings.HasSuffix(string(data), "\n") {
+			return strings.TrimSpace(string(data)), nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return "", errors.Errorf("no process id in %s/pid within 30 s", c.Dir)
+}
+
+// phase measures the node for a while at a rate of events.
+func (c *holdCommand) phase(f *feeder.Feeder, pid string, rate float64) (held, error) {
+	f.Churn(rate)
+	before, err := processorTime(pid)
+	if err != nil {
+		return held{}, err
+	}
+	start, bytes, events := time.Now(), f.Bytes(), f.Events()
+	time.Sleep(c.Time)
+	after, err := processorTime(pid)
+	if err != nil {
+		return held{}, err
+	}
+	took := time.Since(start).Seconds()
+	rss, err := memory(pid)
+	return held{
+		Servers: f.Size(), Services: c.Services, RSS: round(rss), Core: round(100 * (after - before).Seconds() / took),
+		Bytes: round(float64(f.Bytes()-bytes) / took), events: float64(f.Events()-events) / took,
+	}, err
+}
+
+// processorTime returns what a process used so far, in user and system mode.
+func processorTime(pid string) (time.Duration, error) {
+	data, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, err := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * clockTick, errors.Wrap(err, "processor time")
+}
+
+// memory returns the resident memory of a process in MB.
+func memory(pid string) (float64, error) {
+	data, err := os.ReadFile("/proc/" + pid + "/status")
+	if err != nil {
+		return 0, errors.Wrap(err, "memory")
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(rest)[0])
+			return float64(kb) / 1024, errors.Wrap(err, "memory")
+		}
+	}
+	return 0, errors.Errorf("no VmRSS of process %s", pid)
+}
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -192,7 +192,7 @@
 
 // flush sends queued events to the neighbours.
 func (a *Agent) flush(now time.Time) []Action {
-	if len(a.queue.order) == 0 {
+	if a.queue.len() == 0 {
 		return nil
 	}
 	to := a.around().Alive
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -217,7 +217,15 @@
 	a.joiner.waiting, a.joiner.joined, a.joiner.alone, a.joiner.rounds = false, true, false, 0
 	a.stale = false
 	a.rise(now, act, resp)
-	a.absorb(now, resp.GetMembers())
+	a.collect()
+	for _, m := range resp.GetMembers() {
+		a.table.Merge(m, now)
+	}
+	for _, m := range a.table.News() { // the others know it
+		if m.GetName() == a.table.self.GetName() {
+			a.queue.add(m)
+		}
+	}
 }
 
 // rise lifts the own incarnation above an earlier life.
--- a/mesh/member/news.go
+++ b/mesh/member/news.go
@@ -3,7 +3,6 @@
 // This file defines the queue of events on their way to the neighbours.
 
 import (
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -29,8 +28,9 @@
 // queue holds events until they have been sent once to every neighbour.
 type queue struct {
 	events map[newsKey]*wire.Member
-	order  []newsKey
-	budget float64 // bytes
+	urgent []newsKey // who leaves and who died
+	order  []newsKey // the others
+	budget float64   // bytes
 	filled time.Time
 }
 
@@ -40,27 +40,53 @@
 		q.events = map[newsKey]*wire.Member{}
 	}
 	k := newsKey{m.GetName(), IsVerdict(m)}
-	if _, ok := q.events[k]; !ok {
+	old, queued := q.events[k]
+	q.events[k] = m
+	switch {
+	case urgent(m) && (!queued || !urgent(old)):
+		q.urgent = append(q.urgent, k)
+	case !queued:
 		q.order = append(q.order, k)
 	}
-	q.events[k] = m
 	if len(q.order) > maxNewsQueue {
 		delete(q.events, q.order[0])
 		q.order = q.order[1:]
 	}
+	if len(q.urgent) > maxNewsQueue {
+		delete(q.events, q.urgent[0])
+		q.urgent = q.urgent[1:]
+	}
 }
 
-// urgency orders events: who leaves and who died first.
-func urgency(m *wire.Member) int {
+// len returns the number of events in the queue.
+func (q *queue) len() int { return len(q.events) }
+
+// urgent tells whether an event goes before others: someone leaves or died.
+func urgent(m *wire.Member) bool {
 	if m.GetState() == wire.State_STATE_LEAVING || m.GetState() == wire.State_STATE_DEAD {
-		return 0
+		return true
 	}
 	for _, s := range m.GetServers() {
 		if s.GetLeaving() {
-			return 0
+			return true
 		}
 	}
-	return 1
+	return false
+}
+
+// next removes the event that goes first, and returns nil when there is none.
+func (q *queue) next() *wire.Member {
+	for _, keys := range []*[]newsKey{&q.urgent, &q.order} {
+		for len(*keys) > 0 {
+			k := (*keys)[0]
+			*keys = (*keys)[1:]
+			if m, ok := q.events[k]; ok {
+				delete(q.events, k)
+				return m
+			}
+		}
+	}
+	return nil
 }
 
 // take returns the events of the next message to each of a number of
@@ -68,15 +94,15 @@
 func (q *queue) take(now time.Time, neighbours int) []*wire.Member {
 	q.budget = min(newsBurst, q.budget+now.Sub(q.filled).Seconds()*newsRate)
 	q.filled = now
-	if len(q.order) == 0 || neighbours == 0 || q.budget <= 0 {
+	if neighbours == 0 {
 		return nil
 	}
-	sort.SliceStable(q.order, func(i, j int) bool { return urgency(q.events[q.order[i]]) < urgency(q.events[q.order[j]]) })
 	var out []*wire.Member
-	for len(q.order) > 0 && len(out) < maxNews && q.budget > 0 {
-		m := q.events[q.order[0]]
-		delete(q.events, q.order[0])
-		q.order = q.order[1:]
+	for len(out) < maxNews && q.budget > 0 {
+		m := q.next()
+		if m == nil {
+			break
+		}
 		q.budget -= float64(proto.Size(m) * neighbours)
 		out = append(out, m)
 	}
--- a/mesh/member/world_test.go
+++ b/mesh/member/world_test.go
@@ -282,7 +282,7 @@
 			m := n.agent.table.Get(other)
 			require.Greater(t, m.GetIncarnation(), n.tombs[other], "%s shows a dead incarnation of %s", name, other)
 		}
-		require.Less(t, len(n.agent.queue.order), maxNewsQueue)
+		require.Less(t, n.agent.queue.len(), maxNewsQueue)
 	}
 }
 
