--- a/carobbench/main.go
+++ b/carobbench/main.go
@@ -6,6 +6,7 @@
 //	carobbench demo
 //	carobbench converge --nodes 50 --changes 40
 //	carobbench demo > demo.txt; carobbench report --out report.html demo.txt
+//	carobbench herd --nodes 200
 //	carobbench hold --dir out # by carobbench/hold.sh
 //	carobbench platform --listen 127.0.0.1:7000
 //	carobbench server --service quotes --listen 127.0.0.1:9001 --announce http://127.0.0.1:7104/announce
@@ -30,6 +31,7 @@
 		{"call", "Measure what two nodes add to a call and compare policies", &callCommand{}},
 		{"demo", "Run a small fleet in one process and check its promises", &demoCommand{}},
 		{"faults", "Run a fleet under faults and load and check its promises", &faultsCommand{}},
+		{"herd", "Kill and restart a whole fleet at once and measure its return", &herdCommand{}},
 		{"hold", "Measure a node that holds a large member table", &holdCommand{}},
 		{"load", "Send calls to running nodes and check the answers", &loadCommand{}},
 		{"converge", "Measure convergence time and control bytes", &convergeCommand{}},
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -20,7 +20,6 @@
 	"strconv"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
