Keep a fleet that starts at once inside the platform's rates

Change: a node takes duties once it agrees with a neighbour on the members, or 10 heartbeats after joining; its share reckons with 7,000 nodes when it starts, halved every 500 ms; reads have a burst of one until then.

--- a/carobbench/feeder/feeder.go
+++ b/carobbench/feeder/feeder.go
@@ -68,7 +68,7 @@
 func New(config Config) (*Feeder, error) {
 	f := &Feeder{config: config, joined: make(chan struct{}), byAddr: map[string]string{}}
 	f.client = &http.Client{Transport: peer.NewTransport(400*time.Millisecond, &f.counter)}
-	path, handler := wireconnect.NewPeerHandler(&service{feeder: f}, connect.WithCompressMinBytes(1024))
+	path, handler := wireconnect.NewPeerHandler(&service{feeder: f}, peer.HandlerOptions())
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
 	quiet := slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
--- a/carobbench/herd.go
+++ b/carobbench/herd.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	for _, r := range records {
-		body, err := platform.EncodeRecord(r)
+		body, err := platform.EncodeRecord(r, "herd", nil)
 		if err != nil {
 			return err
 		}
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -46,6 +46,8 @@
 	last       time.Time
 	gap        time.Time // when the last pause ended
 	stale      bool
+	since      time.Time // when the node joined
+	settled    bool      // the node has agreed with a neighbour since it started
 	beat       time.Time // next heartbeat
 	beats      int
 	forget     time.Time
@@ -81,6 +83,7 @@
 		}
 	}
 	a.joiner.joined = len(a.joiner.seeds) == 0
+	a.settled, a.since = a.joiner.joined, now
 	a.collect()
 	a.picture(now)
 	return a
@@ -301,7 +304,8 @@
 		a.joiner.waiting = true
 		out = append(out, Action{Kind: Sync, Addr: act.Addr, At: now, Sync: a.table.SyncRequest()})
 	default:
-		a.stale, a.joiner.joined = false, true
+		a.stale = false
+		a.found(now)
 		a.picture(now)
 	}
 	return out
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -46,6 +46,9 @@
 		}
 		out = append(out, a.beatTo(now, name)...)
 	}
+	if a.joiner.joined && now.Sub(a.since) > settleBeats*a.config.Beat {
+		a.settled = true
+	}
 	if a.beats%healBeats == 0 {
 		out = append(out, a.heal(now)...)
 	}
@@ -156,6 +159,7 @@
 		return []Action{news}
 	}
 	if string(resp.GetDigest()) == string(a.table.Digest()) {
+		a.settled = a.settled || a.joiner.joined
 		delete(a.mismatch, act.Name)
 		return nil
 	}
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -214,7 +214,7 @@
 		a.joiner.later(now, time.Duration(resp.GetLater())*time.Millisecond, act.Addr, addrs)
 		return
 	}
-	a.joiner.waiting, a.joiner.joined, a.joiner.alone, a.joiner.rounds = false, true, false, 0
+	a.found(now)
 	a.stale = false
 	a.rise(now, act, resp)
 	a.collect()
@@ -228,6 +228,14 @@
 	}
 }
 
+// found ends the search for others.
+func (a *Agent) found(now time.Time) {
+	if !a.joiner.joined {
+		a.since = now
+	}
+	a.joiner.waiting, a.joiner.joined, a.joiner.alone, a.joiner.rounds = false, true, false, 0
+}
+
 // rise lifts the own incarnation above an earlier life.
 func (a *Agent) rise(now time.Time, act Action, resp *wire.JoinResponse) {
 	if resp.GetIncarnation() > act.Join.GetMember().GetIncarnation() {
@@ -246,9 +254,29 @@
 	}
 }
 
-// Joined tells whether the node has found the others, or knows that there are
-// none to be found, and acts on what is current.
-func (a *Agent) Joined() bool { return (a.joiner.joined || a.joiner.alone) && !a.stale }
+// Joined tells whether the node has found the others and agrees with one of
+// them, or knows that there are none to be found, and acts on what is current.
+func (a *Agent) Joined() bool {
+	return (a.joiner.alone || (a.joiner.joined && a.settled)) && !a.stale
+}
+
+// Bounds of what a node assumes of a fleet that it is only getting to know.
+const (
+	unknownFleet = 7000                   // nodes
+	halving      = 500 * time.Millisecond // time after joining in which the assumption halves
+	settleBeats  = 10                     // heartbeats after which the node trusts its table
+)
 
-// Alone tells whether the node looks for others and has found none.
-func (a *Agent) Alone() bool { return !a.joiner.joined }
+// Size returns the number of nodes that the own node reckons with when it
+// shares something with all: more than it knows until it has joined for a
+// while, so that a fleet that starts at once does not take the few that it
+// first sees for all.
+func (a *Agent) Size(now time.Time) int {
+	switch {
+	case len(a.joiner.seeds) == 0:
+		return a.table.Len()
+	case !a.joiner.joined:
+		return unknownFleet
+	}
+	return max(a.table.Len(), unknownFleet>>min(now.Sub(a.since)/halving, 62))
+}
--- a/mesh/node/duty.go
+++ b/mesh/node/duty.go
@@ -19,24 +19,18 @@
 	return n.Spread.Publisher()
 }
 
-// unknownFleet is the size of a fleet that a node has not found yet.
-const unknownFleet = 7000
-
 // assembleBudget shares the platform's rates by what the node knows of others.
 func (n *Node) assembleBudget() {
 	readers := int(n.settings.GetPlatform().GetReaders())
 	n.budget = platform.NewBudget(platform.BudgetConfig{
-		Nodes: func() int {
-			if n.Members.Alone() || !n.Members.Joined() {
-				return unknownFleet
-			}
-			return len(n.Members.View().Names)
-		},
+		Nodes: n.Members.Size, Known: n.Members.Joined,
 		Duties: func() int {
-			if n.Members.Alone() {
-				return unknownFleet
+			v := n.Members.View()
+			duties := v.Domains*readers + spread.Publishers
+			if size := n.Members.Size(); size > len(v.Names) {
+				return max(duties, size) // too little is known
 			}
-			return n.Members.View().Domains*readers + spread.Publishers
+			return duties
 		},
 		OnDuty: func() bool {
 			_, publishes := n.publisher()
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -39,7 +39,7 @@
 	ticked atomic.Int64                // when the agent was last called, Unix ns
 	pause  time.Duration
 	joined atomic.Bool
-	alone  atomic.Bool
+	size   atomic.Int64
 	spare  *Pool // opens a connection for each message
 	tomb   tomb.Tomb
 
@@ -75,15 +75,16 @@
 	return m.stale.Load()
 }
 
-// Joined tells whether the node has found the others, or knows that there are
-// none to be found, and is current. Other nodes rely on no duty of a node that
-// is not.
+// Joined tells whether the node has found the others and agrees with one of
+// them, or knows that there are none to be found, and is current. A node that
+// is not takes no duty for the fleet.
 func (m *Members) Joined() bool {
 	return m.joined.Load() && time.Since(time.Unix(0, m.ticked.Load())) < m.pause
 }
 
-// Alone tells whether the node looks for others and has found none.
-func (m *Members) Alone() bool { return m.alone.Load() }
+// Size returns the number of nodes that this one reckons with when it shares
+// something with all.
+func (m *Members) Size() int { return int(m.size.Load()) }
 
 // with calls the agent and publishes what came of it. It returns the actions.
 func (m *Members) with(f func(a *member.Agent, now time.Time) []member.Action) []member.Action {
@@ -102,7 +103,7 @@
 		m.view.Store(v)
 	}
 	m.joined.Store(m.agent.Joined())
-	m.alone.Store(m.agent.Alone())
+	m.size.Store(int64(m.agent.Size(time.Now())))
 	m.ticked.Store(time.Now().UnixNano())
 }
 
--- a/mesh/platform/budget.go
+++ b/mesh/platform/budget.go
@@ -17,14 +17,16 @@
 	FleetWrites = 320
 )
 
-// minBurst is the number of calls that a node may make at once.
-const minBurst = 4
+// minBurst is the number of calls that a node may make at once, an operator's
+// handful; until the node knows the fleet it is one read.
+const minBurst = 8
 
 // BudgetConfig configures a Budget. Every field is required.
 type BudgetConfig struct {
 	Nodes  func() int  // nodes of the fleet, as far as this one knows
 	Duties func() int  // nodes that read or publish, as far as this one knows
 	OnDuty func() bool // whether this node is one of them
+	Known  func() bool // whether this node knows the fleet
 }
 
 // Budget is a node's share of the platform's rates: one half is shared by all
@@ -39,7 +41,7 @@
 
 // NewBudget returns a budget.
 func NewBudget(config BudgetConfig) *Budget {
-	b := &Budget{config: config, reads: rate.NewLimiter(0, minBurst), writes: rate.NewLimiter(0, minBurst)}
+	b := &Budget{config: config, reads: rate.NewLimiter(0, 1), writes: rate.NewLimiter(0, minBurst)}
 	b.resize()
 	return b
 }
@@ -64,7 +66,11 @@
 		rate    float64
 	}{{b.reads, reads}, {b.writes, writes}} {
 		l.limiter.SetLimit(rate.Limit(l.rate))
-		l.limiter.SetBurst(max(minBurst, int(l.rate)))
+		burst := max(minBurst, int(l.rate))
+		if l.limiter == b.reads && !b.config.Known() {
+			burst = 1
+		}
+		l.limiter.SetBurst(burst)
 	}
 }
 
@@ -82,7 +88,7 @@
 }
 
 // maxBudgetWait bounds the wait that a refusal names, since the share may grow.
-const maxBudgetWait = 10 * time.Second
+const maxBudgetWait = time.Second
 
 // Wrap returns a store whose calls come out of the budget. A call beyond it
 // returns a BusyError and does not reach the platform.
--- /dev/null
+++ b/mesh/platform/budget_test.go
@@ -0,0 +1,78 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/platformtest"
+)
+
+// The platform's rates, per second, as the brief states them.
+const (
+	platformReads  = 2000
+	platformWrites = 400
+)
+
+// TestBudgetKeepsTheFleetInsideTheRates lets every node of a fleet call as
+// often as it may.
+func TestBudgetKeepsTheFleetInsideTheRates(t *testing.T) {
+	for name, c := range map[string]struct{ nodes, duties int }{
+		"one":   {1, 1},
+		"small": {11, 7},
+		"fleet": {2000, 17},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New()
+				var stores []platform.Store
+				var budgets []*platform.Budget
+				for i := range c.nodes {
+					b := platform.NewBudget(platform.BudgetConfig{
+						Nodes: func() int { return c.nodes }, Duties: func() int { return c.duties },
+						OnDuty: func() bool { return i < c.duties }, Known: func() bool { return true },
+					})
+					budgets, stores = append(budgets, b), append(stores, b.Wrap(store))
+				}
+				spend(t, stores, 30) // the bursts
+				before := store.Calls()
+				spend(t, stores, 30)
+				after := store.Calls()
+				require.LessOrEqual(t, after["get"]-before["get"], uint64(platformReads*30))
+				require.LessOrEqual(t, after["create"]-before["create"], uint64(platformWrites*30))
+				require.Positive(t, after["get"]-before["get"])
+				require.Positive(t, budgets[0].Refused())
+			})
+		})
+	}
+}
+
+// spend calls as often as the budgets allow for some seconds.
+func spend(t *testing.T, stores []platform.Store, seconds int) {
+	for range seconds {
+		for _, s := range stores {
+			for err := error(nil); !busy(t, err); {
+				_, err = s.Get(context.Background(), "record", "x")
+			}
+			for err := error(nil); !busy(t, err); {
+				_, err = s.Create(context.Background(), "record", "x", nil)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// busy tells whether the budget refused a call and said when to come back.
+func busy(t *testing.T, err error) bool {
+	var b *platform.BusyError
+	if errors.As(err, &b) {
+		require.Positive(t, b.After)
+		return true
+	}
+	return false
+}
