--- a/carobbench/herd.go
+++ b/carobbench/herd.go
@@ -65,7 +65,7 @@
 	}{herded: last}
 	if n := float64(last.Nodes - first.Nodes); n > 0 {
 		out.Slopes = &herdSlopes{
-			Whole: round(float64(last.Whole-first.Whole) / n), Peak: round((last.Peak - first.Peak) / n), Bytes: round((last.Bytes - first.Bytes) / n),
+			Whole: tenth(float64(last.Whole-first.Whole) / n), Peak: tenth((last.Peak - first.Peak) / n), Bytes: tenth((last.Bytes - first.Bytes) / n),
 		}
 	}
 	printLine(out)
--- a/carobbench/hold.go
+++ b/carobbench/hold.go
@@ -68,11 +68,11 @@
 		Slopes holdSlopes `json:"slopes"`
 	}{held: last}
 	if n := last.Servers - first.Servers; n > 0 {
-		out.Slopes.RSS = round((last.RSS - first.RSS) * (1 << 20) / float64(n))
+		out.Slopes.RSS = tenth((last.RSS - first.RSS) * (1 << 20) / float64(n))
 	}
 	if e := busy.events - last.events; e > 0 {
-		out.Slopes.Bytes = round((busy.Bytes - last.Bytes) / e)
-		out.Slopes.Core = round((busy.Core - last.Core) / 100 * 1e6 / e)
+		out.Slopes.Bytes = tenth((busy.Bytes - last.Bytes) / e)
+		out.Slopes.Core = tenth((busy.Core - last.Core) / 100 * 1e6 / e)
 	}
 	printLine(out)
 	return nil
@@ -86,7 +86,8 @@
 	fmt.Println(string(line))
 }
 
-func round(v float64) float64 { return float64(int64(v*10)) / 10 }
+// tenth cuts a figure to one decimal.
+func tenth(v float64) float64 { return float64(int64(v*10)) / 10 }
 
 // measure runs both phases against one node.
 func (c *holdCommand) measure(n int) (idle, fast held, err error) {
@@ -149,8 +150,8 @@
 	took := time.Since(start).Seconds()
 	rss, err := memory(pid)
 	return held{
-		Servers: f.Size(), Services: c.Services, RSS: round(rss), Core: round(100 * (after - before).Seconds() / took),
-		Bytes: round(float64(f.Bytes()-bytes) / took), events: float64(f.Events()-events) / took,
+		Servers: f.Size(), Services: c.Services, RSS: tenth(rss), Core: tenth(100 * (after - before).Seconds() / took),
+		Bytes: tenth(float64(f.Bytes()-bytes) / took), events: float64(f.Events()-events) / took,
 	}, err
 }
 
