--- a/carobbench/hold.go
+++ b/carobbench/hold.go
@@ -33,8 +33,8 @@
 // clockTick is the unit of processor time in /proc.
 const clockTick = 10 * time.Millisecond
 
-// held is what a node spent in one phase.
-type held struct {
+// holdPhase is what a node spent in one phase.
+type holdPhase struct {
 	Servers  int     `json:"servers"`
 	Services int     `json:"services"`
 	RSS      float64 `json:"rss"`   // MB
@@ -53,7 +53,7 @@
 // Execute measures a node of each size. The node is a process of its own that
 // the script starts, so that its memory is its own.
 func (c *holdCommand) Execute([]string) error {
-	var idle, fast []held
+	var idle, fast []holdPhase
 	for _, n := range c.Servers {
 		a, b, err := c.measure(n)
 		if err != nil {
@@ -64,9 +64,9 @@
 	}
 	first, last, busy := idle[0], idle[len(idle)-1], fast[len(fast)-1]
 	out := struct {
-		held
+		holdPhase
 		Slopes holdSlopes `json:"slopes"`
-	}{held: last}
+	}{holdPhase: last}
 	if n := last.Servers - first.Servers; n > 0 {
 		out.Slopes.RSS = tenth((last.RSS - first.RSS) * (1 << 20) / float64(n))
 	}
@@ -90,7 +90,7 @@
 func tenth(v float64) float64 { return float64(int64(v*10)) / 10 }
 
 // measure runs both phases against one node.
-func (c *holdCommand) measure(n int) (idle, fast held, err error) {
+func (c *holdCommand) measure(n int) (idle, fast holdPhase, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f, err := feeder.New(feeder.Config{Servers: n, Services: c.Services})
@@ -135,28 +135,28 @@
 }
 
 // phase measures the node for a while at a rate of events.
-func (c *holdCommand) phase(f *feeder.Feeder, pid string, rate float64) (held, error) {
+func (c *holdCommand) phase(f *feeder.Feeder, pid string, rate float64) (holdPhase, error) {
 	f.Churn(rate)
-	before, err := processorTime(pid)
+	before, err := processorUse(pid)
 	if err != nil {
-		return held{}, err
+		return holdPhase{}, err
 	}
 	start, bytes, events := time.Now(), f.Bytes(), f.Events()
 	time.Sleep(c.Time)
-	after, err := processorTime(pid)
+	after, err := processorUse(pid)
 	if err != nil {
-		return held{}, err
+		return holdPhase{}, err
 	}
 	took := time.Since(start).Seconds()
-	rss, err := memory(pid)
-	return held{
+	rss, err := residentMemory(pid)
+	return holdPhase{
 		Servers: f.Size(), Services: c.Services, RSS: tenth(rss), Core: tenth(100 * (after - before).Seconds() / took),
 		Bytes: tenth(float64(f.Bytes()-bytes) / took), events: float64(f.Events()-events) / took,
 	}, err
 }
 
-// processorTime returns what a process used so far, in user and system mode.
-func processorTime(pid string) (time.Duration, error) {
+// processorUse returns what a process used so far, in user and system mode.
+func processorUse(pid string) (time.Duration, error) {
 	data, err := os.ReadFile("/proc/" + pid + "/stat")
 	if err != nil {
 		return 0, errors.Wrap(err, "processor time")
@@ -167,8 +167,8 @@
 	return time.Duration(user+system) * clockTick, errors.Wrap(err, "processor time")
 }
 
-// memory returns the resident memory of a process in MB.
-func memory(pid string) (float64, error) {
+// residentMemory returns the resident memory of a process in MB.
+func residentMemory(pid string) (float64, error) {
 	data, err := os.ReadFile("/proc/" + pid + "/status")
 	if err != nil {
 		return 0, errors.Wrap(err, "memory")
