Follow the new form of record objects in the convergence run

Cause: a record's object now keeps the IDs of its changes. Change: the run writes a change ID; the plain way leaves the IDs out, which a node does not need.

--- a/carobbench/converge.go
+++ b/carobbench/converge.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"caroblift.dev/carobbench/fleet"
@@ -117,7 +118,7 @@
 			{Kind: wire.Kind_KIND_SERVICE, Name: name, Schema: 1, Body: []byte(`{"policy": "` + name + `"}`)},
 			{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, 0))},
 		} {
-			body, err := platform.EncodeRecord(r, "converge", nil)
+			body, err := platform.EncodeRecord(r, uuid.NewString(), nil)
 			if err != nil {
 				return err
 			}
@@ -259,7 +260,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "read %s", record.KeyOf(rec))
 	}
-	body, err := platform.EncodeRecord(rec, "converge", nil)
+	body, err := platform.EncodeRecord(rec, uuid.NewString(), nil)
 	if err != nil {
 		return err
 	}
--- a/carobbench/plain.go
+++ b/carobbench/plain.go
@@ -24,6 +24,14 @@
 	plainWait = 20 * time.Second // of one watch
 )
 
+// plainRecord is what a node needs of a record's object.
+type plainRecord struct {
+	Kind   string          `json:"kind"`
+	Name   string          `json:"name"`
+	Schema uint32          `json:"schema"`
+	Spec   json.RawMessage `json:"spec"`
+}
+
 // plain is a fleet of nodes that only know the platform.
 type plain struct {
 	fleet *fleet.Fleet
@@ -94,9 +102,13 @@
 	if err != nil {
 		return 0, err
 	}
-	var all []json.RawMessage
+	var all []plainRecord
 	for _, o := range objs {
-		all = append(all, o.Body)
+		var r plainRecord
+		if err := json.Unmarshal(o.Body, &r); err != nil {
+			return 0, errors.Wrapf(err, "decode %s", o.Name)
+		}
+		all = append(all, r)
 	}
 	body, err := json.Marshal(all)
 	if err != nil {
