Fetch from a peer that told a starting node its revision

Cause: a starting node that hung under an equally empty parent waited for the next exchange to learn that others were ahead. Change: the answer to the question for the floor counts as news of a revision. TestDomainReturns restarts a failure domain of 8 while the platform is down.

--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -140,6 +140,7 @@
 	if resp.GetReady() {
 		f.ready++
 		s.config.Holder.Raise(max(resp.GetFloor(), resp.GetRevision()))
+		s.Heard(name, resp.GetRevision(), now)
 	}
 	if s.concluded(now) {
 		s.renew(now)
--- a/mesh/spread/matrix_test.go
+++ b/mesh/spread/matrix_test.go
@@ -134,3 +134,25 @@
 		require.Empty(t, w.behind(), "seed %d", seed)
 	}
 }
+
+// TestDomainReturns restarts a whole failure domain at once while the platform
+// is down: every instance learns its floor from its peers and serves again, and
+// none goes back.
+func TestDomainReturns(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 24, 3)
+		for range 3 {
+			w.publish()
+			w.run(10 * beat)
+		}
+		w.down = true
+		for _, i := range w.instances {
+			if i.domain == "d1" {
+				w.start(i)
+			}
+		}
+		w.run(20 * beat)
+		require.NoError(t, w.broken)
+		require.Empty(t, w.behind(), "seed %d", seed)
+	}
+}
