--- /dev/null
+++ b/mesh/spread/settle_test.go
@@ -0,0 +1,65 @@
+package spread_test
+
+// This file tests how a starting node learns the lowest revision that it may
+// serve.
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/spread"
+	"caroblift.dev/wire"
+)
+
+// TestFloor starts a node among three others that answer in several ways.
+func TestFloor(t *testing.T) {
+	knows := func(floor, number uint64) *wire.FetchResponse {
+		return &wire.FetchResponse{Ready: true, Floor: floor, Revision: number}
+	}
+	starting := &wire.FetchResponse{}
+	for name, c := range map[string]struct {
+		answers  []*wire.FetchResponse // nil for none
+		head     uint64                // on the platform, 0 when it does not answer
+		checked  int64                 // when a reader read the platform
+		settled  bool
+		floor    uint64
+		askHeads int
+	}{
+		"one peer remembers":         {answers: []*wire.FetchResponse{knows(5, 2), nil, starting}, settled: true, floor: 5, askHeads: 1},
+		"a peer is further":          {answers: []*wire.FetchResponse{knows(5, 2), knows(0, 6), nil}, settled: true, floor: 6, askHeads: 1},
+		"the platform is further":    {answers: []*wire.FetchResponse{knows(5, 2), nil, nil}, head: 7, settled: true, floor: 7, askHeads: 1},
+		"the platform is stale":      {answers: []*wire.FetchResponse{knows(5, 2), nil, nil}, head: 3, settled: true, floor: 5, askHeads: 1},
+		"all start":                  {answers: []*wire.FetchResponse{starting, starting, starting}},
+		"nobody answers":             {answers: []*wire.FetchResponse{nil, nil, nil}},
+		"all start, a reader reads":  {answers: []*wire.FetchResponse{starting, starting, starting}, checked: 1, settled: true},
+		"one remembers, reader read": {answers: []*wire.FetchResponse{starting, knows(5, 5), nil}, checked: 1, settled: true, floor: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 4, 1)
+			holder, now := &revision.Holder{}, w.now
+			s := spread.New(spread.Config{Tree: w.tree, Holder: holder, Beat: beat, Exchange: time.Minute, Head: true}, w.instances[0].view, now)
+			s.Tick(now, w.instances[0].view, c.checked)
+			asks := s.Actions()
+			require.Len(t, asks, 3)
+			heads := 0
+			for n, a := range asks {
+				require.True(t, a.Fetch.GetAsk())
+				require.False(t, s.Settled())
+				s.Fetched(a, c.answers[n], now)
+				for _, next := range s.Actions() {
+					if next.Kind == spread.ActionHead {
+						heads++
+						require.False(t, s.Settled())
+						s.Headed(max(next.From.Number, c.head), c.head > 0, now)
+					}
+				}
+			}
+			require.Equal(t, c.askHeads, heads)
+			require.Equal(t, c.settled, s.Settled())
+			require.Equal(t, c.floor, holder.Floor())
+		})
+	}
+}
