--- a/mesh/platform/takeover_test.go
+++ b/mesh/platform/takeover_test.go
@@ -59,8 +59,8 @@
 
 // takeover kills the publisher in charge, writes a record through another node
 // and returns how long it takes to be in force there.
-func takeover(t *testing.T, leased bool, phase time.Duration) (took time.Duration, writes uint64) {
-	synctest.Test(t, func(t *testing.T) {
+func takeover(outer *testing.T, leased bool, phase time.Duration) (took time.Duration, writes uint64) {
+	synctest.Test(outer, func(*testing.T) {
 		w := newWorld()
 		defer w.close()
 		w.store.Set(platformtest.Faults{Slow: 3 * time.Millisecond})
