--- a/mesh/revision/compose_test.go
+++ b/mesh/revision/compose_test.go
@@ -159,7 +159,7 @@
 	v2.Schema = 2
 	plain := rec(route, "r", 9, `{"prefix":"/a","service":"a","timeout":"20ms"}`)
 	plain.Schema = 2
-	base := set{rec(service, "a", 1, `{}`), rec(route, "r", 2, spec(route, "a"))}
+	base := set{rec(service, "a", 3, `{}`), rec(route, "r", 2, spec(route, "a"))}
 	for name, c := range map[string]struct {
 		format  uint32
 		list    set
