Remove old revisions at a pace of their own

It also used the rate that a change needs.

Change: removal is a loop of its own beside publishing, one object each 200 ms, and goes on after a refusal.

--- a/mesh/platform/archive.go
+++ b/mesh/platform/archive.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -16,6 +17,10 @@
 // writeTries bounds the attempts at one piece whose answer was lost.
 const writeTries = 4
 
+// removePause spaces removals, so that they leave the platform's rate to what
+// is urgent.
+const removePause = 200 * time.Millisecond
+
 // archiver writes a snapshot every so many revisions: first its pieces, under
 // names that no other writer uses, then the pointer by conditional update,
 // then it removes old objects. A crash between any two of these leaves objects
@@ -33,6 +38,8 @@
 	// under the same names. Its pieces that are not written yet are in pieces.
 	pending *wire.Pointer
 	pieces  [][]byte
+
+	superseded chan *wire.Pointer // holds the pointer whose removals are to be done
 }
 
 // due tells whether a snapshot may be needed. It asks nobody.
@@ -49,7 +56,8 @@
 	a.newest = max(a.newest, p.GetSnapshot())
 	if a.pending != nil && p.GetSnapshot() >= a.pending.GetSnapshot() {
 		a.pending, a.pieces = nil, nil // this attempt took effect unnoticed, or another writer was faster
-		return a.remove(ctx, p)
+		a.request(p)
+		return nil
 	}
 	if a.pending == nil {
 		if a.holder.Table().Number < a.newest+a.every {
@@ -68,7 +76,38 @@
 		return err
 	}
 	a.newest, a.pending = max(a.newest, next.GetSnapshot()), nil
-	return a.remove(ctx, next)
+	a.request(next)
+	return nil
+}
+
+// request asks for the removal of what a pointer makes superfluous.
+func (a *archiver) request(p *wire.Pointer) {
+	select {
+	case <-a.superseded: // what it would remove, p removes as well
+	default:
+	}
+	select {
+	case a.superseded <- p:
+	default:
+	}
+}
+
+// clean waits for a request and carries it out. One that fails, such as for a
+// busy platform, stays to be tried again.
+func (a *archiver) clean(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case p := <-a.superseded:
+		err := a.remove(ctx, p)
+		if err != nil {
+			select {
+			case a.superseded <- p:
+			default: // a newer request came in
+			}
+		}
+		return err
+	}
 }
 
 // begin encodes a snapshot of a table.
@@ -159,6 +198,7 @@
 			if keep(o.Name) {
 				continue
 			}
+			pause(ctx, removePause)
 			err := a.store.Delete(ctx, kind, o.Name, o.Version)
 			if err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotFound) && !errors.Is(err, ErrUnknown) {
 				return errors.Wrapf(err, "remove %s/%s", kind, o.Name)
--- a/mesh/platform/outage_test.go
+++ b/mesh/platform/outage_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/platformtest"
@@ -140,3 +141,27 @@
 		require.False(t, reader.Working())
 	})
 }
+
+// TestRemovalUnderRate leaves the platform one write a second: removals wait
+// for their turn, go on after a refusal, and keep up.
+func TestRemovalUnderRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.close()
+		w.start("n0", 0, 0)
+		w.store.Writes = rate.NewLimiter(1, 1)
+		written := uint64(0)
+		for i := range 10 * snapshots {
+			o := w.apply(w.nodes[0], service("a", fmt.Sprint("w", i), w.version(record.KeyOf(service("a", "", 0)))))
+			if o.written {
+				written++
+			}
+			time.Sleep(10 * time.Second)
+		}
+		w.end(t)
+		require.Greater(t, written, uint64(8*snapshots), "few writes are refused")
+		require.Equal(t, written, w.nodes[0].holder.Table().Number)
+		require.LessOrEqual(t, len(w.store.PeekAll(platform.KindRevision)), 3*snapshots)
+		require.LessOrEqual(t, len(w.store.PeekAll(platform.KindSnapshot)), 3)
+	})
+}
--- a/mesh/platform/publisher.go
+++ b/mesh/platform/publisher.go
@@ -62,7 +62,7 @@
 	return &Publisher{
 		config: config, records: newRecordSet(),
 		follower: follower{holder: config.Holder, deliver: config.Deliver},
-		archiver: archiver{store: config.Store, holder: config.Holder, every: uint64(config.Snapshot)},
+		archiver: archiver{store: config.Store, holder: config.Holder, every: uint64(config.Snapshot), superseded: make(chan *wire.Pointer, 1)},
 	}
 }
 
@@ -72,6 +72,7 @@
 	t.Go(func() error {
 		t.Go(func() error { return p.loop(ctx, "watch records", p.watch) })
 		t.Go(func() error { return p.loop(ctx, "poll records", p.poll) })
+		t.Go(func() error { return p.loop(ctx, "remove", p.remove) })
 		return p.loop(ctx, "publish", p.publish)
 	})
 	<-t.Dead()
@@ -108,6 +109,10 @@
 	return p.records.watch(ctx, p.config.Poll, 0)
 }
 
+func (p *Publisher) remove(ctx context.Context, _ int) error {
+	return p.archiver.clean(ctx)
+}
+
 // publish waits until something may be undone and does it.
 func (p *Publisher) publish(ctx context.Context, rank int) error {
 	changed := p.config.Holder.Changed()
