--- a/mesh/call/policy.go
+++ b/mesh/call/policy.go
@@ -91,6 +91,16 @@
 	return Carried{}.Of(i, now) * (i.Latency(now) + failureLatency*i.Failing(now))
 }
 
+// Tail is Latency with the latency squared, so that a slow instance gets calls
+// only when the others are very busy.
+type Tail struct{}
+
+// Of implements Load.
+func (Tail) Of(i *Instance, now time.Time) float64 {
+	latency := i.Latency(now) + failureLatency*i.Failing(now)
+	return Carried{}.Of(i, now) * latency * latency
+}
+
 // Risk weighs the carried count by the chance that the load exceeds the slots,
 // taken from the mean and the deviation of the carried load, as KEP-357 of the
 // Kubernetes scheduler plugins does for overcommitted machines. A normal tail
@@ -118,6 +128,7 @@
 		"local":      TwoChoices[Local]{},
 		"carried":    TwoChoices[Carried]{},
 		"latency":    TwoChoices[Latency]{},
+		"tail":       TwoChoices[Tail]{},
 		"risk":       TwoChoices[Risk]{},
 	}
 }
--- a/mesh/caller/matrix_test.go
+++ b/mesh/caller/matrix_test.go
@@ -287,6 +287,22 @@
 	wait(t, func() bool { return s.sides[0].server.Progress()+s.sides[1].server.Progress() == 0 })
 }
 
+// TestHedgeWins takes the answer of the second attempt and cancels the first.
+func TestHedgeWins(t *testing.T) {
+	s := newStack(t, 2)
+	s.sides[0].server.Set(backendtest.Faults{Silent: true})
+	hedged := false
+	for n := 0; n < 100 && !hedged; n++ {
+		key := fmt.Sprint("w", n)
+		a := s.do(t.Context(), http.MethodGet, "/hedge", key, nil)
+		require.Equal(t, http.StatusOK, a.status, a.reason)
+		require.Equal(t, "quotes "+key+" ", a.body)
+		hedged = s.runs(key) == 2
+	}
+	require.True(t, hedged)
+	wait(t, func() bool { return s.sides[0].server.Progress() == 0 && s.sides[0].gate.Progress() == 0 })
+}
+
 // TestCancel stops the work at the backend server when the caller goes away.
 func TestCancel(t *testing.T) {
 	s := newStack(t, 1)
