--- a/mesh/caller/once_test.go
+++ b/mesh/caller/once_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/http2"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/peer"
 )
 
 // broken is a backend server that runs a call and closes the connection, once
@@ -175,3 +176,19 @@
 	require.Equal(t, []string{string(call.Refused), "no"}, []string{a.reason, a.ran})
 	require.Zero(t, s.runs("k"))
 }
+
+// TestCrossed never hands an answer that belongs to another call to a caller.
+func TestCrossed(t *testing.T) {
+	s, l := newStack(t, 1), listen(t)
+	node := &http.Server{Protocols: peer.Protocols(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(call.HeaderID, "another")
+		_, _ = io.WriteString(w, "quotes another slip")
+	})}
+	go func() { _ = node.Serve(l) }()
+	defer node.Close()
+	s.redirect(l.Addr().String())
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		a := s.do(t.Context(), method, "/book", "k", nil)
+		require.Equal(t, []any{http.StatusBadGateway, string(call.Crossed), "unknown", ""}, []any{a.status, a.reason, a.ran, a.body})
+	}
+}
