--- a/mesh/member/matrix_test.go
+++ b/mesh/member/matrix_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -191,3 +192,19 @@
 	w.run(120 * testBeat)
 	w.check(t)
 }
+
+// TestHerdKnowsItself starts every instance of a fleet at one moment, empty, and
+// checks that all know all and agree before duties would be taken on trust.
+func TestHerdKnowsItself(t *testing.T) {
+	w := newWorld(7)
+	for i := range 150 {
+		name := fmt.Sprintf("n%d", i)
+		w.names = append(w.names, name)
+		w.nodes[name] = &host{domain: fmt.Sprintf("d%d", i%7)}
+	}
+	for _, name := range w.names {
+		w.start(name, uint64(w.now.UnixMilli()))
+	}
+	w.run(settleBeats * testBeat)
+	w.check(t)
+}
