--- a/carobbench/gossip.go
+++ b/carobbench/gossip.go
@@ -49,7 +49,9 @@
 
 // Push implements the Peer service.
 func (g *gossiper) Push(_ context.Context, req *connect.Request[wire.PushRequest]) (*connect.Response[wire.PushResponse], error) {
-	g.take(req.Msg.GetUpdate())
+	if g.take(req.Msg.GetUpdate()) {
+		g.wg.Go(func() { g.fetch(req.Msg.GetName()) })
+	}
 	return connect.NewResponse(&wire.PushResponse{Revision: g.holder.Table().Number}), nil
 }
 
@@ -59,20 +61,33 @@
 	return connect.NewResponse(&wire.FetchResponse{Update: u, Revision: g.holder.Table().Number}), nil
 }
 
-// take applies an update and passes on what was new.
-func (g *gossiper) take(u *wire.Update) {
+// take applies an update and passes on what was new. It tells whether the
+// update left a gap.
+func (g *gossiper) take(u *wire.Update) bool {
 	old := g.holder.Table()
-	if g.holder.Apply(u) != nil {
-		return
+	if err := g.holder.Apply(u); err != nil {
+		return errors.Is(err, revision.ErrGap)
 	}
 	next := g.holder.Since(old.Number, old.Digest)
 	for range gossipCopies {
 		g.wg.Go(func() {
 			ctx, cancel := context.WithTimeout(g.ctx, gossipTimeout)
 			defer cancel()
-			_, _ = g.pool.Client(g.other()).Push(ctx, connect.NewRequest(&wire.PushRequest{Update: next})) // loss is repaired
+			_, _ = g.pool.Client(g.other()).Push(ctx, connect.NewRequest(&wire.PushRequest{Name: g.addr, Update: next})) // loss is repaired
 		})
 	}
+	return false
+}
+
+// fetch asks a peer for what this node lacks.
+func (g *gossiper) fetch(addr string) {
+	t := g.holder.Table()
+	ctx, cancel := context.WithTimeout(g.ctx, gossipTimeout)
+	defer cancel()
+	resp, err := g.pool.Client(addr).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Revision: t.Number, Digest: t.Digest}))
+	if err == nil && resp.Msg.GetUpdate() != nil {
+		g.take(resp.Msg.GetUpdate())
+	}
 }
 
 func (g *gossiper) other() string {
@@ -93,13 +108,7 @@
 			return
 		case <-timer.C:
 		}
-		t := g.holder.Table()
-		ctx, cancel := context.WithTimeout(g.ctx, gossipTimeout)
-		resp, err := g.pool.Client(g.other()).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{Revision: t.Number, Digest: t.Digest}))
-		cancel()
-		if err == nil && resp.Msg.GetUpdate() != nil {
-			g.take(resp.Msg.GetUpdate())
-		}
+		g.fetch(g.other())
 	}
 }
 
