Set the hooks of the test world under its lock

Cause: go test -race found tests that set a hook, or whether nodes have readers, while nodes read it.

Change: the world has a method for hooks and reads the other before it starts a node. Nothing outside test files changes.

--- a/mesh/platform/lost_test.go
+++ b/mesh/platform/lost_test.go
@@ -53,8 +53,8 @@
 				w.apply(w.nodes[1], service("a", "first", 0))
 				f := c.faults
 				f.Stale = c.stale
-				w.hooks["record write"] = func(*node) { w.store.Set(f) }
-				w.hooks["after record write"] = func(*node) { c.after(w) }
+				w.hook("record write", func(*node) { w.store.Set(f) })
+				w.hook("after record write", func(*node) { c.after(w) })
 				o := w.apply(w.nodes[0], service("a", "mine", w.version(key)))
 				w.store.Set(platformtest.Faults{})
 				time.Sleep(5 * time.Second)
--- a/mesh/platform/matrix_test.go
+++ b/mesh/platform/matrix_test.go
@@ -45,9 +45,7 @@
 	"two operators": func(n *node) {
 		k := record.KeyOf(service("a", "", 0))
 		other := n.w.apply(n.w.nodes[2], service("a", "rival", n.w.version(k)))
-		n.w.mu.Lock()
-		n.w.hooks["end"] = func(*node) { n.w.checkOutcome(other) }
-		n.w.mu.Unlock()
+		n.w.hook("end", func(*node) { n.w.checkOutcome(other) })
 	},
 	"two publishers": func(n *node) {
 		n.w.mu.Lock()
@@ -102,9 +100,7 @@
 	time.Sleep(5 * time.Second)
 	require.Equal(t, 1, len(w.nodes[0].holder.Table().Routes))
 
-	w.mu.Lock()
-	w.hooks[step] = faults[fault]
-	w.mu.Unlock()
+	w.hook(step, faults[fault])
 	var wg sync.WaitGroup
 	results := make(chan outcome, 64)
 	for i := range 2 {
--- a/mesh/platform/publisher_test.go
+++ b/mesh/platform/publisher_test.go
@@ -25,10 +25,10 @@
 		second := w.start("n1", 1, 0)
 		w.apply(second, service("a", "first", 0))
 		time.Sleep(5 * time.Second)
-		w.hooks["append"] = func(n *node) {
+		w.hook("append", func(n *node) {
 			n.pause()
 			go w.apply(second, service("b", "other", 0)) // the other publisher's revision holds more
-		}
+		})
 		for i := range 5 * snapshots {
 			w.apply(second, service("a", fmt.Sprint("w", i), w.version(record.KeyOf(service("a", "", 0)))))
 			time.Sleep(time.Second)
@@ -38,10 +38,10 @@
 		name := platform.RevisionName(before + 1)
 		_, kept := w.store.Peek(platform.KindRevision, name)
 		require.False(t, kept, "revision %d was removed", before+1)
-		w.hooks["after append"] = func(n *node) {
+		w.hook("after append", func(n *node) {
 			_, stray := w.store.Peek(platform.KindRevision, name)
 			require.True(t, stray && n == first, "the stale create succeeded")
-		}
+		})
 		first.resume()
 		w.end(t)
 		require.True(t, w.fired["after append"])
--- a/mesh/platform/world_test.go
+++ b/mesh/platform/world_test.go
@@ -144,9 +144,10 @@
 	w.mu.Lock()
 	w.nodes = append(w.nodes, n)
 	w.mu.Unlock()
+	readers := !w.noReaders
 	go func() {
 		defer close(n.done)
-		if !w.noReaders {
+		if readers {
 			go func() { _ = reader.Run(ctx) }()
 		}
 		_ = publisher.Run(ctx)
@@ -219,6 +220,13 @@
 	return n.dead
 }
 
+// hook sets what happens at a step once.
+func (w *world) hook(step string, f func(n *node)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hooks[step] = f
+}
+
 // at runs the hook of a step once.
 func (n *node) at(step string) {
 	n.w.mu.Lock()
