--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -1,14 +1,11 @@
 package telemetry
 
-// This file sets up the log: JSON lines that carry the revision in force and
-// the id of the call.
+// This file sets up the log: JSON lines that carry the revision in force.
 
 import (
 	"context"
 	"io"
 	"log/slog"
-
-	"go.opentelemetry.io/otel/trace"
 )
 
 // partKey is the attribute that names a part of the node.
@@ -31,46 +28,31 @@
 	return l
 }
 
-// callKey is the context key of a call's id.
-type callKey struct{}
-
-// WithCall returns a context whose log lines carry the id of a call.
-func WithCall(ctx context.Context, id string) context.Context {
-	return context.WithValue(ctx, callKey{}, id)
-}
-
 // WithRevision returns a logger whose lines carry the revision in force when
-// they were written, and the ids of the call and the trace that their context
-// belongs to.
+// they were written.
 func WithRevision(log *slog.Logger, revision func() uint64) *slog.Logger {
-	return slog.New(&contextHandler{Handler: log.Handler(), revision: revision})
+	return slog.New(&revisionHandler{Handler: log.Handler(), revision: revision})
 }
 
-// contextHandler adds what is known when a line is written.
-type contextHandler struct {
+// revisionHandler adds the revision in force to each line.
+type revisionHandler struct {
 	slog.Handler
 	revision func() uint64
 }
 
 // Handle implements slog.Handler.
-func (h *contextHandler) Handle(ctx context.Context, r slog.Record) error {
+func (h *revisionHandler) Handle(ctx context.Context, r slog.Record) error {
 	r = r.Clone()
 	r.AddAttrs(slog.Uint64("revision", h.revision()))
-	if id, ok := ctx.Value(callKey{}).(string); ok {
-		r.AddAttrs(slog.String("call", id))
-	}
-	if s := trace.SpanContextFromContext(ctx); s.IsValid() {
-		r.AddAttrs(slog.String("trace", s.TraceID().String()))
-	}
 	return h.Handler.Handle(ctx, r)
 }
 
 // WithAttrs implements slog.Handler.
-func (h *contextHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &contextHandler{Handler: h.Handler.WithAttrs(attrs), revision: h.revision}
+func (h *revisionHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &revisionHandler{Handler: h.Handler.WithAttrs(attrs), revision: h.revision}
 }
 
 // WithGroup implements slog.Handler.
-func (h *contextHandler) WithGroup(name string) slog.Handler {
-	return &contextHandler{Handler: h.Handler.WithGroup(name), revision: h.revision}
+func (h *revisionHandler) WithGroup(name string) slog.Handler {
+	return &revisionHandler{Handler: h.Handler.WithGroup(name), revision: h.revision}
 }
