--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -88,6 +88,14 @@
 	require.Contains(t, c.err, "nothing was written")
 	require.Zero(t, carobctl(addr, "", "apply", "-f", plan, "--force", "--json").code)
 
+	old := `{"kind": "route", "name": "old", "schema": 1, "spec": {"prefix": "/old", "service": "quotes", "timeout": 2000}}`
+	require.Zero(t, carobctl(addr, old, "apply", "-f", "-").code)
+	c = carobctl(addr, "", "get", "route/old", "--schema", "2")
+	require.Zero(t, c.code, c.err)
+	require.Contains(t, c.out, `"schema":2`)
+	require.Contains(t, c.out, `"timeout":"2s"`)
+	require.Zero(t, carobctl(addr, c.out, "apply", "-f", "-").code)
+
 	c = carobctl(addr, "", "delete", "route/stock", "--wait", "--bound", "30s")
 	require.Zero(t, c.code, c.err)
 	require.Equal(t, console{exitRefused, "", "route/stock does not exist\n"}, carobctl(addr, "", "get", "route/stock"))
--- a/carobctl/read.go
+++ b/carobctl/read.go
@@ -16,7 +16,11 @@
 
 $ carobctl get
 $ carobctl get route
-$ carobctl get route/stock`
+$ carobctl get route/stock
+$ carobctl get route --schema 2 > routes.json
+
+With --schema they are converted; diff and apply then move them to that schema
+version.`
 
 const deleteHelp = `Deletes one record. A service stays in force until no route in force refers to
 it any more. The name keeps its version, so a record written again continues it.
@@ -40,7 +44,7 @@
 
 type getCommand struct {
 	app    *app
-	Schema uint32 `long:"schema" description:"convert to this schema version"`
+	Schema uint32 `long:"schema" value-name:"VERSION" description:"convert to this schema version"`
 	Args   target `positional-args:"yes"`
 }
 
--- a/mesh/node/operate_test.go
+++ b/mesh/node/operate_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// TestConvergenceIsMeasured changes a record that is in force and reads the
+// histogram of each node.
+func TestConvergenceIsMeasured(t *testing.T) {
+	p := newPair(t, func(string) telemetry.Sinks { return telemetry.Sinks{} })
+	p.apply(t)
+	before := p.entry.Holder.Table().Number
+	c := wireconnect.NewOperatorClient(http.DefaultClient, "http://"+p.server.Addresses().Operator)
+	_, err := c.Apply(t.Context(), connect.NewRequest(&wire.ApplyRequest{Force: true, Record: &wire.Record{
+		Kind: wire.Kind_KIND_ROUTE, Name: "quotes", Schema: 2, Body: []byte(`{"prefix": "/", "service": "quotes"}`),
+	}}))
+	require.NoError(t, err)
+	for _, n := range []*Node{p.entry, p.server} {
+		require.Eventually(t, func() bool {
+			count, _ := scrape(t, n, "caroblift_node_convergence_seconds_count")
+			return n.Holder.Table().Number > before && count > 0
+		}, 30*time.Second, 50*time.Millisecond)
+	}
+}
+
 // TestPortsAreApart checks that a port answers its own pages only.
 func TestPortsAreApart(t *testing.T) {
 	p := newPair(t, func(string) telemetry.Sinks { return telemetry.Sinks{} })
