Draw goodput under overload, and share the runs' types with the report

Cause: carobbench call prints goodput, which the report only listed, and the report repeated the types of call's summary. Change: the report uses callTimes and policyResult, and plots goodput at twice the capacity against 0.9. Result: go test ./carobbench passes; the page of six sample runs has 8 plots.

--- a/carobbench/figure.go
+++ b/carobbench/figure.go
@@ -23,6 +23,7 @@
 const (
 	targetConvergence = 3000.0 // ms
 	targetAdded       = 0.89   // ms at p99
+	targetGoodput     = 0.9    // share at twice the capacity
 	targetMemory      = 64.0   // MB
 	targetCore        = 3.3    // percent
 	targetBytes       = 20e3   // bytes per second
@@ -252,24 +253,38 @@
 	return f, f.bars("ms", labels, all, targetAdded)
 }
 
-func policyFigure(runs []*runFile) (figure, error) {
-	f := figure{Title: "Policies", Note: "Latency in ms under load with a slow and a cold backend server, and goodput."}
-	var labels []string
-	all := []series{{name: "p99"}, {name: "p999"}, {name: "goodput"}}
+// policyValues returns the names of the policies of all runs, and one value of
+// each.
+func policyValues(runs []*runFile, value func(policyResult) float64) (labels []string, values []float64) {
 	for _, r := range ofKind(runs, "call") {
 		for _, name := range slices.Sorted(maps.Keys(r.Policies)) {
-			p := r.Policies[name]
-			labels = append(labels, name)
-			for i, v := range []float64{p.P99, p.P999, p.Goodput} {
-				all[i].values = append(all[i].values, v)
-			}
+			labels, values = append(labels, name), append(values, value(r.Policies[name]))
 		}
 	}
+	return labels, values
+}
+
+func policyFigure(runs []*runFile) (figure, error) {
+	f := figure{Title: "Policies", Note: "Latency in ms under load with a slow, a cold and a lying backend server."}
+	labels, p99 := policyValues(runs, func(p policyResult) float64 { return p.P99 })
+	_, p999 := policyValues(runs, func(p policyResult) float64 { return p.P999 })
+	if len(labels) == 0 {
+		return f, nil
+	}
+	all := []series{{"p99", p99}, {"p999", p999}}
+	f.fill("policy", labels, all)
+	return f, f.bars("ms", labels, all, 0)
+}
+
+func goodputFigure(runs []*runFile) (figure, error) {
+	f := figure{Title: "Goodput under overload", Note: "Goodput at twice the capacity, as a share of that at the capacity."}
+	labels, goodput := policyValues(runs, func(p policyResult) float64 { return p.Goodput })
 	if len(labels) == 0 {
 		return f, nil
 	}
+	all := []series{{"goodput", goodput}}
 	f.fill("policy", labels, all)
-	return f, f.bars("ms", labels, all[:2], 0)
+	return f, f.bars("share", labels, all, targetGoodput)
 }
 
 func holdFigure(runs []*runFile) (figure, error) {
--- a/carobbench/report.go
+++ b/carobbench/report.go
@@ -48,13 +48,6 @@
 	return nil
 }
 
-// latencies are quantiles in ms.
-type latencies struct {
-	P50  float64 `json:"p50"`
-	P99  float64 `json:"p99"`
-	P999 float64 `json:"p999"`
-}
-
 // spreadFigures are what a run of converge measures of one way to distribute.
 type spreadFigures struct {
 	P50   float64 `json:"p50"` // ms
@@ -65,13 +58,6 @@
 	Calls float64 `json:"calls"` // platform calls per second
 }
 
-// policyFigures are what a run of call measures of one policy.
-type policyFigures struct {
-	P99     float64 `json:"p99"` // ms
-	P999    float64 `json:"p999"`
-	Goodput float64 `json:"goodput"` // share of the capacity, or calls per second
-}
-
 // runFile is one run, known by the keys of its last line.
 type runFile struct {
 	Name string // of the file
@@ -82,10 +68,10 @@
 	Converged float64 // demo, ms
 	spreadFigures
 	Base     *spreadFigures
-	Direct   *latencies
-	Proxied  *latencies
+	Direct   *callTimes
+	Proxied  *callTimes
 	Added    *float64 // ms at p99
-	Policies map[string]policyFigures
+	Policies map[string]policyResult
 	Servers  int
 	RSS      float64 // MB
 	Core     float64 // percent
@@ -164,7 +150,7 @@
 	slices.SortStableFunc(runs, func(a, b *runFile) int { return strings.Compare(a.Kind, b.Kind) })
 	var figures []figure
 	for _, draw := range []func([]*runFile) (figure, error){
-		convergenceFigure, bytesFigure, platformFigure, latencyFigure, policyFigure, holdFigure, herdFigure,
+		convergenceFigure, bytesFigure, platformFigure, latencyFigure, policyFigure, goodputFigure, holdFigure, herdFigure,
 	} {
 		f, err := draw(runs)
 		if err != nil {
--- a/carobbench/report_test.go
+++ b/carobbench/report_test.go
@@ -54,14 +54,14 @@
 	page, err := os.ReadFile(c.Out)
 	require.NoError(t, err)
 	plots := regexp.MustCompile(`(?s)<svg.*?</svg>`).FindAll(page, -1)
-	require.Len(t, plots, 7)
+	require.Len(t, plots, 8)
 	for _, plot := range plots {
 		wellFormed(t, plot)
 	}
 	bare := regexp.MustCompile(`xmlns(:xlink)?="[^"]*"`).ReplaceAll(page, nil)
 	require.NotRegexp(t, `https?://|<script|<link|<img|\bsrc=|href=|@import|url\(`, string(bare))
 	require.NotContains(t, string(page), "<b>")
-	for _, want := range []string{"Convergence time", "Control bytes", "Added latency", "Policies", "<td>demo, 11 nodes</td><td>6</td>", "<td>random</td><td>20</td><td>40</td><td>0.8</td>"} {
+	for _, want := range []string{"Convergence time", "Control bytes", "Added latency", "Policies", "<td>demo, 11 nodes</td><td>6</td>", "<td>random</td><td>20</td><td>40</td>", "<td>random</td><td>0.8</td>"} {
 		require.Contains(t, string(page), want)
 	}
 }
