--- a/mesh/member/member_test.go
+++ b/mesh/member/member_test.go
@@ -126,3 +126,19 @@
 	}
 	return n
 }
+
+// TestLoneNodeReckonsWithFewer checks that a node whose seeds are all down
+// comes to a share of the platform with which it can start.
+func TestLoneNodeReckonsWithFewer(t *testing.T) {
+	start := time.Unix(1000, 0)
+	self := &wire.Member{Name: "a", Peer: "127.0.0.1:1", State: wire.State_STATE_ALIVE, Incarnation: 1}
+	a := New(Config{Beat: time.Second, Suspect: time.Second, Seeds: []string{"127.0.0.1:2"}}, self, start)
+	require.Equal(t, unknownFleet, a.Size(start))
+	last := unknownFleet
+	for after := time.Duration(0); after < time.Hour; after += time.Second {
+		size := a.Size(start.Add(after))
+		require.LessOrEqual(t, size, last)
+		last = size
+	}
+	require.Equal(t, loneFleet, last)
+}
