Print the last line of a run in one place

Cause: five commands of carobbench repeated the same lines to print a summary. Change: printLast serves them all; what is printed stays the same.

--- a/carobbench/call.go
+++ b/carobbench/call.go
@@ -4,7 +4,6 @@
 // that pick backend servers compare.
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -71,11 +70,9 @@
 			return err
 		}
 	}
-	line, err := json.Marshal(s)
-	if err != nil {
-		return errors.Wrap(err, "report")
+	if err := printLast(s); err != nil {
+		return err
 	}
-	fmt.Println(string(line))
 	if s.Errors > 0 || s.Doubled > 0 {
 		return errors.New("a promise broke")
 	}
--- a/carobbench/converge.go
+++ b/carobbench/converge.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -70,11 +69,9 @@
 	if result.Base, err = c.base(); err != nil {
 		return err
 	}
-	line, err := json.Marshal(result)
-	if err != nil {
-		return errors.Wrap(err, "report")
+	if err := printLast(result); err != nil {
+		return err
 	}
-	fmt.Println(string(line))
 	if bound := convergeBound.Milliseconds(); result.Max > bound {
 		return errors.Errorf("a change took %d ms, want at most %d ms", result.Max, bound)
 	}
--- a/carobbench/demo.go
+++ b/carobbench/demo.go
@@ -295,11 +295,9 @@
 		fmt.Printf("  %d calls failed: %s\n", n.(*atomic.Int64).Load(), reason)
 		return true
 	})
-	line, err := json.Marshal(s)
-	if err != nil {
-		return errors.Wrap(err, "report")
+	if err := printLast(s); err != nil {
+		return err
 	}
-	fmt.Println(string(line))
 	if s.Errors > 0 || s.Doubled > 0 {
 		return errors.New("a promise broke")
 	}
--- a/carobbench/faults.go
+++ b/carobbench/faults.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -347,11 +346,9 @@
 	}
 	s.Doubled, s.Untrue = r.load.compare(runs)
 	fmt.Printf("%d calls, failures by reason: %v\n", s.Calls, r.load.reasons())
-	line, err := json.Marshal(s)
-	if err != nil {
-		return errors.Wrap(err, "report")
+	if err := printLast(s); err != nil {
+		return err
 	}
-	fmt.Println(string(line))
 	switch {
 	case !settled:
 		return errors.Errorf("the newest records were not in force everywhere within %s", settleBound)
--- a/carobbench/load.go
+++ b/carobbench/load.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -44,13 +43,11 @@
 		wg.Go(func() { l.run(ctx, c.Seed*1000+uint64(i), func() []string { return c.Entries }) })
 	}
 	wg.Wait()
-	line, err := json.Marshal(loadSummary{
+	if err := printLast(loadSummary{
 		Calls: l.calls.Load(), Errors: l.errors.Load(), Wrong: l.wrong.Load(), Reasons: l.reasons(), Longest: l.longest.Load(),
-	})
-	if err != nil {
-		return errors.Wrap(err, "report")
+	}); err != nil {
+		return err
 	}
-	fmt.Println(string(line))
 	if l.wrong.Load() > 0 || l.errors.Load() > c.Allow {
 		return errors.Errorf("%d calls failed, %d allowed, and %d answers were wrong", l.errors.Load(), c.Allow, l.wrong.Load())
 	}
