--- a/carobbench/converge.go
+++ b/carobbench/converge.go
@@ -19,8 +19,8 @@
 	"github.com/pkg/errors"
 
 	"caroblift.dev/carobbench/fleet"
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 )
 
@@ -115,11 +115,11 @@
 			{Kind: wire.Kind_KIND_SERVICE, Name: name, Schema: 1, Body: []byte(`{"policy": "` + name + `"}`)},
 			{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, 0))},
 		} {
-			body, err := platform.EncodeRecord(r, uuid.NewString(), nil)
+			body, err := store.EncodeRecord(r, uuid.NewString(), nil)
 			if err != nil {
 				return err
 			}
-			if _, err := f.Store.Create(context.Background(), platform.KindRecord, platform.RecordName(record.KeyOf(r)), body); err != nil {
+			if _, err := f.Store.Create(context.Background(), store.KindRecord, store.RecordName(record.KeyOf(r)), body); err != nil {
 				return errors.Wrapf(err, "write %s", record.KeyOf(r))
 			}
 		}
@@ -252,16 +252,16 @@
 func (r *convergence) change(i int) error {
 	ctx, name := context.Background(), r.changed(i)
 	rec := &wire.Record{Kind: wire.Kind_KIND_ROUTE, Name: name, Schema: 2, Body: []byte(routeBody(name, i+1))}
-	object := platform.RecordName(record.KeyOf(rec))
-	old, err := r.fleet.Store.Get(ctx, platform.KindRecord, object)
+	object := store.RecordName(record.KeyOf(rec))
+	old, err := r.fleet.Store.Get(ctx, store.KindRecord, object)
 	if err != nil {
 		return errors.Wrapf(err, "read %s", record.KeyOf(rec))
 	}
-	body, err := platform.EncodeRecord(rec, uuid.NewString(), nil)
+	body, err := store.EncodeRecord(rec, uuid.NewString(), nil)
 	if err != nil {
 		return err
 	}
-	_, err = r.fleet.Store.Update(ctx, platform.KindRecord, object, old.Version, body)
+	_, err = r.fleet.Store.Update(ctx, store.KindRecord, object, old.Version, body)
 	return errors.Wrapf(err, "write %s", record.KeyOf(rec))
 }
 
--- a/carobbench/faults.go
+++ b/carobbench/faults.go
@@ -17,8 +17,8 @@
 	"github.com/pkg/errors"
 
 	"caroblift.dev/carobbench/fleet"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
 )
@@ -225,7 +225,7 @@
 		})
 	}
 	r.schedule()
-	r.fleet.Store.Set(platformtest.Faults{})
+	r.fleet.Store.Set(storetest.Faults{})
 	stopOperators()
 	writing.Wait()
 	ended := time.Now()
@@ -270,12 +270,12 @@
 	}{
 		{"drain", r.drain},
 		{"crash", r.crash},
-		{"pair", func(d time.Duration) { r.fleet.Store.Set(platformtest.Faults{Down: true}); r.crash(d) }},
-		{"down", r.platform(platformtest.Faults{Down: true})},
-		{"slow", r.platform(platformtest.Faults{Slow: 300 * time.Millisecond})},
-		{"lose", r.platform(platformtest.Faults{Lose: true})},
-		{"stale", r.platform(platformtest.Faults{Stale: true})},
-		{"silent", r.platform(platformtest.Faults{Silent: true})},
+		{"pair", func(d time.Duration) { r.fleet.Store.Set(storetest.Faults{Down: true}); r.crash(d) }},
+		{"down", r.platform(storetest.Faults{Down: true})},
+		{"slow", r.platform(storetest.Faults{Slow: 300 * time.Millisecond})},
+		{"lose", r.platform(storetest.Faults{Lose: true})},
+		{"stale", r.platform(storetest.Faults{Stale: true})},
+		{"silent", r.platform(storetest.Faults{Silent: true})},
 	}
 	if r.config.Planned {
 		faults = faults[:1]
@@ -284,12 +284,12 @@
 		f := faults[r.rand.IntN(len(faults))]
 		r.counts[f.name]++
 		f.run(time.Duration(200+r.rand.IntN(1300)) * time.Millisecond)
-		r.fleet.Store.Set(platformtest.Faults{})
+		r.fleet.Store.Set(storetest.Faults{})
 		time.Sleep(time.Duration(r.rand.IntN(300)) * time.Millisecond)
 	}
 }
 
-func (r *faultRun) platform(f platformtest.Faults) func(time.Duration) {
+func (r *faultRun) platform(f storetest.Faults) func(time.Duration) {
 	return func(d time.Duration) {
 		r.fleet.Store.Set(f)
 		time.Sleep(d)
--- a/carobbench/feeder/feeder.go
+++ b/carobbench/feeder/feeder.go
@@ -25,7 +25,7 @@
 
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/peer"
-	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
 )
@@ -86,7 +86,7 @@
 		return nil, errors.Wrap(err, "platform")
 	}
 	f.store = l
-	f.platform = &http.Server{Handler: platformtest.New(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: quiet}
+	f.platform = &http.Server{Handler: storetest.New(), ReadHeaderTimeout: 10 * time.Second, ErrorLog: quiet}
 	go func() { _ = f.platform.Serve(&peer.Listener{Listener: l, Counter: &f.counter}) }()
 	return f, nil
 }
--- a/carobbench/fleet/accept.go
+++ b/carobbench/fleet/accept.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/store"
 )
 
 // acceptance holds the time of each accepted revision.
@@ -36,7 +36,7 @@
 // handler notes the time at which a call that creates a revision came in.
 func (a *acceptance) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodPut || !strings.HasPrefix(r.URL.Path, "/objects/"+platform.KindRevision+"/") {
+		if r.Method != http.MethodPut || !strings.HasPrefix(r.URL.Path, "/objects/"+store.KindRevision+"/") {
 			h.ServeHTTP(w, r)
 			return
 		}
--- a/carobbench/fleet/fleet.go
+++ b/carobbench/fleet/fleet.go
@@ -23,8 +23,8 @@
 	"caroblift.dev/mesh/backendtest"
 	"caroblift.dev/mesh/node"
 	"caroblift.dev/mesh/peer"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
@@ -62,7 +62,7 @@
 
 // Fleet is a platform and its instances.
 type Fleet struct {
-	Store *platformtest.Store
+	Store *storetest.Store
 
 	// Bytes counts the bytes of every connection to the platform.
 	Bytes peer.Counter
@@ -78,7 +78,7 @@
 
 // New starts the platform.
 func New(config Config) (*Fleet, error) {
-	f := &Fleet{Store: platformtest.New(), config: config, accepted: &acceptance{times: map[uint64]time.Time{}}}
+	f := &Fleet{Store: storetest.New(), config: config, accepted: &acceptance{times: map[uint64]time.Time{}}}
 	f.Store.Reads = rate.NewLimiter(platformReads, platformReads)
 	f.Store.Writes = rate.NewLimiter(platformWrites, platformWrites)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/carobbench/gossip.go
+++ b/carobbench/gossip.go
@@ -18,9 +18,9 @@
 
 	"caroblift.dev/carobbench/fleet"
 	"caroblift.dev/mesh/peer"
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/spread"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
 )
@@ -143,7 +143,7 @@
 	if err := c.seed(f); err != nil {
 		return nil, err
 	}
-	records, _, err := platform.ListRecords(context.Background(), f.Store)
+	records, _, err := store.ListRecords(context.Background(), f.Store)
 	if err != nil {
 		return nil, err
 	}
--- a/carobbench/herd.go
+++ b/carobbench/herd.go
@@ -16,8 +16,8 @@
 	"caroblift.dev/carobbench/examples"
 	"caroblift.dev/carobbench/fleet"
 	"caroblift.dev/mesh/node"
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
@@ -111,12 +111,12 @@
 		return err
 	}
 	for _, r := range records {
-		body, err := platform.EncodeRecord(r, "herd", nil)
+		body, err := store.EncodeRecord(r, "herd", nil)
 		if err != nil {
 			return err
 		}
-		name := platform.RecordName(record.KeyOf(r))
-		if _, err := h.fleet.Store.Create(context.Background(), platform.KindRecord, name, body); err != nil {
+		name := store.RecordName(record.KeyOf(r))
+		if _, err := h.fleet.Store.Create(context.Background(), store.KindRecord, name, body); err != nil {
 			return errors.Wrapf(err, "record %s", name)
 		}
 	}
--- a/carobbench/plain.go
+++ b/carobbench/plain.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"caroblift.dev/carobbench/fleet"
-	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/store"
 )
 
 // The plain way keeps the whole configuration in one object.
@@ -98,7 +98,7 @@
 // publish writes the whole configuration and returns its version.
 func (p *plain) publish(version uint64) (uint64, error) {
 	ctx := context.Background()
-	objs, _, err := platform.ListAll(ctx, p.fleet.Store, platform.KindRecord, "")
+	objs, _, err := store.ListAll(ctx, p.fleet.Store, store.KindRecord, "")
 	if err != nil {
 		return 0, err
 	}
@@ -125,7 +125,7 @@
 
 // follow watches the configuration as one node does.
 func (p *plain) follow(ctx context.Context) {
-	client := platform.New(platform.ClientConfig{Addresses: []string{p.fleet.Address()}})
+	client := store.New(store.ClientConfig{Addresses: []string{p.fleet.Address()}})
 	defer client.Close()
 	var version uint64
 	for ctx.Err() == nil {
@@ -147,7 +147,7 @@
 // wait comes back when the platform says so.
 func (p *plain) wait(ctx context.Context, err error) {
 	after := 100 * time.Millisecond
-	var busy *platform.BusyError
+	var busy *store.BusyError
 	if errors.As(err, &busy) {
 		after = busy.After
 	}
--- a/carobbench/standin.go
+++ b/carobbench/standin.go
@@ -14,7 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"caroblift.dev/mesh/backendtest"
-	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/storetest"
 )
 
 type platformCommand struct {
@@ -25,7 +25,7 @@
 
 // Execute serves the platform until a signal comes.
 func (c *platformCommand) Execute([]string) error {
-	store := platformtest.New()
+	store := storetest.New()
 	store.Reads = rate.NewLimiter(rate.Limit(c.Reads), c.Reads)
 	store.Writes = rate.NewLimiter(rate.Limit(c.Writes), c.Writes)
 	server := &http.Server{Addr: c.Listen, Handler: store, ConnContext: store.ConnContext, ReadHeaderTimeout: 10 * time.Second}
--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -14,9 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/node"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
@@ -25,7 +25,7 @@
 // startNode runs one node against a stand-in for the platform and returns its
 // operator address.
 func startNode(t *testing.T) string {
-	store := httptest.NewServer(platformtest.New())
+	store := httptest.NewServer(storetest.New())
 	t.Cleanup(store.Close)
 	s := settings.Defaults()
 	s.Instance = &wire.Instance{Name: "quotes-1", Domain: "xitun"}
--- a/mesh/node/duty.go
+++ b/mesh/node/duty.go
@@ -4,8 +4,8 @@
 // share of the platform's rates goes with them.
 
 import (
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/spread"
+	"caroblift.dev/mesh/store"
 )
 
 // reader tells whether this node reads the platform now.
@@ -22,7 +22,7 @@
 // assembleBudget shares the platform's rates by what the node knows of others.
 func (n *Node) assembleBudget() {
 	readers := int(n.settings.GetPlatform().GetReaders())
-	n.budget = platform.NewBudget(platform.BudgetConfig{
+	n.budget = store.NewBudget(store.BudgetConfig{
 		Nodes: n.Members.Size, Known: n.Members.Joined,
 		Duties: func() int {
 			v := n.Members.View()
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -28,10 +28,10 @@
 	"caroblift.dev/mesh/caller"
 	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/peer"
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/spread"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 )
@@ -41,8 +41,8 @@
 	Holder    *revision.Holder
 	Members   *peer.Members
 	Spread    *peer.Spread
-	Publisher *platform.Publisher
-	Reader    *platform.Reader
+	Publisher *store.Publisher
+	Reader    *store.Reader
 	Gate      *backend.Gate
 	Proxy     *caller.Proxy
 
@@ -50,10 +50,10 @@
 	sinks     telemetry.Sinks
 	tomb      tomb.Tomb
 	listeners listeners
-	store     *platform.Client
-	poll      *platform.Client
-	budget    *platform.Budget
-	meeting   *platform.Meeting
+	store     *store.Client
+	poll      *store.Client
+	budget    *store.Budget
+	meeting   *store.Meeting
 	pool      *peer.Pool
 	inbound   peer.Counter // control bytes of accepted connections
 	hops      *http.Transport
@@ -169,7 +169,7 @@
 
 // head returns the newest revision on the platform after the one given.
 func (n *Node) head(ctx context.Context, after uint64) (uint64, error) {
-	objs, _, err := platform.ListAll(ctx, n.poll, platform.KindRevision, platform.RevisionName(after))
+	objs, _, err := store.ListAll(ctx, n.poll, store.KindRevision, store.RevisionName(after))
 	for _, o := range objs {
 		if number, err := strconv.ParseUint(o.Name, 10, 64); err == nil {
 			after = max(after, number)
@@ -194,22 +194,22 @@
 
 func (n *Node) assemblePlatform() {
 	s := n.settings.GetPlatform()
-	n.store = platform.New(platform.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("platform")})
+	n.store = store.New(store.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("platform")})
 	n.poll = n.store.Fresh()
 	n.assembleBudget()
-	store, poll := n.budget.Wrap(n.store), n.budget.Wrap(n.poll)
-	n.meeting = platform.NewMeeting(platform.MeetingConfig{
-		Store: store, Self: func() *wire.Member { return n.Members.View().Self }, Active: n.reader,
+	objects, poll := n.budget.Wrap(n.store), n.budget.Wrap(n.poll)
+	n.meeting = store.NewMeeting(store.MeetingConfig{
+		Store: objects, Self: func() *wire.Member { return n.Members.View().Self }, Active: n.reader,
 		Places: int(s.GetReaders()), Sinks: n.sinks.Sub("platform"),
 	})
 	deliver := func(u *wire.Update) { _ = n.Spread.Accept(u) } // both check what is in force
-	n.Reader = platform.NewReader(platform.ReaderConfig{
-		Store: store, Poll: poll, Holder: n.Holder, Deliver: deliver,
+	n.Reader = store.NewReader(store.ReaderConfig{
+		Store: objects, Poll: poll, Holder: n.Holder, Deliver: deliver,
 		Active: n.reader,
 		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Sinks: n.sinks.Sub("platform"),
 	})
-	n.Publisher = platform.NewPublisher(platform.PublisherConfig{
-		Store: store, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
+	n.Publisher = store.NewPublisher(store.PublisherConfig{
+		Store: objects, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
 		Rank: n.publisher,
 		Wait: ms(s.GetWait()), Sinks: n.sinks.Sub("platform"),
 		Poll: poll, Every: ms(s.GetPoll()), Snapshot: int(s.GetSnapshot()),
--- a/mesh/node/operate_test.go
+++ b/mesh/node/operate_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/backendtest"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
@@ -31,7 +31,7 @@
 
 // newPair starts two nodes that know each other and serve the service quotes.
 func newPair(t *testing.T, sinks func(name string) telemetry.Sinks) *pair {
-	store := httptest.NewServer(platformtest.New())
+	store := httptest.NewServer(storetest.New())
 	t.Cleanup(store.Close)
 	p := &pair{metrics: map[*Node]*telemetry.Metrics{}}
 	start := func(name string, seeds ...string) *Node {
--- a/mesh/operator/records.go
+++ b/mesh/operator/records.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 )
 
@@ -45,7 +45,7 @@
 // write is one write of a record. Every attempt of it carries the same change
 // ID, which the platform keeps with the record and with those written after.
 type write struct {
-	store  platform.Store
+	store  store.Store
 	record *wire.Record
 	change string
 	force  bool    // write over whatever version is present
@@ -70,7 +70,7 @@
 	case p.record.GetVersion() == base.record.GetVersion():
 		return true
 	case len(base.changes) == 0:
-		return len(p.changes) < platform.MaxChanges
+		return len(p.changes) < store.MaxChanges
 	}
 	return slices.Contains(p.changes, base.changes[0])
 }
@@ -99,9 +99,9 @@
 		o, err := w.put(ctx, p)
 		switch {
 		case err == nil:
-			written, err := platform.DecodeRecord(o)
+			written, err := store.DecodeRecord(o)
 			return &wire.ApplyResponse{Record: written}, err
-		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrUnknown), errors.Is(err, store.ErrConflict):
 			// Also a conflict may hide the answer to this write, when the
 			// request arrived twice.
 			w.lost, w.base = err, p
@@ -148,16 +148,16 @@
 }
 
 // put writes the record over what is present.
-func (w *write) put(ctx context.Context, p present) (platform.Object, error) {
-	body, err := platform.EncodeRecord(w.record, w.change, p.changes)
+func (w *write) put(ctx context.Context, p present) (store.Object, error) {
+	body, err := store.EncodeRecord(w.record, w.change, p.changes)
 	if err != nil {
-		return platform.Object{}, connect.NewError(connect.CodeInvalidArgument, err)
+		return store.Object{}, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	name := platform.RecordName(record.KeyOf(w.record))
+	name := store.RecordName(record.KeyOf(w.record))
 	if p.record == nil {
-		return w.store.Create(ctx, platform.KindRecord, name, body)
+		return w.store.Create(ctx, store.KindRecord, name, body)
 	}
-	return w.store.Update(ctx, platform.KindRecord, name, p.record.GetVersion(), body)
+	return w.store.Update(ctx, store.KindRecord, name, p.record.GetVersion(), body)
 }
 
 // unavailable wraps an error of the platform and says whether the write may
@@ -170,16 +170,16 @@
 }
 
 // read returns what the platform holds under a key.
-func read(ctx context.Context, store platform.Store, k record.Key) (present, error) {
-	o, err := store.Get(ctx, platform.KindRecord, platform.RecordName(k))
-	if errors.Is(err, platform.ErrNotFound) {
+func read(ctx context.Context, from store.Store, k record.Key) (present, error) {
+	o, err := from.Get(ctx, store.KindRecord, store.RecordName(k))
+	if errors.Is(err, store.ErrNotFound) {
 		return present{}, nil
 	}
 	if err != nil {
 		return present{}, err
 	}
-	r, err := platform.DecodeRecord(o)
-	return present{record: r, changes: platform.Changes(o)}, err
+	r, err := store.DecodeRecord(o)
+	return present{record: r, changes: store.Changes(o)}, err
 }
 
 // same tells whether two records say the same, versions left out.
@@ -232,7 +232,7 @@
 // read returns one record, or every record when the key is not whole.
 func (s *Service) read(ctx context.Context, k record.Key) ([]*wire.Record, error) {
 	if k.Kind == 0 || k.Name == "" {
-		records, _, err := platform.ListRecords(ctx, s.config.Store)
+		records, _, err := store.ListRecords(ctx, s.config.Store)
 		return records, err
 	}
 	p, err := read(ctx, s.config.Store, k)
--- a/mesh/operator/service.go
+++ b/mesh/operator/service.go
@@ -12,14 +12,14 @@
 	"net/http"
 
 	"caroblift.dev/mesh/member"
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 )
 
 // Config configures a Service. Every field but Metrics is required.
 type Config struct {
-	Store   platform.Store
+	Store   store.Store
 	Holder  *revision.Holder
 	View    func() *member.View
 	Report  func(context.Context) *wire.Report // of the whole fleet as far as known
--- a/mesh/platform/archive.go
+++ b/mesh/store/archive.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file writes snapshots and removes what they make superfluous.
 
--- a/mesh/platform/backoff.go
+++ b/mesh/store/backoff.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file decides how long to wait after a failed call.
 
--- a/mesh/platform/budget.go
+++ b/mesh/store/budget.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file keeps one node's calls to the platform inside its share of the
 // fleet's rates.
--- a/mesh/platform/budget_test.go
+++ b/mesh/store/budget_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 )
 
 // The platform's rates, per second, as the brief states them.
@@ -29,20 +29,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := platformtest.New()
-				var stores []platform.Store
-				var budgets []*platform.Budget
+				platform := storetest.New()
+				var stores []store.Store
+				var budgets []*store.Budget
 				for i := range c.nodes {
-					b := platform.NewBudget(platform.BudgetConfig{
+					b := store.NewBudget(store.BudgetConfig{
 						Nodes: func() int { return c.nodes }, Duties: func() int { return c.duties },
 						OnDuty: func() bool { return i < c.duties }, Known: func() bool { return true },
 					})
-					budgets, stores = append(budgets, b), append(stores, b.Wrap(store))
+					budgets, stores = append(budgets, b), append(stores, b.Wrap(platform))
 				}
 				spend(t, stores, 30) // the bursts
-				before := store.Calls()
+				before := platform.Calls()
 				spend(t, stores, 30)
-				after := store.Calls()
+				after := platform.Calls()
 				require.LessOrEqual(t, after["get"]-before["get"], uint64(platformReads*30))
 				require.LessOrEqual(t, after["create"]-before["create"], uint64(platformWrites*30))
 				require.Positive(t, after["get"]-before["get"])
@@ -53,7 +53,7 @@
 }
 
 // spend calls as often as the budgets allow for some seconds.
-func spend(t *testing.T, stores []platform.Store, seconds int) {
+func spend(t *testing.T, stores []store.Store, seconds int) {
 	for range seconds {
 		for _, s := range stores {
 			for err := error(nil); !busy(t, err); {
@@ -69,7 +69,7 @@
 
 // busy tells whether the budget refused a call and said when to come back.
 func busy(t *testing.T, err error) bool {
-	var b *platform.BusyError
+	var b *store.BusyError
 	if errors.As(err, &b) {
 		require.Positive(t, b.After)
 		return true
--- a/mesh/platform/client.go
+++ b/mesh/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file defines the client of the object API.
 
--- a/mesh/platform/client_test.go
+++ b/mesh/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"net/http"
@@ -10,18 +10,18 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/time/rate"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 )
 
 // serve returns a store behind HTTP and a client of it.
-func serve(t *testing.T, timeout time.Duration) (*platformtest.Store, *platform.Client) {
-	store := platformtest.New()
+func serve(t *testing.T, timeout time.Duration) (*storetest.Store, *store.Client) {
+	store := storetest.New()
 	server := httptest.NewUnstartedServer(store)
 	server.Config.ConnContext = store.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
-	c := platform.New(platform.ClientConfig{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: timeout})
+	c := store.New(store.ClientConfig{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: timeout})
 	t.Cleanup(c.Close)
 	return store, c
 }
@@ -34,34 +34,34 @@
 	made, err := c.Create(ctx, "record", "a", []byte("1"))
 	require.NoError(t, err)
 	_, err = c.Create(ctx, "record", "a", []byte("2"))
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, store.ErrConflict)
 	changed, err := c.Update(ctx, "record", "a", made.Version, []byte("2"))
 	require.NoError(t, err)
 	_, err = c.Update(ctx, "record", "a", made.Version, []byte("3"))
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, store.ErrConflict)
 	got, err := c.Get(ctx, "record", "a")
 	require.NoError(t, err)
-	require.Equal(t, platform.Object{Kind: "record", Name: "a", Version: changed.Version, Body: []byte("2")}, got)
+	require.Equal(t, store.Object{Kind: "record", Name: "a", Version: changed.Version, Body: []byte("2")}, got)
 	_, err = c.Get(ctx, "record", "b")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 
 	objs, next, err := c.Watch(ctx, "record", made.Version, time.Minute)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Object{got}, objs)
+	require.Equal(t, []store.Object{got}, objs)
 	objs, _, err = c.Watch(ctx, "record", next, 0)
 	require.NoError(t, err)
 	require.Empty(t, objs)
 	store.Forget()
 	_, _, err = c.Watch(ctx, "record", made.Version, 0)
-	require.ErrorIs(t, err, platform.ErrGone)
+	require.ErrorIs(t, err, store.ErrGone)
 
-	store.Set(platformtest.Faults{Lose: true})
+	store.Set(storetest.Faults{Lose: true})
 	_, err = c.Create(ctx, "record", "lost", []byte("1"))
-	require.ErrorIs(t, err, platform.ErrUnknown)
-	store.Set(platformtest.Faults{Down: true})
+	require.ErrorIs(t, err, store.ErrUnknown)
+	store.Set(storetest.Faults{Down: true})
 	_, err = c.Get(ctx, "record", "a")
-	require.ErrorIs(t, err, platform.ErrDown)
-	store.Set(platformtest.Faults{})
+	require.ErrorIs(t, err, store.ErrDown)
+	store.Set(storetest.Faults{})
 	_, err = c.Get(ctx, "record", "lost")
 	require.NoError(t, err, "the write whose answer was lost took effect")
 	require.NoError(t, c.Delete(ctx, "record", "a", changed.Version))
@@ -69,12 +69,12 @@
 	require.Equal(t, map[string]uint64{"create": 4, "update": 2, "get": 4, "watch": 3, "list": 0, "delete": 1}, c.Counts())
 	require.Equal(t, uint64(14), c.Calls())
 	store.Reads = rate.NewLimiter(0, 0)
-	var busy *platform.BusyError
+	var busy *store.BusyError
 	require.ErrorAs(t, errOf(c.Get(ctx, "record", "a")), &busy)
 	require.Equal(t, time.Second, busy.After)
 }
 
-func errOf(_ platform.Object, err error) error { return err }
+func errOf(_ store.Object, err error) error { return err }
 
 // TestClientSilent silences the open connections: the call under way ends
 // without an answer, and the next uses a new connection.
@@ -84,7 +84,7 @@
 	require.NoError(t, err)
 	store.Silence()
 	_, err = c.Create(t.Context(), "record", "b", nil)
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, store.ErrUnknown)
 	require.Eventually(t, func() bool {
 		_, err := c.Create(t.Context(), "record", "c", nil)
 		return err == nil
@@ -107,9 +107,9 @@
 				w.WriteHeader(http.StatusTooManyRequests)
 			}))
 			defer server.Close()
-			client := platform.New(platform.ClientConfig{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: time.Minute})
+			client := store.New(store.ClientConfig{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: time.Minute})
 			defer client.Close()
-			var busy *platform.BusyError
+			var busy *store.BusyError
 			require.ErrorAs(t, errOf(client.Get(t.Context(), "record", "a")), &busy)
 			require.Equal(t, c.want, busy.After)
 		})
--- a/mesh/platform/follower.go
+++ b/mesh/store/follower.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file reads revisions and snapshots and brings a table up to them.
 
--- a/mesh/platform/fuzz_test.go
+++ b/mesh/store/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/mesh/platform/lost_test.go
+++ b/mesh/store/lost_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 )
 
@@ -22,26 +22,26 @@
 	key := record.KeyOf(service("a", "", 0))
 	rivals := func(n int) func(*world) {
 		return func(w *world) {
-			w.store.Set(platformtest.Faults{})
+			w.store.Set(storetest.Faults{})
 			for i := range n {
 				w.apply(w.nodes[1], service("a", fmt.Sprint("rival", i), w.version(key)))
 			}
 		}
 	}
 	for name, c := range map[string]struct {
-		faults           platformtest.Faults
+		faults           storetest.Faults
 		after            func(*world) // before the read back
 		written, refused bool
 		times            int // that the write takes effect
 		stale            bool
 	}{
-		"written over since":          {faults: platformtest.Faults{Lose: true}, after: rivals(1), written: true, times: 1},
-		"written over often":          {faults: platformtest.Faults{Lose: true}, after: rivals(20), times: 1},
-		"never arrived, others wrote": {faults: platformtest.Faults{Drop: true}, after: rivals(1), refused: true},
-		"never arrived":               {faults: platformtest.Faults{Drop: true}, after: rivals(0), written: true, times: 1},
-		"arrives late":                {faults: platformtest.Faults{Late: time.Second}, after: rivals(0), written: true, times: 1},
-		"arrives twice":               {faults: platformtest.Faults{Twice: true}, after: rivals(1), written: true, times: 1},
-		"stale reads after it":        {faults: platformtest.Faults{Lose: true}, after: func(*world) {}, times: 1, stale: true},
+		"written over since":          {faults: storetest.Faults{Lose: true}, after: rivals(1), written: true, times: 1},
+		"written over often":          {faults: storetest.Faults{Lose: true}, after: rivals(20), times: 1},
+		"never arrived, others wrote": {faults: storetest.Faults{Drop: true}, after: rivals(1), refused: true},
+		"never arrived":               {faults: storetest.Faults{Drop: true}, after: rivals(0), written: true, times: 1},
+		"arrives late":                {faults: storetest.Faults{Late: time.Second}, after: rivals(0), written: true, times: 1},
+		"arrives twice":               {faults: storetest.Faults{Twice: true}, after: rivals(1), written: true, times: 1},
+		"stale reads after it":        {faults: storetest.Faults{Lose: true}, after: func(*world) {}, times: 1, stale: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -56,7 +56,7 @@
 				w.hook("record write", func(*node) { w.store.Set(f) })
 				w.hook("after record write", func(*node) { c.after(w) })
 				o := w.apply(w.nodes[0], service("a", "mine", w.version(key)))
-				w.store.Set(platformtest.Faults{})
+				w.store.Set(storetest.Faults{})
 				time.Sleep(5 * time.Second)
 				require.Equal(t, c.written, o.written, "told that it was written")
 				require.Equal(t, c.refused, o.refused, "told that it was not")
@@ -69,11 +69,11 @@
 
 // hookStore runs a hook once, after its first get was answered.
 type hookStore struct {
-	platform.Store
+	store.Store
 	hook func()
 }
 
-func (s *hookStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *hookStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	o, err := s.Store.Get(ctx, kind, name)
 	if hook := s.hook; hook != nil {
 		s.hook = nil
@@ -100,7 +100,7 @@
 		slow := w.start("slow", 9, 0)
 		slow.pause()
 		store := &hookStore{Store: w.store, hook: func() { change(5*snapshots + 1) }}
-		reader := platform.NewReader(platform.ReaderConfig{
+		reader := store.NewReader(store.ReaderConfig{
 			Store: store, Poll: store, Active: func() bool { return false }, Holder: slow.holder,
 			Deliver: func(u *wire.Update) { _ = slow.holder.Apply(u) },
 		})
--- a/mesh/platform/machine_test.go
+++ b/mesh/store/machine_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"caroblift.dev/mesh/operator"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 )
 
@@ -97,7 +97,7 @@
 }
 
 func (m *machine) fault(t *rapid.T) {
-	f := platformtest.Faults{
+	f := storetest.Faults{
 		Down: rapid.IntRange(0, 3).Draw(t, "down") == 0, Lose: rapid.Bool().Draw(t, "lose"), Twice: rapid.Bool().Draw(t, "twice"),
 		Stale: rapid.Bool().Draw(t, "stale"), Silent: rapid.Bool().Draw(t, "silent"), Mixed: rapid.Bool().Draw(t, "mixed"),
 		Slow: time.Duration(rapid.SampledFrom([]int{0, 0, 300, 2500}).Draw(t, "slow")) * time.Millisecond,
@@ -111,7 +111,7 @@
 	m.w.store.Set(f)
 }
 
-func (m *machine) heal(*rapid.T)     { m.w.store.Set(platformtest.Faults{}) }
+func (m *machine) heal(*rapid.T)     { m.w.store.Set(storetest.Faults{}) }
 func (m *machine) pause(t *rapid.T)  { m.node(t).pause() }
 func (m *machine) resume(t *rapid.T) { m.node(t).resume() }
 func (m *machine) forget(*rapid.T)   { m.w.store.Forget() }
@@ -147,7 +147,7 @@
 
 // finish ends every fault and checks what must hold then.
 func (m *machine) finish(t *rapid.T) {
-	m.w.store.Set(platformtest.Faults{})
+	m.w.store.Set(storetest.Faults{})
 	for _, n := range m.w.nodes {
 		n.resume()
 	}
--- a/mesh/platform/matrix_test.go
+++ b/mesh/store/matrix_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 )
 
 // pauseTime is longer than every timeout, in virtual time.
@@ -30,15 +30,15 @@
 		n.w.until(pauseTime)
 		time.AfterFunc(pauseTime, n.resume)
 	},
-	"platform down":      func(n *node) { n.w.disturb(platformtest.Faults{Down: true}, 10*time.Minute) },
-	"platform slow":      func(n *node) { n.w.disturb(platformtest.Faults{Slow: 1500 * time.Millisecond}, time.Minute) },
-	"platform too slow":  func(n *node) { n.w.disturb(platformtest.Faults{Slow: 3 * time.Second}, time.Minute) },
-	"answer lost":        func(n *node) { n.w.disturb(platformtest.Faults{Lose: true}, 10*time.Second) },
-	"cut connection":     func(n *node) { n.w.disturb(platformtest.Faults{Drop: true}, 10*time.Second) },
-	"duplicate":          func(n *node) { n.w.disturb(platformtest.Faults{Twice: true, Mixed: true}, 10*time.Second) },
-	"reorder":            func(n *node) { n.w.disturb(platformtest.Faults{Late: 3 * time.Second, Mixed: true}, 10*time.Second) },
-	"stale read":         func(n *node) { n.w.disturb(platformtest.Faults{Stale: true}, 30*time.Second) },
-	"silent watch":       func(n *node) { n.w.disturb(platformtest.Faults{Silent: true}, time.Minute) },
+	"platform down":      func(n *node) { n.w.disturb(storetest.Faults{Down: true}, 10*time.Minute) },
+	"platform slow":      func(n *node) { n.w.disturb(storetest.Faults{Slow: 1500 * time.Millisecond}, time.Minute) },
+	"platform too slow":  func(n *node) { n.w.disturb(storetest.Faults{Slow: 3 * time.Second}, time.Minute) },
+	"answer lost":        func(n *node) { n.w.disturb(storetest.Faults{Lose: true}, 10*time.Second) },
+	"cut connection":     func(n *node) { n.w.disturb(storetest.Faults{Drop: true}, 10*time.Second) },
+	"duplicate":          func(n *node) { n.w.disturb(storetest.Faults{Twice: true, Mixed: true}, 10*time.Second) },
+	"reorder":            func(n *node) { n.w.disturb(storetest.Faults{Late: 3 * time.Second, Mixed: true}, 10*time.Second) },
+	"stale read":         func(n *node) { n.w.disturb(storetest.Faults{Stale: true}, 30*time.Second) },
+	"silent watch":       func(n *node) { n.w.disturb(storetest.Faults{Silent: true}, time.Minute) },
 	"history gone":       func(n *node) { n.w.store.Forget() },
 	"silent connection":  func(n *node) { n.conn.Silence() },
 	"silent connections": func(n *node) { n.conn.Silence(); n.poll.Silence() },
@@ -62,10 +62,10 @@
 }
 
 // disturb sets faults of the platform for a while.
-func (w *world) disturb(f platformtest.Faults, d time.Duration) {
+func (w *world) disturb(f storetest.Faults, d time.Duration) {
 	w.store.Set(f)
 	w.until(d)
-	time.AfterFunc(d, func() { w.store.Set(platformtest.Faults{}) })
+	time.AfterFunc(d, func() { w.store.Set(storetest.Faults{}) })
 }
 
 // steps are the steps of a change of configuration, from the operator to the
@@ -142,6 +142,6 @@
 	joiner := w.start("joiner", 9, 0)
 	time.Sleep(settleTime)
 	require.Equal(t, w.alive().holder.Table().Digest, joiner.holder.Table().Digest)
-	require.LessOrEqual(t, len(w.store.PeekAll(platform.KindRevision)), 4*snapshots, "old revisions are removed")
-	require.LessOrEqual(t, len(w.store.PeekAll(platform.KindSnapshot)), 4, "old pieces are removed")
+	require.LessOrEqual(t, len(w.store.PeekAll(store.KindRevision)), 4*snapshots, "old revisions are removed")
+	require.LessOrEqual(t, len(w.store.PeekAll(store.KindSnapshot)), 4, "old pieces are removed")
 }
--- a/mesh/platform/meeting.go
+++ b/mesh/store/meeting.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file keeps meeting points on the platform: a few objects in each failure
 // domain that name a node to join by when no seed answers.
--- a/mesh/platform/objects.go
+++ b/mesh/store/objects.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file names the objects that the system keeps on the platform and
 // encodes their bodies.
--- a/mesh/platform/outage_test.go
+++ b/mesh/store/outage_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"fmt"
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/time/rate"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 )
 
@@ -33,7 +33,7 @@
 		leastPause = 2     // seconds between two tries of a loop, from the longest backoff
 		outage     = 3 * time.Hour
 	)
-	for name, f := range map[string]platformtest.Faults{
+	for name, f := range map[string]storetest.Faults{
 		"down":                {Down: true},
 		"slower than timeout": {Slow: 10 * time.Second},
 		"stale after forget":  {Stale: true},
@@ -54,7 +54,7 @@
 				time.Sleep(outage)
 				require.LessOrEqual(t, sum(w)-before, uint64(loops*perLoop*int(outage/time.Second)/leastPause))
 				require.True(t, w.nodes[2].holder.Ready(), "calls go on by the table in force")
-				w.store.Set(platformtest.Faults{})
+				w.store.Set(storetest.Faults{})
 				before = sum(w)
 				time.Sleep(time.Second)
 				require.LessOrEqual(t, sum(w)-before, uint64(2*loops*perLoop))
@@ -124,7 +124,7 @@
 		n.crash()
 		cold := w.start("cold", 9, n.holder.Floor())
 		cold.pause() // its loops stand still; Load is called by hand
-		reader := platform.NewReader(platform.ReaderConfig{
+		reader := store.NewReader(store.ReaderConfig{
 			Store: w.store, Poll: w.store, Active: func() bool { return false }, Holder: cold.holder,
 			Deliver: func(u *wire.Update) { _ = cold.holder.Apply(u) },
 		})
@@ -136,8 +136,8 @@
 		require.Equal(t, uint64(2), after["get"]-before["get"], "the pointer and one piece")
 		require.Equal(t, uint64(1), after["list"]-before["list"])
 		require.True(t, reader.Working())
-		w.store.Set(platformtest.Faults{Down: true})
-		require.ErrorIs(t, reader.Load(t.Context()), platform.ErrDown)
+		w.store.Set(storetest.Faults{Down: true})
+		require.ErrorIs(t, reader.Load(t.Context()), store.ErrDown)
 		require.False(t, reader.Working())
 	})
 }
@@ -161,7 +161,7 @@
 		w.end(t)
 		require.Greater(t, written, uint64(8*snapshots), "few writes are refused")
 		require.Equal(t, written, w.nodes[0].holder.Table().Number)
-		require.LessOrEqual(t, len(w.store.PeekAll(platform.KindRevision)), 3*snapshots)
-		require.LessOrEqual(t, len(w.store.PeekAll(platform.KindSnapshot)), 3)
+		require.LessOrEqual(t, len(w.store.PeekAll(store.KindRevision)), 3*snapshots)
+		require.LessOrEqual(t, len(w.store.PeekAll(store.KindSnapshot)), 3)
 	})
 }
--- a/mesh/platform/publisher.go
+++ b/mesh/store/publisher.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file drives the publisher: it composes the records into the next
 // revision and appends it.
--- a/mesh/platform/publisher_test.go
+++ b/mesh/store/publisher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"fmt"
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"caroblift.dev/mesh/platform"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
 )
 
 // TestPublisherPausedPastRemoval pauses a publisher right before it appends,
@@ -35,11 +35,11 @@
 		}
 		require.True(t, w.fired["append"])
 		before := first.holder.Table().Number
-		name := platform.RevisionName(before + 1)
-		_, kept := w.store.Peek(platform.KindRevision, name)
+		name := store.RevisionName(before + 1)
+		_, kept := w.store.Peek(store.KindRevision, name)
 		require.False(t, kept, "revision %d was removed", before+1)
 		w.hook("after append", func(n *node) {
-			_, stray := w.store.Peek(platform.KindRevision, name)
+			_, stray := w.store.Peek(store.KindRevision, name)
 			require.True(t, stray && n == first, "the stale create succeeded")
 		})
 		first.resume()
--- a/mesh/platform/reader.go
+++ b/mesh/store/reader.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file drives the reader: it follows the platform's revisions.
 
--- a/mesh/platform/records.go
+++ b/mesh/store/records.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file keeps the operators' records as a publisher last read them.
 
--- a/mesh/platform/snapshot.go
+++ b/mesh/store/snapshot.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // This file reads and encodes snapshots, which are kept in pieces, and the
 // pointer to the newest of them.
--- a/mesh/platform/store.go
+++ b/mesh/store/store.go
@@ -1,4 +1,4 @@
-// Package platform speaks to the platform's object API: versioned objects,
+// Package store speaks to the platform's object API: versioned objects,
 // conditional updates and watches over HTTP and JSON.
 //
 // The API that it expects:
@@ -11,12 +11,12 @@
 //
 // # Usage
 //
-//	store := platform.New(platform.ClientConfig{Addresses: []string{"127.0.0.1:7000"}})
+//	store := store.New(store.ClientConfig{Addresses: []string{"127.0.0.1:7000"}})
 //	obj, err := store.Create(ctx, "revision", "00000001", body)
-//	if errors.Is(err, platform.ErrUnknown) {
+//	if errors.Is(err, store.ErrUnknown) {
 //		// The answer was lost: read back before writing again.
 //	}
-package platform
+package store
 
 import (
 	"context"
--- a/mesh/platform/takeover_test.go
+++ b/mesh/store/takeover_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 )
 
 // leaseTime is the lease of the publisher that ranks are compared with; it is
@@ -25,7 +25,7 @@
 // lease is the way that was weighed against ranks: the publisher is whoever
 // holds a lease, kept as one object on the platform.
 type lease struct {
-	store platform.Store
+	store store.Store
 	name  string
 	held  atomic.Bool
 }
@@ -63,7 +63,7 @@
 	synctest.Test(outer, func(*testing.T) {
 		w := newWorld()
 		defer w.close()
-		w.store.Set(platformtest.Faults{Slow: 3 * time.Millisecond})
+		w.store.Set(storetest.Faults{Slow: 3 * time.Millisecond})
 		for i := range 3 {
 			n := w.start(fmt.Sprint("n", i), i, 0)
 			if leased {
--- a/mesh/platform/world_test.go
+++ b/mesh/store/world_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 // This file defines the world of the fault matrix and of the state machine: a
 // stand-in platform, nodes that read and publish, operators, and the promises
@@ -18,10 +18,10 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/operator"
-	"caroblift.dev/mesh/platform"
-	"caroblift.dev/mesh/platformtest"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/wire"
 )
 
@@ -41,7 +41,7 @@
 
 // world is everything that takes part.
 type world struct {
-	store *platformtest.Store
+	store *storetest.Store
 
 	mu        sync.Mutex
 	nodes     []*node
@@ -62,7 +62,7 @@
 
 func newWorld() *world {
 	w := &world{
-		store: platformtest.New(), digests: map[uint64]string{}, versions: map[record.Key]versionAt{}, created: map[string]int{},
+		store: storetest.New(), digests: map[uint64]string{}, versions: map[record.Key]versionAt{}, created: map[string]int{},
 		writes: map[string]int{}, bases: map[string]uint64{}, hooks: map[string]func(*node){}, fired: map[string]bool{},
 	}
 	w.store.Observe = w.observe
@@ -74,18 +74,18 @@
 }
 
 // observe checks each change on the platform.
-func (w *world) observe(old, o platform.Object) {
+func (w *world) observe(old, o store.Object) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch o.Kind {
-	case platform.KindRevision:
-		if rev, err := platform.DecodeRevision(o); err == nil && !o.Deleted {
+	case store.KindRevision:
+		if rev, err := store.DecodeRevision(o); err == nil && !o.Deleted {
 			if w.created[rev.GetChange()]++; w.created[rev.GetChange()] > 1 {
 				w.breakf("revision %d was published twice with change %s", rev.GetNumber(), rev.GetChange())
 			}
 		}
-	case platform.KindRecord:
-		r, err := platform.DecodeRecord(o)
+	case store.KindRecord:
+		r, err := store.DecodeRecord(o)
 		tag := tagOf(r)
 		if err != nil || tag == "" {
 			return
@@ -93,7 +93,7 @@
 		if w.writes[tag]++; w.writes[tag] > 1 {
 			w.breakf("write %s took effect twice", tag)
 		}
-		before, _ := platform.DecodeRecord(old)
+		before, _ := store.DecodeRecord(old)
 		if base := w.bases[tag]; old.Version != base && (base != 0 || !before.GetDeleted()) {
 			w.breakf("write %s replaced version %d unseen, its operator had seen %d", tag, old.Version, base)
 		}
@@ -112,7 +112,7 @@
 	w          *world
 	name       string
 	rank       int
-	conn, poll *platformtest.Conn
+	conn, poll *storetest.Conn
 	holder     *revision.Holder
 	cancel     context.CancelFunc
 	ctx        context.Context
@@ -133,11 +133,11 @@
 	}
 	n.holder.Raise(floor)
 	deliver := func(u *wire.Update) { n.deliver(ctx, u) }
-	reader := platform.NewReader(platform.ReaderConfig{
+	reader := store.NewReader(store.ReaderConfig{
 		Store: &tap{n, n.conn}, Poll: &tap{n, n.poll}, Active: func() bool { return true }, Holder: n.holder,
 		Deliver: deliver, Wait: 20 * time.Second, Every: time.Second,
 	})
-	publisher := platform.NewPublisher(platform.PublisherConfig{
+	publisher := store.NewPublisher(store.PublisherConfig{
 		Store: &tap{n, n.conn}, Poll: &tap{n, n.poll}, Name: name, Holder: n.holder, Deliver: deliver,
 		Wait: 20 * time.Second, Every: time.Second, Snapshot: snapshots, Rank: n.publisherRank,
 	})
@@ -284,19 +284,19 @@
 // tap runs the hooks of the steps around a node's calls.
 type tap struct {
 	n     *node
-	store platform.Store
+	store store.Store
 }
 
 // stepOf returns the step that a call belongs to.
 func stepOf(kind string, write bool) string {
 	switch {
-	case kind == platform.KindRecord && write:
+	case kind == store.KindRecord && write:
 		return "record write"
-	case kind == platform.KindRecord:
+	case kind == store.KindRecord:
 		return "compose"
-	case kind == platform.KindRevision && write:
+	case kind == store.KindRevision && write:
 		return "append"
-	case kind == platform.KindRevision:
+	case kind == store.KindRevision:
 		return "read"
 	case write:
 		return "snapshot"
@@ -311,27 +311,27 @@
 	step := stepOf(kind, write)
 	p.n.at(step)
 	if p.n.stop(ctx) {
-		return zero, platform.ErrDown
+		return zero, store.ErrDown
 	}
 	v, err := call()
 	p.n.at("after " + step)
 	if p.n.stop(ctx) {
-		return zero, platform.ErrUnknown
+		return zero, store.ErrUnknown
 	}
 	return v, err
 }
 
-func (p *tap) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	return around(ctx, p, kind, false, func() (platform.Object, error) { return p.store.Get(ctx, kind, name) })
+func (p *tap) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	return around(ctx, p, kind, false, func() (store.Object, error) { return p.store.Get(ctx, kind, name) })
 }
 
 type listing struct {
-	objs    []platform.Object
+	objs    []store.Object
 	version uint64
 	more    bool
 }
 
-func (p *tap) List(ctx context.Context, kind, after string) ([]platform.Object, uint64, bool, error) {
+func (p *tap) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
 	l, err := around(ctx, p, kind, false, func() (l listing, err error) {
 		l.objs, l.version, l.more, err = p.store.List(ctx, kind, after)
 		return l, err
@@ -339,7 +339,7 @@
 	return l.objs, l.version, l.more, err
 }
 
-func (p *tap) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+func (p *tap) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
 	l, err := around(ctx, p, kind, false, func() (l listing, err error) {
 		l.objs, l.version, err = p.store.Watch(ctx, kind, version, wait)
 		return l, err
@@ -347,12 +347,12 @@
 	return l.objs, l.version, err
 }
 
-func (p *tap) Create(ctx context.Context, kind, name string, body []byte) (platform.Object, error) {
-	return around(ctx, p, kind, true, func() (platform.Object, error) { return p.store.Create(ctx, kind, name, body) })
+func (p *tap) Create(ctx context.Context, kind, name string, body []byte) (store.Object, error) {
+	return around(ctx, p, kind, true, func() (store.Object, error) { return p.store.Create(ctx, kind, name, body) })
 }
 
-func (p *tap) Update(ctx context.Context, kind, name string, version uint64, body []byte) (platform.Object, error) {
-	return around(ctx, p, kind, true, func() (platform.Object, error) { return p.store.Update(ctx, kind, name, version, body) })
+func (p *tap) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+	return around(ctx, p, kind, true, func() (store.Object, error) { return p.store.Update(ctx, kind, name, version, body) })
 }
 
 func (p *tap) Delete(ctx context.Context, kind, name string, version uint64) error {
@@ -403,7 +403,7 @@
 
 // end ends every fault and checks that everything comes into force.
 func (w *world) end(t require.TestingT) {
-	w.store.Set(platformtest.Faults{})
+	w.store.Set(storetest.Faults{})
 	w.mu.Lock()
 	w.allFirst = false
 	nodes := slices.Clone(w.nodes)
@@ -413,8 +413,8 @@
 	}
 	time.Sleep(settleTime)
 	var records []*wire.Record
-	for _, o := range w.store.PeekAll(platform.KindRecord) {
-		r, err := platform.DecodeRecord(o)
+	for _, o := range w.store.PeekAll(store.KindRecord) {
+		r, err := store.DecodeRecord(o)
 		require.NoError(t, err)
 		records = append(records, r)
 	}
@@ -466,6 +466,6 @@
 
 // version returns the present version of a record on the platform.
 func (w *world) version(k record.Key) uint64 {
-	o, _ := w.store.Peek(platform.KindRecord, platform.RecordName(k))
+	o, _ := w.store.Peek(store.KindRecord, store.RecordName(k))
 	return o.Version
 }
--- a/mesh/platformtest/faults.go
+++ b/mesh/storetest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 // This file defines the switches for faults and connections that go silent.
 
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/store"
 )
 
 // Faults are the switches. The zero value is a healthy platform.
@@ -44,7 +44,7 @@
 	s.first, s.log = s.now.version, nil
 }
 
-// Conn is one client's connection to a store. It behaves as platform.Client
+// Conn is one client's connection to a store. It behaves as store.Client
 // does: a call on a silent connection ends after the timeout, without an
 // answer, and the calls after it use a new connection.
 type Conn struct {
@@ -139,55 +139,55 @@
 	return zero, silent
 }
 
-// Get implements platform.Store.
-func (c *Conn) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	return call(ctx, c, c.Timeout, platform.ErrDown, func(ctx context.Context) (platform.Object, error) {
+// Get implements store.Store.
+func (c *Conn) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	return call(ctx, c, c.Timeout, store.ErrDown, func(ctx context.Context) (store.Object, error) {
 		return c.store.Get(ctx, kind, name)
 	})
 }
 
 // listing is the answer to a list or a watch.
 type listing struct {
-	objs    []platform.Object
+	objs    []store.Object
 	version uint64
 	more    bool
 }
 
-// List implements platform.Store.
-func (c *Conn) List(ctx context.Context, kind, after string) ([]platform.Object, uint64, bool, error) {
-	l, err := call(ctx, c, c.Timeout, platform.ErrDown, func(ctx context.Context) (l listing, err error) {
+// List implements store.Store.
+func (c *Conn) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
+	l, err := call(ctx, c, c.Timeout, store.ErrDown, func(ctx context.Context) (l listing, err error) {
 		l.objs, l.version, l.more, err = c.store.List(ctx, kind, after)
 		return l, err
 	})
 	return l.objs, l.version, l.more, err
 }
 
-// Watch implements platform.Store.
-func (c *Conn) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]platform.Object, uint64, error) {
-	l, err := call(ctx, c, wait+c.Timeout, platform.ErrDown, func(ctx context.Context) (l listing, err error) {
+// Watch implements store.Store.
+func (c *Conn) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
+	l, err := call(ctx, c, wait+c.Timeout, store.ErrDown, func(ctx context.Context) (l listing, err error) {
 		l.objs, l.version, err = c.store.Watch(ctx, kind, version, wait)
 		return l, err
 	})
 	return l.objs, l.version, err
 }
 
-// Create implements platform.Store.
-func (c *Conn) Create(ctx context.Context, kind, name string, body []byte) (platform.Object, error) {
-	return call(ctx, c, c.Timeout, platform.ErrUnknown, func(ctx context.Context) (platform.Object, error) {
+// Create implements store.Store.
+func (c *Conn) Create(ctx context.Context, kind, name string, body []byte) (store.Object, error) {
+	return call(ctx, c, c.Timeout, store.ErrUnknown, func(ctx context.Context) (store.Object, error) {
 		return c.store.Create(ctx, kind, name, body)
 	})
 }
 
-// Update implements platform.Store.
-func (c *Conn) Update(ctx context.Context, kind, name string, version uint64, body []byte) (platform.Object, error) {
-	return call(ctx, c, c.Timeout, platform.ErrUnknown, func(ctx context.Context) (platform.Object, error) {
+// Update implements store.Store.
+func (c *Conn) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+	return call(ctx, c, c.Timeout, store.ErrUnknown, func(ctx context.Context) (store.Object, error) {
 		return c.store.Update(ctx, kind, name, version, body)
 	})
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (c *Conn) Delete(ctx context.Context, kind, name string, version uint64) error {
-	_, err := call(ctx, c, c.Timeout, platform.ErrUnknown, func(ctx context.Context) (struct{}, error) {
+	_, err := call(ctx, c, c.Timeout, store.ErrUnknown, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, c.store.Delete(ctx, kind, name, version)
 	})
 	return err
--- a/mesh/platformtest/http.go
+++ b/mesh/storetest/http.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 // This file serves a store over HTTP, as the platform does.
 
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/store"
 )
 
 // ServeHTTP serves /objects as the platform does, and /faults and /calls for
@@ -64,7 +64,7 @@
 	}
 }
 
-func (s *Store) object(ctx context.Context, r *http.Request, kind, name string, body []byte) (platform.Object, error) {
+func (s *Store) object(ctx context.Context, r *http.Request, kind, name string, body []byte) (store.Object, error) {
 	if r.Method == http.MethodGet {
 		return s.Get(ctx, kind, name)
 	}
@@ -73,26 +73,26 @@
 	}
 	text, err := strconv.Unquote(r.Header.Get("If-Match"))
 	if err != nil {
-		return platform.Object{}, errors.New("If-Match or If-None-Match is missing")
+		return store.Object{}, errors.New("If-Match or If-None-Match is missing")
 	}
 	version, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return platform.Object{}, errors.Wrap(err, "If-Match")
+		return store.Object{}, errors.Wrap(err, "If-Match")
 	}
 	switch r.Method {
 	case http.MethodPut:
 		return s.Update(ctx, kind, name, version, body)
 	case http.MethodDelete:
-		return platform.Object{}, s.Delete(ctx, kind, name, version)
+		return store.Object{}, s.Delete(ctx, kind, name, version)
 	}
-	return platform.Object{}, errors.Errorf("method %s is unknown", r.Method)
+	return store.Object{}, errors.Errorf("method %s is unknown", r.Method)
 }
 
 // page is the JSON answer to a list or a watch.
 type page struct {
-	Version uint64            `json:"version"`
-	More    bool              `json:"more,omitempty"`
-	Objects []platform.Object `json:"objects"`
+	Version uint64         `json:"version"`
+	More    bool           `json:"more,omitempty"`
+	Objects []store.Object `json:"objects"`
 }
 
 func (s *Store) serveKind(w http.ResponseWriter, r *http.Request, kind string) {
@@ -122,20 +122,20 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var busy *platform.BusyError
+	var busy *store.BusyError
 	switch {
 	case errors.As(err, &busy):
 		w.Header().Set("Retry-After", strconv.FormatFloat(busy.After.Seconds(), 'f', 3, 64))
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		panic(http.ErrAbortHandler) // the answer is lost on the way
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, platform.ErrGone):
+	case errors.Is(err, store.ErrGone):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrDown):
+	case errors.Is(err, store.ErrDown):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/mesh/platformtest/store.go
+++ b/mesh/storetest/store.go
@@ -1,19 +1,19 @@
-// Package platformtest is a small stand-in for the platform's object API, with
+// Package storetest is a small stand-in for the platform's object API, with
 // switches for its faults.
 //
 // A [Store] holds the objects. A [Conn] is one client's way to it, which can go
-// silent on its own. Both implement platform.Store; over HTTP the store is a
+// silent on its own. Both implement store.Store; over HTTP the store is a
 // handler, and each connection goes silent on its own when the server's
 // ConnContext is the store's.
 //
 // # Usage
 //
-//	store := platformtest.New()
-//	store.Set(platformtest.Faults{Down: true})
+//	store := storetest.New()
+//	store.Set(storetest.Faults{Down: true})
 //	server := httptest.NewUnstartedServer(store)
 //	server.Config.ConnContext = store.ConnContext
 //	server.Start()
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"caroblift.dev/mesh/platform"
+	"caroblift.dev/mesh/store"
 )
 
 // Bounds of the platform.
@@ -40,18 +40,18 @@
 // objects are the platform's objects by kind and name, as of a version.
 type objects struct {
 	version uint64
-	byKind  map[string]map[string]platform.Object
+	byKind  map[string]map[string]store.Object
 }
 
 func (o objects) clone() objects {
-	out := objects{version: o.version, byKind: map[string]map[string]platform.Object{}}
+	out := objects{version: o.version, byKind: map[string]map[string]store.Object{}}
 	for kind, objs := range o.byKind {
 		out.byKind[kind] = maps.Clone(objs)
 	}
 	return out
 }
 
-// Store keeps objects in memory. It implements platform.Store and, over HTTP,
+// Store keeps objects in memory. It implements store.Store and, over HTTP,
 // http.Handler. The zero Store is not usable; call New.
 type Store struct {
 	Reads  *rate.Limiter // nil for no limit
@@ -59,13 +59,13 @@
 
 	// Observe is called for every change with the object before and after;
 	// nil for none. It must not call the store.
-	Observe func(old, written platform.Object)
+	Observe func(old, written store.Object)
 
 	mu      sync.Mutex
 	now     objects
-	frozen  objects           // what stale reads see
-	log     []platform.Object // the last changes, for watches
-	first   uint64            // oldest version that can be watched from
+	frozen  objects        // what stale reads see
+	log     []store.Object // the last changes, for watches
+	first   uint64         // oldest version that can be watched from
 	changed chan struct{}
 	faults  Faults
 	calls   map[string]uint64
@@ -75,7 +75,7 @@
 // New returns an empty store with no rate limits.
 func New() *Store {
 	return &Store{
-		now: objects{byKind: map[string]map[string]platform.Object{}}, changed: make(chan struct{}),
+		now: objects{byKind: map[string]map[string]store.Object{}}, changed: make(chan struct{}),
 		calls: map[string]uint64{}, conns: map[*Conn]bool{},
 	}
 }
@@ -88,7 +88,7 @@
 }
 
 // Peek returns an object without a counted call or a fault.
-func (s *Store) Peek(kind, name string) (platform.Object, bool) {
+func (s *Store) Peek(kind, name string) (store.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.now.byKind[kind][name]
@@ -97,14 +97,14 @@
 
 // PeekAll returns the objects of a kind in name order without a counted call
 // or a fault.
-func (s *Store) PeekAll(kind string) []platform.Object {
+func (s *Store) PeekAll(kind string) []store.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return sorted(s.now.byKind[kind], "")
 }
 
-func sorted(objs map[string]platform.Object, after string) []platform.Object {
-	var out []platform.Object
+func sorted(objs map[string]store.Object, after string) []store.Object {
+	var out []store.Object
 	for name, o := range objs {
 		if name > after {
 			out = append(out, o)
@@ -123,15 +123,15 @@
 	if f.Slow > 0 {
 		select {
 		case <-ctx.Done():
-			return f, platform.ErrDown
+			return f, store.ErrDown
 		case <-time.After(f.Slow):
 		}
 	}
 	if f.Down {
-		return f, platform.ErrDown
+		return f, store.ErrDown
 	}
 	if limit != nil && !limit.Allow() {
-		return f, &platform.BusyError{After: time.Second}
+		return f, &store.BusyError{After: time.Second}
 	}
 	return f, nil
 }
@@ -143,23 +143,23 @@
 	return s.now
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	f, err := s.enter(ctx, "get", s.Reads)
 	if err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.view(f).byKind[kind][name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind, after string) ([]platform.Object, uint64, bool, error) {
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
 	f, err := s.enter(ctx, "list", s.Reads)
 	if err != nil {
 		return nil, 0, false, err
@@ -175,8 +175,8 @@
 	return out, view.version, more, nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
 	if _, err := s.enter(ctx, "watch", s.Reads); err != nil {
 		return nil, 0, err
 	}
@@ -189,7 +189,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, platform.ErrDown
+			return nil, 0, store.ErrDown
 		case <-timer.C:
 			return nil, next, nil
 		case <-changed:
@@ -198,11 +198,11 @@
 }
 
 // events returns what a watch hears now.
-func (s *Store) events(kind string, version uint64) ([]platform.Object, uint64, <-chan struct{}, error) {
+func (s *Store) events(kind string, version uint64) ([]store.Object, uint64, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if version < s.first {
-		return nil, 0, nil, platform.ErrGone
+		return nil, 0, nil, store.ErrGone
 	}
 	if s.faults.Silent {
 		return nil, version, s.changed, nil
@@ -216,67 +216,67 @@
 }
 
 // since returns the newest state of each object that changed after a version.
-func (s *Store) since(kind string, version uint64) []platform.Object {
-	newest := map[string]platform.Object{}
+func (s *Store) since(kind string, version uint64) []store.Object {
+	newest := map[string]store.Object{}
 	for _, o := range s.log {
 		if o.Kind == kind && o.Version > version {
 			newest[o.Name] = o
 		}
 	}
-	out := make([]platform.Object, 0, len(newest))
+	out := make([]store.Object, 0, len(newest))
 	for _, o := range newest {
 		out = append(out, o)
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b store.Object) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(ctx context.Context, kind, name string, body []byte) (platform.Object, error) {
-	return s.write(ctx, "create", platform.Object{Kind: kind, Name: name, Body: body})
+// Create implements store.Store.
+func (s *Store) Create(ctx context.Context, kind, name string, body []byte) (store.Object, error) {
+	return s.write(ctx, "create", store.Object{Kind: kind, Name: name, Body: body})
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(ctx context.Context, kind, name string, version uint64, body []byte) (platform.Object, error) {
-	return s.write(ctx, "update", platform.Object{Kind: kind, Name: name, Version: version, Body: body})
+// Update implements store.Store.
+func (s *Store) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+	return s.write(ctx, "update", store.Object{Kind: kind, Name: name, Version: version, Body: body})
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
-	_, err := s.write(ctx, "delete", platform.Object{Kind: kind, Name: name, Version: version, Deleted: true})
+	_, err := s.write(ctx, "delete", store.Object{Kind: kind, Name: name, Version: version, Deleted: true})
 	return err
 }
 
 // write puts an object in place of the version that it carries.
-func (s *Store) write(ctx context.Context, method string, o platform.Object) (platform.Object, error) {
+func (s *Store) write(ctx context.Context, method string, o store.Object) (store.Object, error) {
 	if len(o.Body) > maxValue {
-		return platform.Object{}, errors.Errorf("%s/%s is over 1 MB", o.Kind, o.Name)
+		return store.Object{}, errors.Errorf("%s/%s is over 1 MB", o.Kind, o.Name)
 	}
 	f, err := s.enter(ctx, method, s.Writes)
 	switch {
 	case err != nil:
-		return platform.Object{}, err
+		return store.Object{}, err
 	case f.Drop:
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	case f.Late > 0:
 		time.AfterFunc(f.Late, func() { _, _ = s.put(o) })
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	}
 	written, err := s.put(o)
 	if f.Twice {
 		written, err = s.put(o)
 	}
 	if f.Lose {
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	}
 	return written, err
 }
 
-func (s *Store) put(o platform.Object) (platform.Object, error) {
+func (s *Store) put(o store.Object) (store.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.now.byKind[o.Kind][o.Name].Version != o.Version {
-		return platform.Object{}, platform.ErrConflict
+		return store.Object{}, store.ErrConflict
 	}
 	old := s.now.byKind[o.Kind][o.Name]
 	s.now.version++
@@ -285,7 +285,7 @@
 		s.Observe(old, o)
 	}
 	if s.now.byKind[o.Kind] == nil {
-		s.now.byKind[o.Kind] = map[string]platform.Object{}
+		s.now.byKind[o.Kind] = map[string]store.Object{}
 	}
 	if o.Deleted {
 		delete(s.now.byKind[o.Kind], o.Name)
@@ -295,7 +295,7 @@
 	s.log = append(s.log, o)
 	if n := len(s.log) - historyLength; n > 0 {
 		s.first = s.log[n-1].Version
-		s.log = append([]platform.Object(nil), s.log[n:]...)
+		s.log = append([]store.Object(nil), s.log[n:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
