--- a/caroblift/main.go
+++ b/caroblift/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"caroblift.dev/mesh/process"
 	"caroblift.dev/mesh/settings"
 )
 
@@ -62,7 +63,7 @@
 		fmt.Fprintln(out, "settings are valid")
 		return 0
 	}
-	return report(errOut, serve(opts.Config, s))
+	return report(errOut, process.Run(process.Config{Path: opts.Config, Load: settings.Load}, s))
 }
 
 // report prints an error and returns the exit code.
--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	Lease  time.Duration          // how long an announcement holds
 	Change func(*Announcement)    // takes each change; nil when the server is gone
 	Local  func(host string) bool // whether an address is of this instance; loopback always is
+	Log    *slog.Logger           // nil discards
+	Flaps  int                    // appearances within half a minute that take effect at once; zero means 3
 }
 
 // Announcer takes the announcements of the backend server and lets them lapse.
@@ -39,7 +42,10 @@
 
 // NewAnnouncer returns an announcer without a backend server.
 func NewAnnouncer(config AnnouncerConfig) *Announcer {
-	return &Announcer{config: config, lease: lease{term: config.Lease}}
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Announcer{config: config, lease: lease{term: config.Lease, flaps: config.Flaps}}
 }
 
 // Handler serves PUT /announce. It answers 204 for an announcement that holds,
@@ -71,6 +77,32 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// Take takes an announcement that came by other means than Handler, and
+// returns what is wrong with it. It tells whether the announcement holds: one
+// of an earlier life, or older than another of the same life, does not. What
+// follows from it has taken effect when Take returns.
+func (a *Announcer) Take(in *Announcement) (bool, error) {
+	if err := in.check(a.config.Local).Err(); err != nil {
+		return false, err
+	}
+	return a.take(in), nil
+}
+
+// End takes that a life of a named server is gone; epoch is zero when it is not
+// known. The server gets no new call once End has returned.
+func (a *Announcer) End(name string, epoch uint64) {
+	a.step(func(now time.Time) (bool, *Announcement, bool) {
+		a.lease.end(name, epoch)
+		next, changed := a.lease.effect(now)
+		return true, next, changed
+	})
+}
+
+// Refused logs an announcement that could not be taken.
+func (a *Announcer) Refused(err error) {
+	a.config.Log.Warn("announcement refused", "error", err.Error())
+}
+
 // take renews the lease, and tells whether the announcement holds.
 func (a *Announcer) take(in *Announcement) bool {
 	return a.step(func(now time.Time) (bool, *Announcement, bool) {
@@ -123,7 +155,7 @@
 	if in == nil {
 		return nil
 	}
-	return &Target{Service: in.Service, Address: in.Address, Slots: in.Slots, Cold: in.Cold, Leaving: in.Leaving}
+	return &Target{Service: in.Service, Server: in.Name, Address: in.Address, Slots: in.Slots, Cold: in.Cold, Leaving: in.Leaving}
 }
 
 // asDial tells whether a call failed before a connection was made.
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -120,8 +120,8 @@
 // on a reused connection is sent again on a fresh one, if it has no body;
 // otherwise the entry node decides.
 func (g *Gate) forward(ctx context.Context, r *http.Request, header http.Header, t *Target) (*http.Response, *failed) {
-	f := newFlight(ctx, r, header, t)
-	if !f.repeat {
+	f := newFlight(ctx, r, header, t, g.config.Dialect)
+	if !f.repeat || g.config.Dialect != nil {
 		return g.result(ctx, g.reuse, f.out)
 	}
 	_, work := g.load()
@@ -167,20 +167,20 @@
 // newFlight returns the request for the backend server. A call that must run
 // at most once is shaped so that net/http never sends it again by itself: it
 // has no method, body or header that net/http takes for repeatable.
-func newFlight(ctx context.Context, r *http.Request, header http.Header, t *Target) *flight {
-	id, deadline := header[call.HeaderID], header[call.HeaderDeadline]
-	attempt := header[call.HeaderAttempt]
+func newFlight(ctx context.Context, r *http.Request, header http.Header, t *Target, dialect Dialect) *flight {
 	f := &flight{repeat: header.Get(call.HeaderRepeat) == call.Yes}
 	empty := r.ContentLength == 0 || header.Get(call.HeaderEmpty) == call.Yes
-	call.Strip(header)
-	call.StripHop(header)
-	header[call.HeaderID] = id
-	if len(deadline) > 0 {
-		header[call.HeaderDeadline] = deadline
-	}
-	if len(attempt) > 0 {
-		header[call.HeaderAttempt] = attempt
+	if dialect == nil {
+		own(header)
+	} else {
+		a := Attempt{Server: t.Server, Caller: header.Get(call.HeaderCaller)}
+		if deadline, ok := ctx.Deadline(); ok {
+			a.Left, a.Deadline = time.Until(deadline), true
+		}
+		call.Strip(header)
+		dialect.Ask(header, a)
 	}
+	call.StripHop(header)
 	out := r.WithContext(ctx)
 	target := *r.URL
 	target.Scheme, target.Host = "http", t.Address
@@ -199,6 +199,19 @@
 	return f
 }
 
+// own leaves the product's own headers for the backend server.
+func own(header http.Header) {
+	id, deadline, attempt := header[call.HeaderID], header[call.HeaderDeadline], header[call.HeaderAttempt]
+	call.Strip(header)
+	header[call.HeaderID] = id
+	if len(deadline) > 0 {
+		header[call.HeaderDeadline] = deadline
+	}
+	if len(attempt) > 0 {
+		header[call.HeaderAttempt] = attempt
+	}
+}
+
 // lacksBody tells for which methods net/http looks into a body of length 0
 // before it announces one.
 func lacksBody(method string) bool {
@@ -235,10 +248,18 @@
 		_ = resp.Body.Close()
 		err = errors.New("the backend server switched protocols")
 	}
-	if err == nil {
+	if err != nil {
+		return nil, g.classify(ctx, err)
+	}
+	if g.config.Dialect == nil {
 		return resp, nil
 	}
-	return nil, g.classify(ctx, err)
+	if reason, outcome := g.config.Dialect.Judge(out.Header, resp); reason != "" {
+		g.config.Sinks.Log.Warn("answer of the backend server does not count", "status", resp.StatusCode, "reason", string(reason), "ran", outcome.String())
+		_ = resp.Body.Close()
+		return nil, &failed{reason, outcome}
+	}
+	return resp, nil
 }
 
 func (g *Gate) classify(ctx context.Context, err error) *failed {
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -25,6 +25,7 @@
 // Target is the backend server as it announced itself.
 type Target struct {
 	Service string
+	Server  string // name of the server's present life; empty when it names none
 	Address string // IP:port
 	Slots   int
 	Cold    bool
@@ -36,7 +37,11 @@
 	Policy func(service string) record.Policy
 	Silent time.Duration // silence after which a reused connection is doubted
 	Settle time.Duration // in which the backend server ends a call that was broken off; zero means 20 ms
-	Sinks  telemetry.Sinks
+	// Dialect is how the backend server is spoken to; nil means the product's
+	// own headers. With one, each call reaches the server once at most: what
+	// more may be sent is the entry node's decision.
+	Dialect Dialect
+	Sinks   telemetry.Sinks
 }
 
 // Gate admits calls to the backend server and hands them over. It knows the
@@ -97,8 +102,9 @@
 	case !g.draining:
 		g.admission.Open()
 	}
-	if old == nil || t == nil || old.Address != t.Address {
+	if old == nil || t == nil || old.Address != t.Address || old.Server != t.Server {
 		g.admission.Cold(false, now)
+		g.reuse.CloseIdleConnections() // they lead to a server that is gone
 	}
 	if t != nil {
 		g.admission.Cold(t.Cold, now)
--- a/mesh/backend/lease.go
+++ b/mesh/backend/lease.go
@@ -26,6 +26,13 @@
 	Cold    bool   `json:"cold"`
 	Leaving bool   `json:"leaving"`
 	Epoch   uint64 `json:"epoch"` // grows when the server restarts
+	Name    string `json:"name"`  // of the server's present life; may be empty
+	Seq     uint64 `json:"seq"`   // grows with each announcement of a named life
+}
+
+// sameLife tells whether two announcements are of one life of a named server.
+func (in *Announcement) sameLife(o *Announcement) bool {
+	return in != nil && o != nil && in.Name != "" && in.Name == o.Name && in.Epoch == o.Epoch
 }
 
 // check returns everything that is wrong with an announcement. A server must be
@@ -81,7 +88,9 @@
 	inForce  *Announcement // as handed over
 	epoch    uint64        // newest life of the server seen at its address
 	addr     string
-	appeared []time.Time // appearances within the window
+	appeared []time.Time       // appearances within the window
+	flaps    int               // appearances that take effect at once; zero means maxFlaps
+	ended    map[string]uint64 // epoch of the last life of a named server that said it is gone
 }
 
 // renew takes an announcement. It returns false for one of an earlier life of
@@ -90,15 +99,51 @@
 	if in.Address == l.addr && in.Epoch < l.epoch {
 		return false
 	}
+	if epoch, ok := l.ended[in.Name]; ok && in.Epoch <= epoch {
+		return false
+	}
+	if in.sameLife(l.last) {
+		if in.Seq < l.last.Seq {
+			return false
+		}
+		if l.last.Leaving && !in.Leaving { // leaving is final
+			left := *in
+			left.Leaving = true
+			in = &left
+		}
+	}
 	l.addr, l.epoch = in.Address, in.Epoch
 	l.last, l.seen = in, now
 	return true
 }
 
+// maxEnded bounds the lives that are remembered as gone.
+const maxEnded = 64
+
+// end takes that a life of a named server is gone. The server still finishes
+// what it has begun, so a held announcement stays, as leaving.
+func (l *lease) end(name string, epoch uint64) {
+	if l.last != nil && l.last.Name == name && epoch < l.last.Epoch && epoch != 0 {
+		return // of an earlier life
+	}
+	if l.last != nil && l.last.Name == name {
+		left := *l.last
+		left.Leaving, epoch = true, max(epoch, l.last.Epoch)
+		l.last = &left
+	}
+	if l.ended == nil || len(l.ended) >= maxEnded {
+		l.ended = map[string]uint64{}
+	}
+	l.ended[name] = max(epoch, l.ended[name])
+}
+
 // effect returns the announcement that is to be in force, and whether that is a
 // change.
 func (l *lease) effect(now time.Time) (*Announcement, bool) {
 	if l.last != nil && now.Sub(l.seen) > l.term {
+		if l.last.Leaving && l.last.Name != "" {
+			l.end(l.last.Name, l.last.Epoch) // a late announcement must not bring it back
+		}
 		l.last = nil
 	}
 	next := l.last
@@ -122,7 +167,7 @@
 // new one, another service, or another life.
 func (l *lease) appears(a *Announcement) bool {
 	o := l.inForce
-	return o == nil || o.Service != a.Service || o.Address != a.Address || o.Epoch != a.Epoch
+	return o == nil || o.Service != a.Service || o.Address != a.Address || o.Epoch != a.Epoch || o.Name != a.Name
 }
 
 // settled tells whether a server may appear now.
@@ -130,12 +175,18 @@
 	for len(l.appeared) > 0 && now.Sub(l.appeared[0]) >= flapWindow {
 		l.appeared = l.appeared[1:]
 	}
-	return len(l.appeared) < maxFlaps
+	most := l.flaps
+	if most == 0 {
+		most = maxFlaps
+	}
+	return len(l.appeared) < most
 }
 
 func same(a, b *Announcement) bool {
 	if a == nil || b == nil {
 		return a == b
 	}
-	return *a == *b
+	x, y := *a, *b
+	x.Seq, y.Seq = 0, 0
+	return x == y
 }
--- a/mesh/call/budget.go
+++ b/mesh/call/budget.go
@@ -15,18 +15,34 @@
 // concurrently.
 type Budget struct {
 	credit atomic.Int64
+	most   atomic.Int64 // credit at most
 }
 
 // NewBudget returns a budget with its burst available.
 func NewBudget() *Budget {
 	b := &Budget{}
 	b.credit.Store(budgetBurst)
+	b.most.Store(budgetBurst)
 	return b
 }
 
+// Limit sets the burst to an equal share of what all nodes together may spend
+// beyond their share of calls. The share counts the own node and one more that
+// it may not know.
+func (b *Budget) Limit(all, nodes int) {
+	most := int64(all) * extraCost / int64(max(nodes, 1)+1)
+	b.most.Store(most)
+	for {
+		credit := b.credit.Load()
+		if credit <= most || b.credit.CompareAndSwap(credit, most) {
+			return
+		}
+	}
+}
+
 // Pay adds the share of one call, in percent.
 func (b *Budget) Pay(percent int) {
-	if b.credit.Load() < budgetBurst {
+	if b.credit.Load() < b.most.Load() {
 		b.credit.Add(int64(percent))
 	}
 }
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -2,7 +2,10 @@
 
 // This file defines what became of an attempt and whether another may follow.
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Outcome is what is known of one attempt.
 type Outcome int
@@ -67,6 +70,7 @@
 	Deadline  Reason = "deadline"   // the deadline passed
 	Canceled  Reason = "canceled"   // the caller went away
 	Shed      Reason = "shed"       // the backend server itself refused with 503
+	Moved     Reason = "moved"      // another server than the expected one has the address
 	ShortBody Reason = "short-body" // the caller's body ended early
 	Upgrade   Reason = "upgrade"    // protocol upgrades are not forwarded
 )
@@ -80,7 +84,7 @@
 		return http.StatusBadRequest
 	case Upgrade:
 		return http.StatusNotImplemented
-	case Deadline, Late:
+	case Deadline:
 		return http.StatusGatewayTimeout
 	case Broken, Crossed:
 		return http.StatusBadGateway
@@ -88,18 +92,35 @@
 	return http.StatusServiceUnavailable
 }
 
-// After returns the seconds after which a caller may come back, for
-// Retry-After, or 0 when coming back does not help.
-func (r Reason) After() int {
+// Delays that refused callers are told, by what must happen before a call can
+// be served.
+const (
+	afterStart = 2 * time.Second // a configuration or a backend server must appear
+	afterBusy  = time.Second     // calls in progress must end, or others must learn of a change
+)
+
+// After returns when a caller may come back, for Retry-After, or 0 when coming
+// back does not help.
+func (r Reason) After() time.Duration {
 	switch r {
 	case NotReady, NoServer:
-		return 2
-	case Busy, Leaving, Dial, Refused, Shed:
-		return 1
+		return afterStart
+	case Busy, Late, Leaving, Dial, Refused, Shed, Moved:
+		return afterBusy
 	}
 	return 0
 }
 
+// Arrived tells whether an attempt that ended for this reason may have reached
+// the backend server. One that a gate turned away has not.
+func (r Reason) Arrived() bool {
+	switch r {
+	case Busy, Late, Leaving, NoServer, Dial, Refused:
+		return false
+	}
+	return true
+}
+
 // Free tells whether another attempt after this reason costs no budget: the
 // instance is going away, so the attempts cannot pile up on it.
 func (r Reason) Free() bool {
--- a/mesh/call/route.go
+++ b/mesh/call/route.go
@@ -149,6 +149,25 @@
 	return true
 }
 
+// Part returns the service that one call of a route goes to: each by its
+// weight, where the route is split.
+func Part(r *record.Route, rand Rand) string {
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	n := rand(total)
+	for _, p := range r.Parts {
+		if n -= p.Weight; n < 0 {
+			return p.Service
+		}
+	}
+	return r.Service
+}
+
 // Idempotent tells whether a call of the route may run more than once: the
 // route decides, and where it does not, the method.
 func Idempotent(r *record.Route, method string) bool {
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -35,6 +35,17 @@
 	slow         call.Slow
 }
 
+// percent returns what one call pays into a budget.
+func (s *service) percent(shared Extra, policy record.Budget) int {
+	switch {
+	case shared != Extra{}:
+		return shared.Percent
+	case policy.Percent == 0:
+		return defaultPercent
+	}
+	return policy.Percent
+}
+
 // known is what outlives a directory. The proxy's mutex guards it.
 type known struct {
 	instances map[string]*instance
@@ -105,9 +116,12 @@
 func (p *Proxy) build(d *directory, name string) *service {
 	s := &service{policy: d.router.Table.Policy(name), choice: &call.Choice{}, account: p.known.accounts[name]}
 	if s.account == nil {
-		s.account = &account{retry: call.NewBudget(), hedge: call.NewBudget()}
+		s.account = p.account()
 		p.known.accounts[name] = s.account
 	}
+	if p.config.Extra != (Extra{}) {
+		s.retry.Limit(p.config.Extra.Slack, len(d.view.Names))
+	}
 	offers := d.view.Offers(name)
 	if rec := d.router.Table.Services[name]; rec != nil && len(rec.Domains) > 0 {
 		offers = slices.DeleteFunc(slices.Clone(offers), func(o member.Offer) bool {
@@ -120,6 +134,15 @@
 	return s
 }
 
+// account returns the budgets of a service that is used for the first time.
+func (p *Proxy) account() *account {
+	a := &account{retry: call.NewBudget(), hedge: call.NewBudget()}
+	if p.config.Extra != (Extra{}) {
+		a.hedge = a.retry
+	}
+	return a
+}
+
 // coldShare is the part of a cold backend server's slots that counts until its
 // node has reported, as one in coldShare.
 const coldShare = 4
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -30,6 +30,7 @@
 	id         string
 	directory  *directory
 	route      *record.Route
+	target     string // service that the call goes to
 	service    *service
 	idempotent bool
 	extra      bool // the call is part of an extra attempt upstream
@@ -41,6 +42,7 @@
 
 	tried    []*call.Instance
 	attempts int
+	arrivals int // attempts that may have reached a backend server
 }
 
 // result is what became of an attempt.
@@ -59,11 +61,7 @@
 
 // serve makes attempts until one succeeds or none may follow.
 func (x *exchange) serve() {
-	percent := x.service.policy.Retry.Percent
-	if percent == 0 {
-		percent = defaultPercent
-	}
-	x.service.retry.Pay(percent)
+	x.service.retry.Pay(x.service.percent(x.proxy.config.Extra, x.service.policy.Retry))
 	last := &result{reason: call.NoServer, outcome: call.NotRun}
 	for {
 		instance := x.pick()
@@ -72,6 +70,9 @@
 		}
 		next := x.attempt(instance)
 		last.close()
+		if next.reason == "" || next.reason.Arrived() {
+			x.arrivals++
+		}
 		if next.reason != "" {
 			next.outcome = next.outcome.Worst(last.outcome)
 		}
@@ -103,12 +104,15 @@
 
 // again tells whether another attempt may follow a failed one.
 func (x *exchange) again(last *result) bool {
-	most := x.service.policy.Retry.Attempts
+	most := x.route.Attempts
+	if most == 0 {
+		most = x.service.policy.Retry.Attempts
+	}
 	if most == 0 {
 		most = defaultAttempts
 	}
 	switch {
-	case x.ctx.Err() != nil, len(x.tried) >= most, x.body.Streamed():
+	case x.ctx.Err() != nil, x.arrivals >= most, len(x.tried) >= most+maxTurned, x.body.Streamed():
 		return false
 	case !call.Repeatable(last.outcome, x.idempotent, x.extra):
 		return false
@@ -116,15 +120,18 @@
 	return last.reason.Free() || x.service.retry.Take()
 }
 
+// maxTurned bounds the gates that may turn a call away beyond its attempts.
+const maxTurned = 3
+
 // finish answers the caller.
 func (x *exchange) finish(last *result) {
 	x.report(last)
 	if last.resp == nil {
 		reason := last.reason
-		if x.ctx.Err() != nil {
+		if x.ctx.Err() != nil && last.outcome != call.NotRun {
 			reason = call.Deadline
 		}
-		hop.Fail(x.w, reason, last.outcome)
+		x.fail(reason, last.outcome)
 		return
 	}
 	defer last.resp.Body.Close()
--- a/mesh/caller/hedge.go
+++ b/mesh/caller/hedge.go
@@ -14,11 +14,9 @@
 // other attempt is canceled. Without a good answer the last result counts.
 func (x *exchange) race(i *call.Instance) *result {
 	hedge := x.service.policy.Hedge
-	percent := hedge.Percent
-	if percent == 0 {
-		percent = defaultPercent
+	if x.service.hedge != x.service.retry {
+		x.service.hedge.Pay(x.service.percent(x.proxy.config.Extra, hedge))
 	}
-	x.service.hedge.Pay(percent)
 	delay, ok := x.service.slow.Delay(hedge.After)
 	if !ok {
 		return x.prepared(x.ctx, i).send()
@@ -80,6 +78,7 @@
 		return
 	}
 	r.proxy.metrics.hedges.Inc(1)
+	r.arrivals++
 	r.start(i)
 }
 
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,7 +23,7 @@
 	"caroblift.dev/mesh/telemetry"
 )
 
-// Config configures a Proxy. Every field but Sinks, Own and Policy is required.
+// Config configures a Proxy. Every field up to Timeout but Own is required.
 type Config struct {
 	Table    func() *revision.Table
 	Ready    func() bool // whether the table may be served
@@ -32,9 +33,20 @@
 	Evidence func(name string, reached bool)
 	Timeout  time.Duration // of a call whose route names none
 	Policy   call.Policy   // nil means DefaultPolicy
+	Service  string        // on the own instance, whose calls enter here; may be empty
+	Dialect  Dialect       // nil means the product's own headers
+	Whole    int64         // bytes of an answer that is read whole before it is handed on; zero means none
+	Extra    Extra         // what bounds extra attempts where no policy does
 	Sinks    telemetry.Sinks
 }
 
+// Extra bounds the extra attempts of all nodes together. Where it is set, it
+// goes before the percentages of policies, and retries and hedges share it.
+type Extra struct {
+	Percent int // for each hundred calls of a service
+	Slack   int // beyond that, of all nodes together
+}
+
 // DefaultPolicy returns the policy that picks backend servers.
 func DefaultPolicy() call.Policy { return call.TwoChoices[call.Latency]{} }
 
@@ -45,6 +57,7 @@
 	namer   *hop.Namer
 	calls   *hop.Calls
 	leaving atomic.Bool
+	closing atomic.Bool // answers give notice that their connection closes
 	policy  atomic.Pointer[call.Policy]
 
 	directory atomic.Pointer[directory]
@@ -69,6 +82,9 @@
 // Use replaces the policy that picks backend servers.
 func (p *Proxy) Use(policy call.Policy) { p.policy.Store(&policy) }
 
+// Notice makes answers tell callers that their connections close.
+func (p *Proxy) Notice() { p.closing.Store(true) }
+
 // Drain refuses new calls and waits for those in progress. When the context
 // ends first, the error is a *hop.Cut.
 func (p *Proxy) Drain(ctx context.Context) error {
@@ -78,12 +94,15 @@
 
 // ServeHTTP serves one call.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := p.namer.Next()
+	id := p.name(r)
 	entry := p.calls.Begin(id)
 	defer p.calls.End(entry)
 	start := time.Now()
 	w.Header()[call.HeaderID] = []string{id}
 	x := &exchange{proxy: p, w: w, r: r, id: id}
+	if p.closing.Load() || p.leaving.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	reason := x.prepare()
 	if reason != "" {
 		x.refuse(reason)
@@ -95,14 +114,35 @@
 	p.metrics.latency.RecordDuration(time.Since(start))
 }
 
+// name returns the ID of a call: the caller's own where it has one.
+func (p *Proxy) name(r *http.Request) string {
+	if p.config.Dialect != nil {
+		if id := p.config.Dialect.ID(r.Header); id != "" {
+			return id
+		}
+	}
+	return p.namer.Next()
+}
+
+// carried returns how long the caller waits, as HeaderDeadline carries it.
+func (p *Proxy) carried(h http.Header) string {
+	if p.config.Dialect == nil {
+		return h.Get(call.HeaderDeadline)
+	}
+	left, ok := p.config.Dialect.Left(h)
+	if !ok {
+		return ""
+	}
+	return strconv.FormatInt(left.Milliseconds(), 10)
+}
+
 // prepare routes the call and shapes its header for the next hop. It returns
 // why the call cannot be served, or nothing.
 func (x *exchange) prepare() call.Reason {
 	p, r := x.proxy, x.r
-	carried, attempt := r.Header.Get(call.HeaderDeadline), r.Header.Get(call.HeaderAttempt)
+	carried, attempt := p.carried(r.Header), r.Header.Get(call.HeaderAttempt)
 	switch {
 	case p.leaving.Load():
-		x.w.Header()["Connection"] = []string{"close"}
 		return call.Leaving
 	case !p.config.Ready():
 		return call.NotReady
@@ -117,7 +157,8 @@
 		return call.NoRoute
 	}
 	x.route = route
-	x.service = x.directory.service(p, route.Service)
+	x.target = call.Part(route, rand.IntN)
+	x.service = x.directory.service(p, x.target)
 	x.idempotent = call.Idempotent(route, r.Method)
 	x.extra = attempt != "" && attempt != "1"
 	x.w.Header()[call.HeaderRevision] = []string{strconv.FormatUint(x.directory.router.Table.Number, 10)}
@@ -142,7 +183,10 @@
 	}
 	h := x.r.Header
 	h[call.HeaderID] = []string{x.id}
-	h[call.HeaderService] = []string{x.route.Service}
+	h[call.HeaderService] = []string{x.target}
+	if service := x.proxy.config.Service; service != "" {
+		h[call.HeaderCaller] = []string{service}
+	}
 	if x.idempotent {
 		h[call.HeaderRepeat] = []string{call.Yes}
 	} else {
@@ -157,5 +201,20 @@
 // refuse answers a call that was not run.
 func (x *exchange) refuse(reason call.Reason) {
 	x.proxy.metrics.refused(reason)
-	hop.Fail(x.w, reason, call.NotRun)
+	x.fail(reason, call.NotRun)
+}
+
+// fail answers with a failure of the node's own.
+func (x *exchange) fail(reason call.Reason, outcome call.Outcome) {
+	after := reason.After()
+	if outcome != call.NotRun {
+		after = 0
+	}
+	if d := x.proxy.config.Dialect; d != nil {
+		hop.Explain(x.w.Header(), reason, outcome, after)
+		d.Refused(x.w.Header(), after)
+		x.w.WriteHeader(reason.Status())
+		return
+	}
+	hop.Fail(x.w, reason, outcome, after)
 }
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -57,6 +57,13 @@
 		return res
 	}
 	resp.Body = hop.OnDone(resp.Body, func(err error) { a.done(res, err) })
+	if limit := a.proxy.config.Whole; limit > 0 {
+		if err := whole(resp, limit); err != nil {
+			broken := &result{instance: a.instance}
+			broken.reason, broken.outcome = classify(a.out.Context(), err)
+			return broken
+		}
+	}
 	return res
 }
 
--- a/mesh/hop/answer.go
+++ b/mesh/hop/answer.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"caroblift.dev/mesh/call"
 )
@@ -87,15 +88,20 @@
 
 // Fail answers a call that has failed, with the reason, whether it has run, and
 // when to come back if that helps.
-func Fail(w http.ResponseWriter, reason call.Reason, outcome call.Outcome) {
-	h := w.Header()
+func Fail(w http.ResponseWriter, reason call.Reason, outcome call.Outcome, after time.Duration) {
+	Explain(w.Header(), reason, outcome, after)
+	w.WriteHeader(reason.Status())
+}
+
+// Explain sets the header of an answer that reports a failure.
+func Explain(h http.Header, reason call.Reason, outcome call.Outcome, after time.Duration) {
 	h[call.HeaderReason] = []string{string(reason)}
 	h[call.HeaderRan] = []string{outcome.String()}
-	if after := reason.After(); after > 0 {
-		h["Retry-After"] = []string{strconv.Itoa(after)}
+	if after > 0 && outcome == call.NotRun {
+		h[call.HeaderAfter] = []string{strconv.FormatInt(after.Milliseconds(), 10)}
+		h["Retry-After"] = []string{strconv.Itoa(int((after + time.Second - 1) / time.Second))}
 	}
 	h["Content-Length"] = []string{"0"}
-	w.WriteHeader(reason.Status())
 }
 
 // Upgrades tells whether a call asks for another protocol on its connection,
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -27,6 +27,7 @@
 	Suspect time.Duration // how long a suspicion may be refuted
 	Seeds   []string      // IP:port of peers to join by
 	Joiners int           // joiners served in a second
+	Meet    bool          // the platform has meeting points; without seeds they come first
 	Floor   func(name string) uint64
 	Rand    *rand.Rand // nil for a random seed
 }
@@ -76,13 +77,16 @@
 		avoided: map[string]time.Time{}, parted: map[string]bool{},
 	}
 	a.queue.budget, a.queue.filled = newsBurst, now
-	a.joiner = joiner{rand: a.rand, beat: config.Beat, next: now}
+	a.joiner = joiner{rand: a.rand, beat: config.Beat, next: now, resort: lastResort, most: maxBackoff}
 	for _, s := range config.Seeds {
 		if s != self.GetPeer() {
 			a.joiner.seeds = append(a.joiner.seeds, s)
 		}
 	}
-	a.joiner.joined = len(a.joiner.seeds) == 0
+	if config.Meet && len(a.joiner.seeds) == 0 {
+		a.joiner.resort, a.joiner.most = 0, maxMeetBackoff
+	}
+	a.joiner.joined = len(a.joiner.seeds) == 0 && !config.Meet
 	a.settled, a.since = a.joiner.joined, now
 	a.collect()
 	a.picture(now)
@@ -132,7 +136,7 @@
 	if now.Sub(a.last) >= a.Pause() {
 		a.doubts, a.avoided, a.busy = map[string]*doubt{}, map[string]time.Time{}, map[string]bool{}
 		a.mismatch = map[string]int{}
-		if a.table.Len() > 1 || len(a.joiner.seeds) > 0 {
+		if a.table.Len() > 1 || len(a.joiner.seeds) > 0 || a.config.Meet {
 			a.stale = true
 			var known []string
 			for _, m := range a.others("", referrals) {
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -11,10 +11,14 @@
 )
 
 const (
-	maxBackoff  = 10 * time.Second
-	lastResort  = 2 // rounds over the seeds before the platform is asked
-	aloneRounds = 4 // rounds without an answer after which a node goes on alone
-	referrals   = 4 // other members that a joiner is told of
+	maxBackoff = 10 * time.Second
+	// maxMeetBackoff bounds the delay where only the meeting points lead to
+	// others: a platform that was away is asked again within seconds.
+	maxMeetBackoff = 2 * time.Second
+	lastResort     = 2 // rounds over the seeds before the platform is asked
+	aloneRounds    = 4 // rounds without an answer after which a node goes on alone
+	referrals      = 4 // other members that a joiner is told of
+	patience       = 2 // beats after which the next address is asked beside one that has not answered
 )
 
 // joiner decides whom a node that joins asks next, and when.
@@ -22,10 +26,13 @@
 	seeds    []string
 	rand     *rand.Rand
 	beat     time.Duration
+	resort   int           // rounds before the platform is asked
+	most     time.Duration // between two rounds
 	joined   bool
-	alone    bool     // nobody answered; the search goes on
-	waiting  bool     // for an answer
-	queue    []string // addresses of this round
+	alone    bool      // nobody answered; the search goes on
+	waiting  bool      // for an answer
+	asked    time.Time // when the one was asked that is waited for
+	queue    []string  // addresses of this round
 	referred []string
 	met      bool // whether the platform was asked in this round
 	rounds   int
@@ -35,14 +42,15 @@
 
 // restart begins a new search with addresses that were known before.
 func (j *joiner) restart(now time.Time, known []string) {
-	*j = joiner{seeds: j.seeds, rand: j.rand, beat: j.beat, queue: known, next: now}
+	*j = joiner{seeds: j.seeds, rand: j.rand, beat: j.beat, resort: j.resort, most: j.most, queue: known, next: now}
 }
 
 // step returns the address to ask now, or whether to ask the platform.
 func (j *joiner) step(now time.Time) (addr string, meet bool) {
-	if j.joined || j.waiting || now.Before(j.next) {
+	if j.joined || now.Before(j.next) || j.waiting && now.Sub(j.asked) < patience*j.beat {
 		return "", false
 	}
+	j.asked = now
 	for len(j.referred) > 0 {
 		addr, j.referred = j.referred[0], j.referred[1:]
 		if !j.until[addr].After(now) {
@@ -50,7 +58,7 @@
 			return addr, false
 		}
 	}
-	if len(j.queue) == 0 && j.rounds >= lastResort && !j.met {
+	if len(j.queue) == 0 && j.rounds >= j.resort && !j.met {
 		j.met, j.waiting = true, true
 		return "", true
 	}
@@ -63,7 +71,7 @@
 
 // due returns the first address of the round that may be asked now.
 func (j *joiner) due(now time.Time) string {
-	first := now.Add(maxBackoff)
+	first := now.Add(j.most)
 	for i, addr := range j.queue {
 		if at := j.until[addr]; at.After(now) {
 			first = earlier(first, at)
@@ -98,7 +106,7 @@
 
 // delay returns a backoff that grows with the rounds.
 func (j *joiner) delay() time.Duration {
-	bound := min(maxBackoff, j.beat<<min(j.rounds, 16))
+	bound := min(j.most, j.beat<<min(j.rounds, 16))
 	return bound/4 + time.Duration(j.rand.Int64N(int64(bound)*3/4+1))
 }
 
@@ -276,7 +284,7 @@
 // so that it can start alone.
 func (a *Agent) Size(now time.Time) int {
 	switch {
-	case len(a.joiner.seeds) == 0:
+	case len(a.joiner.seeds) == 0 && !a.config.Meet:
 		return a.table.Len()
 	case !a.joiner.joined:
 		return max(loneFleet, unknownFleet>>min(now.Sub(a.since)/loneHalving, 62))
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -50,8 +51,10 @@
 	sinks     telemetry.Sinks
 	tomb      tomb.Tomb
 	listeners listeners
-	store     *store.Client
-	poll      *store.Client
+	platform  *Platform // nil for the product's own
+	reads     confirmer
+	store     Store
+	poll      Store
 	budget    *store.Budget
 	meeting   *store.Meeting
 	pool      *peer.Pool
@@ -60,11 +63,12 @@
 	announcer *backend.Announcer
 	operator  *operator.Service
 	servers   []*http.Server
+	stopping  atomic.Bool
 }
 
 // listeners are a node's open ports.
 type listeners struct {
-	caller, hop, peer, backend, operator net.Listener
+	caller, hop, peer, backend, operator, ready net.Listener
 }
 
 // Addresses are the addresses that a node listens at.
@@ -74,8 +78,11 @@
 
 // New opens the node's ports and puts its parts together. The node does
 // nothing before Start.
-func New(s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
-	n := &Node{settings: s, Holder: &revision.Holder{}}
+func New(s *wire.Settings, sinks telemetry.Sinks) (*Node, error) { return On(nil, s, sinks) }
+
+// On is New for a platform with a protocol of its own.
+func On(p *Platform, s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
+	n := &Node{settings: s, Holder: &revision.Holder{}, platform: p}
 	n.sinks = sinks.OrDiscard()
 	n.sinks.Log = telemetry.WithRevision(n.sinks.Log, func() uint64 { return n.Holder.Table().Number }).
 		With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
@@ -97,7 +104,11 @@
 		{"peer", l.GetPeer(), &n.listeners.peer},
 		{"backend", l.GetBackend(), &n.listeners.backend},
 		{"operator", l.GetOperator(), &n.listeners.operator},
+		{"ready", l.GetReady(), &n.listeners.ready},
 	} {
+		if one.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", one.addr)
 		if err != nil {
 			n.closeListeners()
@@ -110,7 +121,7 @@
 
 func (n *Node) closeListeners() {
 	l := n.listeners
-	for _, ln := range []net.Listener{l.caller, l.hop, l.peer, l.backend, l.operator} {
+	for _, ln := range []net.Listener{l.caller, l.hop, l.peer, l.backend, l.operator, l.ready} {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -134,7 +145,7 @@
 	n.assembleCalls()
 	n.operator = operator.New(operator.Config{
 		Store:  n.store, // operators' calls are few however large the fleet, so no share of its rates bounds them
-		Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.Reader.Working,
+		Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.reads.Working,
 		Report: n.Spread.Report, Metrics: n.sinks.Metrics,
 	})
 }
@@ -147,18 +158,23 @@
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), Beat: ms(s.GetPeers().GetBeat()),
 		Suspect: ms(s.GetPeers().GetSuspect()), Joiners: int(s.GetPeers().GetJoiners()), Sinks: n.sinks.Sub("member"),
 		Floor: func(name string) uint64 { return n.Spread.Floor(name) }, Raise: n.Holder.Raise,
-		Meet: func(ctx context.Context) ([]*wire.Member, error) { return n.meeting.Read(ctx) },
+		Meeting: n.platform != nil,
+		Meet:    func(ctx context.Context) ([]*wire.Member, error) { return n.meeting.Read(ctx) },
 		Self: &wire.Member{
 			Name: s.GetInstance().GetName(), Domain: s.GetInstance().GetDomain(), Region: s.GetInstance().GetRegion(),
 			Peer: addr.Peer, Hop: addr.Hop, Format: revision.FormatNow,
 			Incarnation: uint64(time.Now().UnixMilli()), State: wire.State_STATE_ALIVE,
 		},
 	})
-	n.Spread = peer.NewSpread(peer.SpreadConfig{
+	config := peer.SpreadConfig{
 		Tree: n.tree(), Pool: n.pool, Holder: n.Holder, View: n.Members.View,
-		Checked: func() int64 { return n.Reader.Checked() }, Alone: n.alone(), Snapshots: int(s.GetPeers().GetJoiners()), Head: n.head,
+		Checked: func() int64 { return n.reads.Checked() }, Alone: n.alone(), Snapshots: int(s.GetPeers().GetJoiners()), Head: n.head,
 		Beat: ms(s.GetPeers().GetBeat()), Exchange: ms(s.GetPeers().GetExchange()), Sinks: n.sinks.Sub("spread"),
-	})
+	}
+	if n.platform != nil {
+		config.Alone, config.Head, config.Patience = false, nil, patienceBeats*config.Beat/4
+	}
+	n.Spread = peer.NewSpread(config)
 }
 
 // carrier lets heartbeats carry the revision in force.
@@ -194,20 +210,25 @@
 
 func (n *Node) assemblePlatform() {
 	s := n.settings.GetPlatform()
-	n.store = store.New(store.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("platform")})
-	n.poll = n.store.Fresh()
+	n.openStore()
 	n.assembleBudget()
 	objects, poll := n.budget.Wrap(n.store), n.budget.Wrap(n.poll)
 	n.meeting = store.NewMeeting(store.MeetingConfig{
-		Store: objects, Self: func() *wire.Member { return n.Members.View().Self }, Active: n.reader,
-		Places: int(s.GetReaders()), Sinks: n.sinks.Sub("platform"),
+		Store: n.store, Self: func() *wire.Member { return n.Members.View().Self },
+		Alive: func(name string) bool { return n.Members.View().Members[name] != nil }, Known: n.Members.Joined,
+		Places: meetingPlaces, Sinks: n.sinks.Sub("platform"),
 	})
+	if n.platform != nil {
+		n.assembleSource(n.platform)
+		return
+	}
 	deliver := func(u *wire.Update) { _ = n.Spread.Accept(u) } // both check what is in force
 	n.Reader = store.NewReader(store.ReaderConfig{
 		Store: objects, Poll: poll, Holder: n.Holder, Deliver: deliver,
 		Active: n.reader,
 		Wait:   ms(s.GetWait()), Every: ms(s.GetPoll()), Sinks: n.sinks.Sub("platform"),
 	})
+	n.reads = n.Reader
 	n.Publisher = store.NewPublisher(store.PublisherConfig{
 		Store: objects, Name: n.settings.GetInstance().GetName(), Holder: n.Holder, Deliver: deliver,
 		Rank: n.publisher,
@@ -217,25 +238,63 @@
 	})
 }
 
+// meetingPlaces bounds the meeting points of one failure domain: enough that
+// some are alive after most of its nodes were replaced.
+const meetingPlaces = 16
+
+// openStore opens two clients of the platform's store, the second for what must
+// not wait behind a watch.
+func (n *Node) openStore() {
+	s, sinks := n.settings.GetPlatform(), n.sinks.Sub("platform")
+	if n.platform != nil {
+		n.store, n.poll = n.platform.Store(sinks), n.platform.Store(sinks)
+		return
+	}
+	client := store.New(store.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: sinks})
+	n.store, n.poll = client, client.Fresh()
+}
+
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
 	n.hops = peer.NewTransport(silent, new(peer.Counter))
 	n.hops.HTTP2.MaxReceiveBufferPerStream = streamBuffer
 	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
-	n.Gate = backend.NewGate(backend.GateConfig{
+	gate := backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		Silent: silent, Sinks: n.sinks.Sub("backend"),
-	})
-	n.Proxy = caller.New(caller.Config{
-		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Own: n.Gate, Hop: n.hops,
+	}
+	proxy := caller.Config{
+		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
 		Evidence: n.Members.Evidence, Timeout: ms(s.GetTimeout()), Sinks: n.sinks.Sub("caller"),
-	})
-	n.announcer = backend.NewAnnouncer(backend.AnnouncerConfig{
+		Service: n.settings.GetBackend().GetService(),
+	}
+	if shared := n.settings.GetShared(); shared.GetOn() {
+		proxy.Extra = caller.Extra{Percent: int(shared.GetPercent()), Slack: int(shared.GetSlack())}
+	}
+	announcer := backend.AnnouncerConfig{
+		Log:   n.sinks.Sub("backend").Log,
 		Lease: ms(s.GetLease()), Change: n.announced, Local: backend.Hosts(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
-	})
+	}
+	if n.platform != nil {
+		gate.Dialect, proxy.Dialect, proxy.Whole, announcer.Flaps = n.platform.Backend, n.platform.Caller, wholeAnswer, ownFlaps
+	}
+	n.Gate = backend.NewGate(gate)
+	proxy.Own = n.Gate
+	n.Proxy = caller.New(proxy)
+	n.announcer = backend.NewAnnouncer(announcer)
 }
 
+const (
+	// wholeAnswer is the part of an answer that is read before it is handed on,
+	// in bytes: larger than the largest usual download, and small against the
+	// memory of a node with a few of them in progress.
+	wholeAnswer = 1 << 20
+	// ownFlaps is how often a backend server may appear within half a minute
+	// where its node alone sends calls to it and sees at once that it is gone.
+	ownFlaps = 30
+)
+
 // announced takes a change of the backend server beside this node.
 func (n *Node) announced(a *backend.Announcement) {
 	n.Gate.Serve(a.Target())
@@ -250,16 +309,34 @@
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
 	n.serve(n.listeners.hop, n.Gate)
 	n.serve(n.listeners.caller, n.Proxy)
-	n.serve(n.listeners.backend, n.announcer.Handler())
+	n.serve(n.listeners.backend, n.announcements())
 	n.serve(n.listeners.operator, n.operator.Handler())
-	for _, run := range []func(context.Context) error{
-		n.Members.Run, n.Spread.Run, n.Reader.Run, n.Publisher.Run, n.announcer.Run, n.meeting.Run, newState(n).run,
-	} {
+	loops := []func(context.Context) error{
+		n.Members.Run, n.Spread.Run, n.reads.Run, n.announcer.Run, n.meeting.Run, newState(n).run,
+	}
+	if n.Publisher != nil {
+		loops = append(loops, n.Publisher.Run)
+	}
+	if n.listeners.ready != nil {
+		n.serve(n.listeners.ready, n.platform.Ready(n.ready))
+	}
+	for _, run := range loops {
 		n.tomb.Go(func() error { return run(n.tomb.Context(context.Background())) })
 	}
 	n.sinks.Log.Info("started", "addresses", n.Addresses())
 }
 
+// announcements serves the port that the backend server announces itself at.
+func (n *Node) announcements() http.Handler {
+	if n.platform != nil {
+		return n.platform.Announce(n.announcer)
+	}
+	return n.announcer.Handler()
+}
+
+// ready tells whether callers should come to this node.
+func (n *Node) ready() bool { return n.Holder.Ready() && !n.stopping.Load() }
+
 // streamBuffer bounds what one HTTP/2 stream holds for a slow reader, in bytes.
 const streamBuffer = 256 << 10
 
--- /dev/null
+++ b/mesh/node/platform.go
@@ -0,0 +1,67 @@
+package node
+
+// This file defines what an adapter brings for a platform with a protocol of
+// its own: a store, a configuration that comes as one document, and the
+// dialects of callers and backend servers.
+
+import (
+	"context"
+	"net/http"
+
+	"caroblift.dev/mesh/backend"
+	"caroblift.dev/mesh/caller"
+	"caroblift.dev/mesh/store"
+	"caroblift.dev/mesh/telemetry"
+	"caroblift.dev/wire"
+)
+
+// Store is a client of the platform's store.
+type Store interface {
+	store.Store
+	Calls() uint64 // made so far
+	Close()
+}
+
+// Platform is what an adapter brings. Every field is required.
+type Platform struct {
+	Store    func(telemetry.Sinks) Store           // opens a client with connections of its own
+	Place    store.Place                           // of the configuration
+	Backend  backend.Dialect                       // of backend servers
+	Caller   caller.Dialect                        // of callers
+	Announce func(*backend.Announcer) http.Handler // serves the backend port
+	Ready    func(ready func() bool) http.Handler  // serves the ready port
+}
+
+// maxWatchers is the fleet up to which every node watches the configuration;
+// beyond it the readers of each failure domain do, and the others hear of it
+// through the tree. Each watcher costs one read for each platform.wait: at 100
+// nodes and 1.5 s that is 67 a second, a thirtieth of the smallest rate in use.
+const maxWatchers = 100
+
+// patienceBeats is how long a child that reads the platform by itself may be
+// behind before its parent sends it the configuration, in quarters of a beat:
+// its own next heartbeat tells within five.
+const patienceBeats = 5
+
+// watches tells whether this node reads the configuration from the platform.
+func (n *Node) watches() bool {
+	return len(n.Members.View().Names) <= maxWatchers || n.Spread.Reader()
+}
+
+// confirmer is what reads the platform.
+type confirmer interface {
+	Checked() int64 // when the platform last confirmed the head, Unix ms; 0 for never
+	Working() bool  // whether it answers
+	Run(ctx context.Context) error
+}
+
+// assembleSource puts together the reader of a configuration that comes as one
+// document. Its calls are few and not taken from the shares of the platform's
+// rates, since a node that starts does not know the fleet yet.
+func (n *Node) assembleSource(p *Platform) {
+	s := n.settings.GetPlatform()
+	n.reads = store.NewSource(store.SourceConfig{
+		Store: n.store, Poll: n.poll, Place: p.Place, Active: n.watches, Wait: ms(s.GetWait()),
+		Deliver: func(snapshot *wire.Snapshot) error { return n.Spread.Current(snapshot) }, Sinks: n.sinks.Sub("platform"),
+	})
+}
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -110,7 +110,7 @@
 	s.gauge("held", float64(len(t.Held)))
 	s.gauge("records", float64(len(t.Records)))
 	s.gauge("ready", boolean(n.Holder.Ready()))
-	s.gauge("platform_answers", boolean(n.Reader.Working()))
+	s.gauge("platform_answers", boolean(n.reads.Working()))
 	if at := n.Spread.Checked(); at > 0 {
 		s.gauge("confirmed_age_seconds", time.Since(time.UnixMilli(at)).Seconds())
 	}
--- a/mesh/node/stop.go
+++ b/mesh/node/stop.go
@@ -13,10 +13,12 @@
 	"caroblift.dev/mesh/hop"
 )
 
-// Stop shuts the node down gracefully: it refuses new work for its backend
-// server as not run, announces that it leaves, finishes what is in progress,
-// refuses new calls of its own callers and then closes. Until the backend
-// server has finished, the node still takes its outgoing calls.
+// Stop shuts the node down gracefully: it is not ready any more, refuses new
+// work for its backend server as not run and announces that it leaves. For the
+// time of stop.handover it goes on taking the calls of its own callers, with a
+// notice that their connections close. Then it refuses these too, finishes what
+// is in progress and closes. Until the backend server has finished, the node
+// still takes its outgoing calls.
 //
 // The context bounds the wait, and so does the policy of the backend server's
 // service. Calls that are still in progress then are cut, and the error is a
@@ -24,9 +26,12 @@
 func (n *Node) Stop(ctx context.Context) error {
 	ctx, cancel := n.drainBound(ctx)
 	defer cancel()
+	n.stopping.Store(true)
 	n.Gate.Refuse()
 	var leave sync.WaitGroup
 	leave.Go(func() { n.Members.Leave(ctx) })
+	n.Proxy.Notice()
+	wait(ctx, ms(n.settings.GetStop().GetHandover()))
 	err := join(n.Gate.Drain(ctx), n.Proxy.Drain(ctx))
 	leave.Wait()
 	n.linger(ctx)
@@ -75,8 +80,11 @@
 // that nodes that have not heard of its leaving get an answer.
 const lingerTime = 1500 * time.Millisecond
 
-func (n *Node) linger(ctx context.Context) {
-	timer := time.NewTimer(lingerTime)
+func (n *Node) linger(ctx context.Context) { wait(ctx, lingerTime) }
+
+// wait waits, or returns early when the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -28,6 +28,7 @@
 	Floor   func(name string) uint64                          // newest revision that an instance was seen to report
 	Raise   func(floor uint64)                                // takes the floor that peers remember
 	Meet    func(ctx context.Context) ([]*wire.Member, error) // reads the meeting points on the platform
+	Meeting bool                                              // every node has a meeting point, so that seeds are not needed
 	Sinks   telemetry.Sinks
 }
 
@@ -56,7 +57,7 @@
 	}
 	m := &Members{config: config, spare: config.Pool.fresh()}
 	m.agent = member.New(member.Config{
-		Beat: config.Beat, Suspect: config.Suspect, Seeds: config.Seeds, Joiners: config.Joiners, Floor: config.Floor,
+		Beat: config.Beat, Suspect: config.Suspect, Seeds: config.Seeds, Joiners: config.Joiners, Floor: config.Floor, Meet: config.Meet != nil && config.Meeting,
 	}, config.Self, time.Now())
 	m.pause = m.agent.Pause()
 	m.mu.Lock()
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -30,8 +30,8 @@
 // know the lowest revision that it may serve.
 var ErrUnsettled = errors.New("the lowest revision that may be served is not known yet")
 
-// SpreadConfig configures a Spread. Every field but Snapshots, Alone, Head and
-// Sinks is required.
+// SpreadConfig configures a Spread. Every field but Snapshots, Alone, Patience, Head
+// and Sinks is required.
 type SpreadConfig struct {
 	Tree      spread.Tree
 	Pool      *Pool
@@ -40,8 +40,9 @@
 	Checked   func() int64 // when the platform last confirmed the head to this node, Unix ms
 	Beat      time.Duration
 	Exchange  time.Duration
-	Snapshots int  // snapshots started within one beat, 8 when zero
-	Alone     bool // no other node is to be joined
+	Snapshots int           // snapshots started within one beat, 8 when zero
+	Alone     bool          // no other node is to be joined
+	Patience  time.Duration // for which a child may be behind before it gets a push
 	// Head returns the newest revision on the platform if it is newer than the
 	// one given, or else that one. A starting node calls it once.
 	Head  func(ctx context.Context, after uint64) (uint64, error)
@@ -64,7 +65,7 @@
 	config.Sinks = config.Sinks.OrDiscard()
 	return &Spread{config: config, wake: make(chan struct{}, 1), state: spread.New(spread.Config{
 		Tree: config.Tree, Holder: config.Holder, Beat: config.Beat, Exchange: config.Exchange,
-		Snapshots: config.Snapshots, Alone: config.Alone, Head: config.Head != nil,
+		Snapshots: config.Snapshots, Alone: config.Alone, Head: config.Head != nil, Patience: config.Patience,
 	}, config.View(), time.Now())}
 }
 
@@ -230,6 +231,15 @@
 	return s.offer(u)
 }
 
+// Current applies a whole configuration that was just read from the platform,
+// where that always answers with the newest one.
+func (s *Spread) Current(snapshot *wire.Snapshot) error {
+	s.mu.Lock()
+	s.state.Current(snapshot.GetNumber())
+	s.mu.Unlock()
+	return s.offer(&wire.Update{Snapshot: snapshot})
+}
+
 // Checked returns when the head was last known to be confirmed by the
 // platform, in Unix ms.
 func (s *Spread) Checked() int64 {
--- a/caroblift/serve.go
+++ b/mesh/process/process.go
@@ -1,6 +1,10 @@
-package main
-
-// This file runs the node until a signal stops it.
+// Package process runs a node as a process: it takes signals, reloads settings
+// and sets up logs, metrics and traces.
+//
+// # Usage
+//
+//	err := process.Run(process.Config{Path: "node.ini", Load: settings.Load})
+package process
 
 import (
 	"context"
@@ -14,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"caroblift.dev/mesh/node"
+	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/settings"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
@@ -22,21 +27,33 @@
 // traceBound bounds the export of the last spans.
 const traceBound = 3 * time.Second
 
+// Config configures a process. Platform may be nil, Out is os.Stderr when nil.
+type Config struct {
+	Path     string // of the settings
+	Load     func(path string) (*wire.Settings, record.Findings)
+	Platform *node.Platform
+	Out      io.Writer // of log lines where the settings name no file
+}
+
 // process is the running node and what its settings may change.
 type process struct {
-	path     string
+	config   Config
 	settings *wire.Settings
 	level    *slog.LevelVar
 	log      *slog.Logger
 }
 
-// serve runs a node until SIGTERM or SIGINT.
-func serve(path string, s *wire.Settings) error {
-	out, err := logFile(s.GetLog().GetFile())
+// Run runs a node with settings that were loaded and checked, until SIGTERM or
+// SIGINT.
+func Run(config Config, s *wire.Settings) error {
+	if config.Out == nil {
+		config.Out = os.Stderr
+	}
+	out, err := logFile(s.GetLog().GetFile(), config.Out)
 	if err != nil {
 		return err
 	}
-	p := &process{path: path, settings: s, level: new(slog.LevelVar)}
+	p := &process{config: config, settings: s, level: new(slog.LevelVar)}
 	p.level.Set(telemetry.ParseLevel(s.GetLog().GetLevel()))
 	log := telemetry.Log(out, p.level)
 	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
@@ -47,7 +64,7 @@
 	}
 	metrics := telemetry.NewMetrics()
 	defer metrics.Close()
-	n, err := node.New(s, telemetry.Sinks{
+	n, err := node.On(config.Platform, s, telemetry.Sinks{
 		Log: log, Scope: metrics.Scope, Metrics: metrics.Handler(), Tracer: traces.Tracer,
 	})
 	if err != nil {
@@ -83,7 +100,7 @@
 // reload takes the settings that may change while the node runs. A file with
 // mistakes changes nothing.
 func (p *process) reload() {
-	next, findings := settings.Load(p.path)
+	next, findings := p.config.Load(p.config.Path)
 	if len(findings) > 0 {
 		p.log.Error("settings not reloaded", "findings", findings.Error())
 		return
@@ -116,9 +133,9 @@
 	return errors.Wrap(err, "calls were cut")
 }
 
-func logFile(path string) (io.Writer, error) {
+func logFile(path string, standard io.Writer) (io.Writer, error) {
 	if path == "" {
-		return os.Stderr, nil
+		return standard, nil
 	}
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	return f, errors.Wrap(err, "log.file")
--- /dev/null
+++ b/mesh/record/document.go
@@ -0,0 +1,32 @@
+package record
+
+// This file defines what a configuration that comes as one document holds
+// beyond the records of operators.
+
+import "time"
+
+// Limits bound what a caller may send. A zero field bounds nothing.
+type Limits struct {
+	Header int64         // bytes of a request's header
+	Body   int64         // bytes of a request's body
+	Begin  time.Duration // until the header must be read
+	Idle   time.Duration // for which an unused connection is kept
+}
+
+// Part is one service of a route that is split, and its share of the calls.
+type Part struct {
+	Service string
+	Weight  int
+}
+
+// Services returns every service that a route may send calls to.
+func (r *Route) Services() []string {
+	if len(r.Parts) == 0 {
+		return []string{r.Service}
+	}
+	out := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		out[i] = p.Service
+	}
+	return out
+}
--- a/mesh/record/record.go
+++ b/mesh/record/record.go
@@ -25,6 +25,8 @@
 	Owner   string
 	Mail    string
 	Domains []string // failure domains that may serve it; empty means all
+	Health  string   // path on which a backend server answers 200 while it is well; empty when none is known
+	Conns   int      // connections that a backend server accepts; zero when not known
 }
 
 // Repeat says which calls of a route may run more than once.
@@ -48,6 +50,13 @@
 	Timeout time.Duration // zero means the node's default
 	Repeat  Repeat
 	Hedge   bool
+
+	// What only a configuration that comes as one document sets.
+	Parts     []Part        // services of a route that is split; empty means Service alone
+	Objective time.Duration // within which an answer earns its full credit; zero when none is named
+	Priority  int           // 0 is the most urgent
+	Attempts  int           // backend servers that one call may be sent to; zero leaves it to the policy
+	Bulk      bool          // answers are large
 }
 
 // Policy is the hub form of a backend server policy record.
--- a/mesh/revision/build.go
+++ b/mesh/revision/build.go
@@ -153,6 +153,9 @@
 // than in the table before it, and none may be missing. Records that did not
 // change are not decoded again.
 func (t *Table) fromSnapshot(s *wire.Snapshot, newest uint32) (*Table, error) {
+	if len(s.GetDocument()) > 0 {
+		return fromDocument(s)
+	}
 	if s.GetFormat() > newest {
 		return nil, errors.Wrapf(ErrFormat, "snapshot %d: format %d, this node reads up to %d", s.GetNumber(), s.GetFormat(), newest)
 	}
--- a/mesh/revision/table.go
+++ b/mesh/revision/table.go
@@ -31,9 +31,11 @@
 	Routes   []*record.Route // ordered by name
 	Policies map[string]*record.Policy
 	Held     []*wire.Held
+	Limits   record.Limits
 
-	order []*entry // by key, one for each record
-	size  int      // bytes of all records in a message
+	document []byte   // encoded, when the table was built from one
+	order    []*entry // by key, one for each record
+	size     int      // bytes of all records in a message
 }
 
 // Policy returns the policy of a service, or the zero policy.
@@ -57,7 +59,7 @@
 	}
 	return &wire.Snapshot{
 		Number: t.Number, Digest: t.Digest, Change: t.Change, Time: t.Time,
-		Format: max(t.Format, 1), Records: records, Held: t.Held,
+		Format: max(t.Format, 1), Records: records, Held: t.Held, Document: t.document,
 	}
 }
 
--- a/mesh/spread/children.go
+++ b/mesh/spread/children.go
@@ -144,7 +144,7 @@
 	if c.behind.IsZero() {
 		c.behind = now
 	}
-	if c.pushing || now.Before(c.retry) {
+	if c.pushing || now.Before(c.retry) || now.Sub(c.behind) < s.config.Patience {
 		return
 	}
 	c.pushing = true
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -205,3 +205,11 @@
 	s.config.Holder.Raise(number)
 	return true
 }
+
+// Current takes the number of a configuration that was read from the platform
+// after this node started, where the platform always answers with the newest
+// one. Nothing older may be served, and nobody else need be asked.
+func (s *State) Current(number uint64) {
+	s.floor.platform, s.floor.known, s.floor.asked = true, true, nil
+	s.config.Holder.Raise(number)
+}
--- a/mesh/spread/state.go
+++ b/mesh/spread/state.go
@@ -22,6 +22,7 @@
 	Snapshots int           // snapshots started within one beat, 8 when zero
 	Alone     bool          // no other node is to be joined
 	Head      bool          // the owner can read the platform's head
+	Patience  time.Duration // for which a child may be behind before it gets a push; zero where pushes are its only way
 	Rand      *rand.Rand    // seeded from the clock when nil
 }
 
--- a/mesh/store/backoff.go
+++ b/mesh/store/backoff.go
@@ -17,9 +17,11 @@
 	idleDelay     = 250 * time.Millisecond // between two looks at whether there is work
 )
 
-// backoff counts failures in a row. The zero backoff has seen none.
+// backoff counts failures in a row. The zero backoff has seen none and waits
+// from retryDelay to maxRetryDelay.
 type backoff struct {
-	failures int
+	first, most time.Duration
+	failures    int
 }
 
 // next returns how long to wait after one more failure. The wait doubles with
@@ -27,7 +29,11 @@
 // who failed together do not come back together. A busy platform names the
 // least wait itself.
 func (b *backoff) next(err error) time.Duration {
-	d := min(retryDelay<<min(b.failures, 8), maxRetryDelay)
+	first, most := b.first, b.most
+	if first == 0 {
+		first, most = retryDelay, maxRetryDelay
+	}
+	d := min(first<<min(b.failures, 8), most)
 	b.failures++
 	var busy *BusyError
 	if errors.As(err, &busy) {
--- a/mesh/store/client_test.go
+++ b/mesh/store/client_test.go
@@ -16,20 +16,20 @@
 
 // serve returns a store behind HTTP and a client of it.
 func serve(t *testing.T, timeout time.Duration) (*storetest.Store, *store.Client) {
-	store := storetest.New()
-	server := httptest.NewUnstartedServer(store)
-	server.Config.ConnContext = store.ConnContext
+	stand := storetest.New()
+	server := httptest.NewUnstartedServer(stand)
+	server.Config.ConnContext = stand.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	c := store.New(store.ClientConfig{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: timeout})
 	t.Cleanup(c.Close)
-	return store, c
+	return stand, c
 }
 
 // TestClient runs every call over HTTP, with the outcomes that a caller must
 // tell apart.
 func TestClient(t *testing.T) {
-	store, c := serve(t, time.Minute)
+	stand, c := serve(t, time.Minute)
 	ctx := t.Context()
 	made, err := c.Create(ctx, "record", "a", []byte("1"))
 	require.NoError(t, err)
@@ -51,24 +51,24 @@
 	objs, _, err = c.Watch(ctx, "record", next, 0)
 	require.NoError(t, err)
 	require.Empty(t, objs)
-	store.Forget()
+	stand.Forget()
 	_, _, err = c.Watch(ctx, "record", made.Version, 0)
 	require.ErrorIs(t, err, store.ErrGone)
 
-	store.Set(storetest.Faults{Lose: true})
+	stand.Set(storetest.Faults{Lose: true})
 	_, err = c.Create(ctx, "record", "lost", []byte("1"))
 	require.ErrorIs(t, err, store.ErrUnknown)
-	store.Set(storetest.Faults{Down: true})
+	stand.Set(storetest.Faults{Down: true})
 	_, err = c.Get(ctx, "record", "a")
 	require.ErrorIs(t, err, store.ErrDown)
-	store.Set(storetest.Faults{})
+	stand.Set(storetest.Faults{})
 	_, err = c.Get(ctx, "record", "lost")
 	require.NoError(t, err, "the write whose answer was lost took effect")
 	require.NoError(t, c.Delete(ctx, "record", "a", changed.Version))
 	require.Error(t, errOf(c.Create(ctx, "record", "big", make([]byte, 1<<20+1))))
 	require.Equal(t, map[string]uint64{"create": 4, "update": 2, "get": 4, "watch": 3, "list": 0, "delete": 1}, c.Counts())
 	require.Equal(t, uint64(14), c.Calls())
-	store.Reads = rate.NewLimiter(0, 0)
+	stand.Reads = rate.NewLimiter(0, 0)
 	var busy *store.BusyError
 	require.ErrorAs(t, errOf(c.Get(ctx, "record", "a")), &busy)
 	require.Equal(t, time.Second, busy.After)
@@ -79,10 +79,10 @@
 // TestClientSilent silences the open connections: the call under way ends
 // without an answer, and the next uses a new connection.
 func TestClientSilent(t *testing.T) {
-	store, c := serve(t, 300*time.Millisecond)
+	stand, c := serve(t, 300*time.Millisecond)
 	_, err := c.Create(t.Context(), "record", "a", nil)
 	require.NoError(t, err)
-	store.Silence()
+	stand.Silence()
 	_, err = c.Create(t.Context(), "record", "b", nil)
 	require.ErrorIs(t, err, store.ErrUnknown)
 	require.Eventually(t, func() bool {
--- a/mesh/store/lost_test.go
+++ b/mesh/store/lost_test.go
@@ -99,9 +99,9 @@
 		change(4*snapshots + 1)
 		slow := w.start("slow", 9, 0)
 		slow.pause()
-		store := &hookStore{Store: w.store, hook: func() { change(5*snapshots + 1) }}
+		hooked := &hookStore{Store: w.store, hook: func() { change(5*snapshots + 1) }}
 		reader := store.NewReader(store.ReaderConfig{
-			Store: store, Poll: store, Active: func() bool { return false }, Holder: slow.holder,
+			Store: hooked, Poll: hooked, Active: func() bool { return false }, Holder: slow.holder,
 			Deliver: func(u *wire.Update) { _ = slow.holder.Apply(u) },
 		})
 		require.NoError(t, reader.Load(t.Context()))
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -1,13 +1,14 @@
 package store
 
-// This file keeps meeting points on the platform: a few objects in each failure
-// domain that name a node to join by when no seed answers.
+// This file keeps meeting points on the platform: objects that name nodes to
+// join by when no seed answers.
 
 import (
 	"context"
 	"encoding/json"
-	"strconv"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,35 +20,39 @@
 // KindMember is the kind of the objects that are meeting points.
 const KindMember = "member"
 
-// How long a meeting point holds without renewal, and how often it is renewed.
+// How often a node looks after the meeting points: after its start, and from
+// then on.
 const (
-	meetingLease = 90 * time.Second
-	meetingRenew = 30 * time.Second
+	meetingSoon  = 30 * time.Second
+	meetingEvery = 2 * time.Minute
 )
 
 // MeetingConfig configures a Meeting. Every field but Sinks is required.
 type MeetingConfig struct {
 	Store  Store
 	Self   func() *wire.Member
-	Active func() bool // whether this node keeps a meeting point now
-	Places int         // meeting points of each failure domain
+	Alive  func(name string) bool // whether a node is a member as far as known
+	Known  func() bool            // whether the members are known
+	Places int                    // meeting points of each failure domain
 	Sinks  telemetry.Sinks
 }
 
-// Meeting reads the meeting points and keeps one while its node is active. The
-// number of objects is constant for each failure domain. Safety does not rest
-// on the lease: a meeting point that names the wrong node costs one attempt.
+// Meeting reads the meeting points and keeps that of its node. Each node writes
+// one when it starts, unless its failure domain has enough of them, and renews
+// nothing: a point that names a node that is gone costs a joiner one attempt,
+// until a node that knows the members removes it.
 type Meeting struct {
 	config MeetingConfig
-	name   string // object that this node keeps, or empty
-	held   uint64 // its version
+
+	mu     sync.Mutex
+	listed map[string]Object // points as last read, by object name
 }
 
 // point is the body of a meeting point.
 type point struct {
-	Name string `json:"name"`
-	Peer string `json:"peer"` // IP:port
-	Time int64  `json:"time"` // of the last renewal, Unix ms
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Peer   string `json:"peer"` // IP:port
 }
 
 // NewMeeting returns a meeting.
@@ -56,116 +61,132 @@
 	return &Meeting{config: config}
 }
 
-// Read returns the members that the meeting points name, in one call.
+// Read returns the members that the meeting points name, in one call for each
+// page.
 func (m *Meeting) Read(ctx context.Context) ([]*wire.Member, error) {
-	objs, _, _, err := m.config.Store.List(ctx, KindMember, "")
+	objs, _, err := ListAll(ctx, m.config.Store, KindMember, "")
 	if err != nil {
 		return nil, errors.Wrap(err, "list meeting points")
 	}
+	listed := make(map[string]Object, len(objs))
 	var out []*wire.Member
 	for _, o := range objs {
+		listed[o.Name] = o
 		if p, ok := decodePoint(o); ok {
-			out = append(out, &wire.Member{Name: p.Name, Peer: p.Peer})
+			out = append(out, &wire.Member{Name: p.Name, Domain: p.Domain, Peer: p.Peer})
 		}
 	}
+	m.mu.Lock()
+	m.listed = listed
+	m.mu.Unlock()
 	return out, nil
 }
 
 func decodePoint(o Object) (point, bool) {
 	var p point
 	err := json.Unmarshal(o.Body, &p)
-	return p, err == nil && !o.Deleted && p.Peer != ""
+	return p, err == nil && !o.Deleted && p.Peer != "" && p.Name != ""
 }
 
-// Run keeps a meeting point while the node is active.
+// Run writes the meeting point of this node and removes those of nodes that
+// are gone, until the context ends.
 func (m *Meeting) Run(ctx context.Context) error {
 	var retry backoff
+	wait := meetingSoon
 	for ctx.Err() == nil {
-		if !m.config.Active() {
-			pause(ctx, retryDelay)
+		err := m.keep(ctx)
+		if err == nil {
+			retry.reset()
+			pause(ctx, wait+jitter(wait/2))
+			wait = meetingEvery
 			continue
 		}
-		wait := meetingRenew
-		if err := m.keep(ctx); err == nil {
-			retry.reset()
-		} else if ctx.Err() == nil {
+		if ctx.Err() == nil {
 			m.config.Sinks.Log.Info("keep meeting point", "error", err.Error())
-			wait = max(retry.next(err), time.Second)
 		}
-		pause(ctx, wait)
+		pause(ctx, retry.next(err))
 	}
 	return nil
 }
 
-// keep renews the meeting point of this node, or takes one that lapsed.
+// keep writes the meeting point of this node if it is needed, and removes one
+// of a node that is gone.
 func (m *Meeting) keep(ctx context.Context) error {
-	if m.name != "" {
-		o, err := m.config.Store.Update(ctx, KindMember, m.name, m.held, m.body())
-		if err == nil {
-			m.held = o.Version
-			return nil
-		}
-		m.name = "" // lost, or the answer was: look again
-		if !errors.Is(err, ErrConflict) && !errors.Is(err, ErrUnknown) {
-			return errors.Wrap(err, "renew meeting point")
-		}
+	if _, err := m.Read(ctx); err != nil {
+		return err
 	}
-	objs, _, _, err := m.config.Store.List(ctx, KindMember, "")
-	if err != nil {
-		return errors.Wrap(err, "list meeting points")
+	m.mu.Lock()
+	listed := m.listed
+	m.mu.Unlock()
+	if err := m.write(ctx, listed); err != nil {
+		return err
 	}
-	return m.take(ctx, objs)
+	return m.sweep(ctx, listed)
 }
 
-// take writes to a place of the own failure domain that is free or lapsed, or
-// that an earlier life of this node keeps.
-func (m *Meeting) take(ctx context.Context, objs []Object) error {
+// write puts this node's point where it belongs, unless that is there already
+// or the failure domain has enough others.
+func (m *Meeting) write(ctx context.Context, listed map[string]Object) error {
 	self := m.config.Self()
-	places := map[string]Object{}
-	for _, o := range objs {
-		places[o.Name] = o
+	want := point{Name: self.GetName(), Domain: self.GetDomain(), Peer: self.GetPeer()}
+	body, err := json.Marshal(want)
+	if err != nil {
+		return errors.Wrap(err, "encode meeting point")
 	}
-	free := ""
-	for i := range m.config.Places {
-		name := strings.ReplaceAll(self.GetDomain(), "/", "-") + "." + strconv.Itoa(i)
-		p, ok := decodePoint(places[name])
-		if ok && p.Name == self.GetName() {
-			return m.write(ctx, name, places[name].Version)
-		}
-		if free == "" && (!ok || time.Now().UnixMilli()-p.Time > meetingLease.Milliseconds()) {
-			free = name
+	name := strings.ReplaceAll(want.Name, "/", "-")
+	old, exists := listed[name]
+	if p, ok := decodePoint(old); exists && ok && p == want {
+		return nil
+	}
+	others := 0
+	for _, o := range listed {
+		if p, ok := decodePoint(o); ok && p.Domain == want.Domain && p.Name != want.Name {
+			others++
 		}
 	}
-	if free == "" {
+	switch {
+	case exists:
+		_, err = m.config.Store.Update(ctx, KindMember, name, old.Version, body)
+	case others >= m.config.Places:
 		return nil
+	default:
+		_, err = m.config.Store.Create(ctx, KindMember, name, body)
 	}
-	return m.write(ctx, free, places[free].Version)
+	return errors.Wrapf(err, "write meeting point %s", name)
 }
 
-func (m *Meeting) write(ctx context.Context, name string, version uint64) error {
-	var o Object
-	var err error
-	if version == 0 {
-		o, err = m.config.Store.Create(ctx, KindMember, name, m.body())
-	} else {
-		o, err = m.config.Store.Update(ctx, KindMember, name, version, m.body())
+// sweep removes the point of one node that is gone. Only the first living node
+// by name does it, so that a fleet does not do it all at once; when its view is
+// wrong, the node writes its point again.
+func (m *Meeting) sweep(ctx context.Context, listed map[string]Object) error {
+	if !m.config.Known() {
+		return nil
 	}
-	if errors.Is(err, ErrConflict) {
-		return nil // another node was faster
+	names := make([]string, 0, len(listed))
+	for name := range listed {
+		names = append(names, name)
 	}
-	if err != nil {
-		return errors.Wrapf(err, "write meeting point %s", name)
+	slices.Sort(names)
+	self, first := m.config.Self().GetName(), ""
+	var gone *Object
+	for _, name := range names {
+		o := listed[name]
+		p, ok := decodePoint(o)
+		switch {
+		case ok && m.config.Alive(p.Name):
+			if first == "" {
+				first = p.Name
+			}
+		case gone == nil:
+			gone = &o
+		}
 	}
-	m.name = name
-	m.held = o.Version
-	return nil
-}
-
-func (m *Meeting) body() []byte {
-	self := m.config.Self()
-	data, err := json.Marshal(point{Name: self.GetName(), Peer: self.GetPeer(), Time: time.Now().UnixMilli()})
-	if err != nil {
-		panic(err) // strings and a number always encode
+	if gone == nil || first != self {
+		return nil
+	}
+	err := m.config.Store.Delete(ctx, KindMember, gone.Name, gone.Version)
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNotFound) {
+		return nil // its node is back, or it is removed already
 	}
-	return data
+	return errors.Wrapf(err, "remove meeting point %s", gone.Name)
 }
--- /dev/null
+++ b/mesh/store/source.go
@@ -0,0 +1,151 @@
+package store
+
+// This file drives the source: it follows the one object that holds a whole
+// configuration.
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/telemetry"
+	"caroblift.dev/wire"
+)
+
+// Place names the object that holds a configuration, and decodes it.
+type Place struct {
+	Kind, Name string
+	// Decode returns the snapshot of a document that an object holds, or why
+	// it holds none.
+	Decode func(Object) (*wire.Snapshot, error)
+}
+
+// SourceConfig configures a Source. Every field but Sinks is required.
+type SourceConfig struct {
+	Store   Store
+	Poll    Store // on connections of its own, since a watch can go silent
+	Place   Place
+	Active  func() bool                // whether this node reads the store now
+	Deliver func(*wire.Snapshot) error // takes what was just read; an error is logged
+	Wait    time.Duration              // of one watch
+	Sinks   telemetry.Sinks
+}
+
+// Source hands each version of a configuration from the store to its node. It
+// watches the object and does not rely on the watch alone: one that ends
+// without events although the store has changed, that fails, or whose history
+// is gone is followed by a plain read on another connection. It costs one call
+// for each wait.
+type Source struct {
+	config  SourceConfig
+	checked atomic.Int64
+	working atomic.Bool
+	version uint64 // of the object when last delivered
+}
+
+// NewSource returns a source.
+func NewSource(config SourceConfig) *Source {
+	config.Sinks = config.Sinks.OrDiscard()
+	return &Source{config: config}
+}
+
+// Checked returns when the store last confirmed that the node holds the newest
+// version, in Unix ms.
+func (s *Source) Checked() int64 { return s.checked.Load() }
+
+// Working tells whether the last call to the store was answered.
+func (s *Source) Working() bool { return s.working.Load() }
+
+// Run follows the object until the context ends.
+func (s *Source) Run(ctx context.Context) error {
+	failures := backoff{first: sourceRetry, most: maxSourceRetry}
+	for ctx.Err() == nil {
+		if !s.config.Active() {
+			pause(ctx, idleDelay)
+			continue
+		}
+		err := s.follow(ctx, failures.reset)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			continue // nothing is written yet, or the node does not read any more
+		}
+		if s.working.Swap(false) {
+			s.config.Sinks.Log.Warn("store lost", "error", err.Error(), "version", s.version)
+		}
+		if !errors.Is(err, ErrGone) {
+			pause(ctx, failures.next(err))
+		}
+	}
+	return nil
+}
+
+// Delays of a source after failures. It comes back sooner than other drivers,
+// since a configuration must be in force within seconds of the store's return.
+const (
+	sourceRetry    = 150 * time.Millisecond
+	maxSourceRetry = time.Second
+)
+
+// follow reads the object and watches it until a call fails.
+func (s *Source) follow(ctx context.Context, answered func()) error {
+	o, err := s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name)
+	if errors.Is(err, ErrNotFound) {
+		s.settle()
+		pause(ctx, s.config.Wait/4) // the operator has written nothing yet
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	s.deliver(o)
+	answered()
+	for from := o.Version; ctx.Err() == nil && s.config.Active(); {
+		objs, next, err := s.config.Store.Watch(ctx, s.config.Place.Kind, from, s.config.Wait)
+		if err != nil {
+			return errors.Wrap(err, "watch configuration")
+		}
+		if len(objs) == 0 && next > from {
+			// Something changed, and this may be it if the watch was silent.
+			if o, err = s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name); err != nil {
+				return errors.Wrap(err, "read configuration beside the watch")
+			}
+			objs = []Object{o}
+		}
+		for _, o := range objs {
+			if o.Name == s.config.Place.Name && !o.Deleted {
+				s.deliver(o)
+			}
+		}
+		s.settle()
+		from = max(from, next)
+	}
+	return nil
+}
+
+func (s *Source) settle() {
+	if !s.working.Swap(true) {
+		s.config.Sinks.Log.Info("store answers", "version", s.version)
+	}
+	s.checked.Store(time.Now().UnixMilli())
+}
+
+// deliver hands over an object that is newer than the last one.
+func (s *Source) deliver(o Object) {
+	if o.Version <= s.version {
+		return
+	}
+	snapshot, err := s.config.Place.Decode(o)
+	if err == nil {
+		err = s.config.Deliver(snapshot)
+	}
+	if err != nil {
+		s.config.Sinks.Log.Error("configuration refused", "object", o.Kind+"/"+o.Name, "version", o.Version, "error", err.Error())
+		return
+	}
+	s.version = o.Version
+	s.settle()
+}
