Queue at gates by objective and priority, and look for free slots first

Ruled out: too few members known (31 starts, all joined within a second) and the store (down for four nodes only, configuration in force by the tree). Change: Demand (class, priority, objective) travels with a call; Admission lets those wait that it expects to answer and refuses the others at once; Choice.Place weighs the expected end; an entry asks up to three gates for a free slot before it waits; refused callers are told the backlog, spread over what they have left. One log line for each call that is refused, lost, late or gone, one for each belief that changes, through a queue that never blocks.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -118,11 +118,22 @@
 	defer a.mu.Unlock()
 	ok, next, changed := decide(time.Now())
 	if changed {
+		a.logChange(next)
 		a.config.Change(next)
 	}
 	return ok
 }
 
+// logChange writes what the node believes of its backend server from now on.
+func (a *Announcer) logChange(next *Announcement) {
+	if next == nil {
+		a.config.Log.Info("backend server lost", "heard", time.Since(a.lease.seen).Milliseconds())
+		return
+	}
+	a.config.Log.Info("backend server", "service", next.Service, "server", next.Name, "address", next.Address,
+		"slots", next.Slots, "epoch", next.Epoch, "seq", next.Seq, "cold", next.Cold, "leaving", next.Leaving)
+}
+
 // Run lets an announcement lapse that is not renewed, until the context ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(max(a.config.Lease/16, time.Millisecond))
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/hop"
+	"caroblift.dev/mesh/telemetry"
 )
 
 // ServeHTTP admits a call from another node and answers it.
@@ -48,31 +50,44 @@
 		span.End()
 		g.calls.End(entry)
 	}
-	target, reason := g.enter(ctx, header.Get(call.HeaderService))
+	target, slot, reason := g.enter(ctx, header)
 	if target == nil {
 		done()
 		g.metrics.refused(reason)
-		return g.refusal(id, reason)
+		resp := g.refusal(id, reason)
+		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.backlog().Milliseconds(), 10)}
+		return resp
 	}
 	start := time.Now()
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
-		if failure.outcome == call.NotRun {
-			g.leave(start)
-		} else {
-			g.leaveLater(start)
+		switch {
+		case failure.reason == call.Canceled || failure.reason == call.Moved:
+			g.leaveLater(slot, call.Untold)
+		case failure.outcome == call.NotRun:
+			g.leave(slot, call.Untold)
+			g.judge(false)
+		default:
+			g.leaveLater(slot, call.Bad)
 		}
 		done()
 		g.metrics.failed(failure.reason)
+		g.config.Sinks.Log.Info(telemetry.GateFailed, "call", id, "service", target.Service, "server", target.Server,
+			"reason", string(failure.reason), "ran", failure.outcome.String(), "detail", failure.detail, "took", time.Since(start).Milliseconds())
 		return g.failure(id, failure)
 	}
 	call.Strip(resp.Header)
 	empty := resp.Body == http.NoBody
 	resp.Body = hop.OnDone(resp.Body, func(err error) {
-		if err == io.EOF || empty {
-			g.leave(start)
-		} else {
-			g.leaveLater(start)
+		switch {
+		case err != nil && err != io.EOF && ctx.Err() == nil:
+			g.leaveLater(slot, call.Bad)
+		case err != io.EOF && !empty:
+			g.leaveLater(slot, call.Untold)
+		case resp.StatusCode >= http.StatusInternalServerError && ctx.Err() == nil:
+			g.leave(slot, call.Bad)
+		default:
+			g.leave(slot, call.Good)
 		}
 		done()
 		g.metrics.answered(time.Since(start))
@@ -92,11 +107,12 @@
 type failed struct {
 	reason  call.Reason
 	outcome call.Outcome
+	detail  string // for the log
 }
 
 // refusal answers a call that was not run.
 func (g *Gate) refusal(id string, reason call.Reason) *http.Response {
-	return g.failure(id, &failed{reason, call.NotRun})
+	return g.failure(id, &failed{reason: reason, outcome: call.NotRun})
 }
 
 // failure answers a call that has failed.
@@ -132,7 +148,7 @@
 	}
 	if resp != nil { // it came as the watch struck, and is canceled with it
 		_ = resp.Body.Close()
-		failure = &failed{call.Broken, call.Unknown}
+		failure = &failed{call.Broken, call.Unknown, "silent connection"}
 	}
 	g.reuse.CloseIdleConnections() // others may be silent too
 	g.metrics.silent()
@@ -255,9 +271,8 @@
 		return resp, nil
 	}
 	if reason, outcome := g.config.Dialect.Judge(out.Header, resp); reason != "" {
-		g.config.Sinks.Log.Warn("answer of the backend server does not count", "status", resp.StatusCode, "reason", string(reason), "ran", outcome.String())
 		_ = resp.Body.Close()
-		return nil, &failed{reason, outcome}
+		return nil, &failed{reason, outcome, resp.Status}
 	}
 	return resp, nil
 }
@@ -267,12 +282,11 @@
 	dial := asDial(err, &op)
 	switch {
 	case dial:
-		return &failed{call.Dial, call.NotRun}
+		return &failed{call.Dial, call.NotRun, err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &failed{call.Deadline, call.Unknown}
+		return &failed{call.Deadline, call.Unknown, ""}
 	case ctx.Err() != nil:
-		return &failed{call.Canceled, call.Unknown}
+		return &failed{call.Canceled, call.Unknown, ""}
 	}
-	g.config.Sinks.Log.Warn("backend server", "error", err.Error())
-	return &failed{call.Broken, call.Unknown}
+	return &failed{call.Broken, call.Unknown, err.Error()}
 }
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -41,6 +41,7 @@
 	// own headers. With one, each call reaches the server once at most: what
 	// more may be sent is the entry node's decision.
 	Dialect Dialect
+	Warmup  time.Duration // of slow start where the policy names none; less than zero means none
 	Sinks   telemetry.Sinks
 }
 
@@ -150,21 +151,24 @@
 }
 
 // enter takes a slot for a call of a service, waiting in the queue if need be.
-// It returns the backend server, or why the call was not admitted.
-func (g *Gate) enter(ctx context.Context, service string) (*Target, call.Reason) {
+// It returns the backend server and the slot, or why the call was not admitted.
+func (g *Gate) enter(ctx context.Context, header http.Header) (*Target, *call.Waiter, call.Reason) {
 	t := g.target.Load()
-	if t == nil || t.Service != service {
-		return nil, call.NoServer
+	if t == nil || t.Service != header.Get(call.HeaderService) {
+		return nil, nil, call.NoServer
 	}
 	w := &call.Waiter{}
 	w.Deadline, _ = ctx.Deadline()
+	if demand := header.Get(call.HeaderDemand); demand != "" {
+		w.Demand = call.ParseDemand(demand, time.Now())
+	}
 	if g.ask(w, t) == call.Waiting {
 		g.wait(ctx, w)
 	}
 	if w.Verdict() == call.Admitted {
-		return t, ""
+		return t, w, ""
 	}
-	return nil, w.Reason()
+	return nil, nil, w.Reason()
 }
 
 func (g *Gate) ask(w *call.Waiter, t *Target) call.Verdict {
@@ -199,6 +203,9 @@
 func (g *Gate) limits(t *Target) call.Limits {
 	p := g.config.Policy(t.Service)
 	l := call.Limits{Slots: t.Slots, Queue: p.Queue.Length, Wait: p.Queue.Wait, Warmup: p.Warmup}
+	if p.Warmup == 0 {
+		l.Warmup = g.config.Warmup
+	}
 	if p.Slots > 0 {
 		l.Slots = p.Slots
 	}
@@ -207,17 +214,31 @@
 }
 
 // leave gives back a slot.
-func (g *Gate) leave(start time.Time) {
-	now := time.Now()
+func (g *Gate) leave(w *call.Waiter, end call.End) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wake(g.admission.Leave(now.Sub(start), now))
+	g.wake(g.admission.Finish(w, end, time.Now()))
 }
 
 // leaveLater gives back the slot of a call that was broken off, once the
 // backend server has had the time to notice; until then it may be at work.
-func (g *Gate) leaveLater(start time.Time) {
-	time.AfterFunc(g.config.Settle, func() { g.leave(start) })
+func (g *Gate) leaveLater(w *call.Waiter, end call.End) {
+	time.AfterFunc(g.config.Settle, func() { g.leave(w, end) })
+}
+
+// judge takes that the backend server did or did not answer a call whose time
+// tells nothing.
+func (g *Gate) judge(good bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Judge(good, time.Now())
+}
+
+// backlog returns how long a new call would wait.
+func (g *Gate) backlog() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Backlog(time.Now())
 }
 
 // load returns the load as answers carry it, and the average duration of calls.
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -13,7 +13,7 @@
 	Slots  int           // calls in progress
 	Queue  int           // calls that wait; zero means as many as slots
 	Wait   time.Duration // that a call waits at most; zero means DefaultWait
-	Warmup time.Duration // of slow start; zero means DefaultWarmup
+	Warmup time.Duration // of slow start; zero means DefaultWarmup, less means none
 }
 
 // The limits where a policy names none.
@@ -29,7 +29,9 @@
 type Waiter struct {
 	Deadline time.Time     // zero for none
 	Ready    chan struct{} // closed by whoever runs the admission, once it is decided
+	Demand                 // the zero Demand waits in turn, as the limits say
 
+	start  time.Time // when it was admitted
 	until  time.Time
 	state  Verdict
 	reason Reason
@@ -55,6 +57,8 @@
 	closed   bool
 	cold     time.Time // start of the slow start; zero when warm
 	work     time.Duration
+	classes  works
+	failing  fading
 }
 
 // Limit sets the limits and returns the waiters that they admit.
@@ -84,7 +88,7 @@
 		warmup = DefaultWarmup
 	}
 	passed := now.Sub(a.cold)
-	if a.cold.IsZero() || passed >= warmup {
+	if a.cold.IsZero() || passed >= warmup || a.limits.Warmup < 0 {
 		return a.limits.Slots
 	}
 	return max(1, int(int64(a.limits.Slots)*int64(passed)/int64(warmup)))
@@ -92,7 +96,7 @@
 
 // Report returns the load as answers carry it.
 func (a *Admission) Report(now time.Time) Report {
-	return Report{Progress: a.progress + len(a.queue), Slots: a.Slots(now)}
+	return Report{Progress: a.progress + len(a.queue), Slots: a.Slots(now), Work: a.work, Failing: a.failing.at(now)}
 }
 
 // Progress returns the calls that hold a slot.
@@ -107,7 +111,11 @@
 		w.reject(Late)
 	case len(a.queue) == 0 && a.progress < a.Slots(now):
 		a.progress++
-		w.state = Admitted
+		w.state, w.start = Admitted, now
+	case w.Now:
+		w.reject(Busy)
+	case !w.Objective.IsZero():
+		a.join(w, now)
 	default:
 		a.enqueue(w, now)
 	}
@@ -161,23 +169,36 @@
 	return a.admit(now)
 }
 
-// admit gives free slots to waiters, oldest first. Those that are too late are
-// rejected.
+// Finish is Leave for a waiter, and learns from how its call ended.
+func (a *Admission) Finish(w *Waiter, end End, now time.Time) []*Waiter {
+	if end == Untold {
+		a.progress--
+		return a.admit(now)
+	}
+	a.failing.add(end == Bad, now)
+	took := now.Sub(w.start)
+	a.classes.add(w.Class, took)
+	return a.Leave(took, now)
+}
+
+// admit gives free slots to waiters in the order of before. Those that are too
+// late are rejected.
 func (a *Admission) admit(now time.Time) []*Waiter {
 	var decided []*Waiter
-	for len(a.queue) > 0 {
-		w := a.queue[0]
-		late := !now.Before(w.until)
-		if !late && a.progress >= a.Slots(now) {
-			break
-		}
-		a.queue = slices.Delete(a.queue, 0, 1)
-		if late {
-			w.reject(a.lateReason(w, now))
-		} else {
-			a.progress++
-			w.state = Admitted
+	a.queue = slices.DeleteFunc(a.queue, func(w *Waiter) bool {
+		if now.Before(w.until) {
+			return false
 		}
+		w.reject(a.lateReason(w, now))
+		decided = append(decided, w)
+		return true
+	})
+	for len(a.queue) > 0 && a.progress < a.Slots(now) {
+		i := a.first(now)
+		w := a.queue[i]
+		a.queue = slices.Delete(a.queue, i, i+1)
+		a.progress++
+		w.state, w.start = Admitted, now
 		decided = append(decided, w)
 	}
 	return decided
--- a/mesh/call/choice.go
+++ b/mesh/call/choice.go
@@ -23,6 +23,9 @@
 	mu sync.Mutex // held while ejecting
 }
 
+// Len returns the number of instances.
+func (c *Choice) Len() int { return len(c.Near) + len(c.Far) }
+
 // room is the number of instances that a pick holds on the stack.
 const room = 32
 
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -26,25 +26,41 @@
 type Report struct {
 	Progress int // calls in progress or waiting
 	Slots    int
+	Work     time.Duration // average of a call in progress; zero when not known
+	Failing  float64       // share of calls that failed lately
 }
 
-// String formats a report as HeaderLoad carries it.
+// String formats a report as HeaderLoad carries it: progress, slots, work in ms
+// and failing in percent.
 func (r Report) String() string {
-	return strconv.Itoa(r.Progress) + "/" + strconv.Itoa(r.Slots)
+	var buffer [40]byte
+	out := strconv.AppendInt(buffer[:0], int64(r.Progress), 10)
+	out = strconv.AppendInt(append(out, '/'), int64(r.Slots), 10)
+	out = strconv.AppendInt(append(out, '/'), r.Work.Milliseconds(), 10)
+	out = strconv.AppendInt(append(out, '/'), int64(r.Failing*100), 10)
+	return string(out)
 }
 
-// ParseReport reads what HeaderLoad carries.
+// ParseReport reads what HeaderLoad carries. Nodes of earlier versions send
+// progress and slots alone.
 func ParseReport(text string) (Report, bool) {
-	p, s, ok := strings.Cut(text, "/")
-	if !ok {
-		return Report{}, false
+	var numbers [4]int
+	n := 0
+	for part := range strings.SplitSeq(text, "/") {
+		v, err := strconv.Atoi(part)
+		if err != nil || v < 0 || n == len(numbers) {
+			return Report{}, false
+		}
+		numbers[n] = v
+		n++
 	}
-	progress, err := strconv.Atoi(p)
-	slots, err2 := strconv.Atoi(s)
-	if err != nil || err2 != nil || progress < 0 || slots < 0 {
+	if n != 2 && n != len(numbers) {
 		return Report{}, false
 	}
-	return Report{Progress: progress, Slots: slots}, true
+	return Report{
+		Progress: numbers[0], Slots: numbers[1],
+		Work: time.Duration(numbers[2]) * time.Millisecond, Failing: min(float64(numbers[3])/100, 1),
+	}, true
 }
 
 // Instance is what an entry node knows of one instance. Its methods may be
@@ -59,6 +75,8 @@
 	load        average // of the carried load, as a share of the slots
 	square      average // of its square
 	failures    average
+	work        average      // as carried, in seconds
+	carried     average      // share of failures as carried
 	until       atomic.Int64 // end of the ejection, Unix ns
 	ejections   atomic.Int32 // in a row
 }
@@ -81,6 +99,12 @@
 	a.set(v)
 }
 
+// keep replaces the average by a value that was averaged elsewhere.
+func (a *average) keep(v float64, now time.Time) {
+	a.at.Store(now.UnixNano())
+	a.set(v)
+}
+
 // faded returns the average, halved for each fadeHalf since its last update.
 func (a *average) faded(now time.Time) float64 {
 	age := now.UnixNano() - a.at.Load()
@@ -108,6 +132,10 @@
 	if r.Slots > 0 {
 		i.slots.Store(int32(r.Slots))
 	}
+	if r.Work > 0 {
+		i.work.keep(r.Work.Seconds(), now)
+	}
+	i.carried.keep(r.Failing, now)
 	ratio := float64(r.Progress) / float64(max(1, r.Slots))
 	i.load.add(ratio, loadShare, now)
 	i.square.add(ratio*ratio, loadShare, now)
--- /dev/null
+++ b/mesh/call/queue.go
@@ -0,0 +1,202 @@
+package call
+
+// This file orders the calls that wait at a gate where routes name objectives,
+// and decides which of them may wait at all. It answers loads above the
+// capacity of a backend server for up to seconds: bursts, and the loss of
+// others. A call that may wait is one that is expected to be answered; the
+// others are refused at once, so that their callers can come back.
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Demand is what a call asks of a gate beyond a slot.
+type Demand struct {
+	Class     string    // route, whose calls take about the same time
+	Priority  int       // 0 is the most urgent
+	Objective time.Time // until which an answer earns its full credit; zero when the route names none
+	Now       bool      // a slot at once or none: the entry node knows other gates
+}
+
+// Format returns a demand as HeaderDemand carries it.
+func (d Demand) Format(now time.Time) string {
+	when := "wait"
+	if d.Now {
+		when = "now"
+	}
+	left := d.Objective.Sub(now).Milliseconds()
+	return strconv.Itoa(d.Priority) + "/" + strconv.FormatInt(left, 10) + "/" + when + "/" + d.Class
+}
+
+// ParseDemand reads what HeaderDemand carries. A text that cannot be read is no
+// demand.
+func ParseDemand(text string, now time.Time) Demand {
+	parts := strings.SplitN(text, "/", 4)
+	if len(parts) != 4 {
+		return Demand{}
+	}
+	priority, err := strconv.Atoi(parts[0])
+	left, err2 := strconv.ParseInt(parts[1], 10, 32)
+	if err != nil || err2 != nil {
+		return Demand{}
+	}
+	return Demand{
+		Class: parts[3], Priority: priority, Now: parts[2] == "now",
+		Objective: now.Add(time.Duration(left) * time.Millisecond),
+	}
+}
+
+// End says how an admitted call ended.
+type End int
+
+// The values of End.
+const (
+	Good   End = iota // answered
+	Bad               // failed at the backend server
+	Untold            // it tells nothing of the server: not run, or broken off by its caller
+)
+
+const (
+	// queueSlots bounds the calls that wait, in times the slots: with more the
+	// last would wait for four calls in a row, beyond every objective in use.
+	queueSlots = 4
+	// graceShare is the part of the time between objective and deadline that a
+	// call may wait beyond what its objective allows, as one in graceShare. An
+	// answer after the objective earns a third, so a late answer is worth a
+	// short wait and not one to the end.
+	graceShare = 4
+)
+
+// Judge takes that the backend server did or did not answer a call whose
+// duration tells nothing.
+func (a *Admission) Judge(good bool, now time.Time) { a.failing.add(!good, now) }
+
+// join puts a call with an objective in the queue if it is expected to get its
+// slot in time, and refuses it otherwise.
+func (a *Admission) join(w *Waiter, now time.Time) {
+	slots := max(1, a.Slots(now))
+	expected, work := a.expected(w, now), a.classes.of(w.Class, a.work)
+	allowed := max(0, w.Objective.Sub(now)-work)
+	until := now.Add(2 * allowed)
+	if !w.Deadline.IsZero() {
+		latest := w.Objective
+		if latest.Before(now) {
+			latest = now
+		}
+		allowed += max(0, w.Deadline.Sub(latest)) / graceShare
+		until = w.Deadline.Add(-work)
+	}
+	switch {
+	case !now.Add(expected).Before(until):
+		w.reject(Late)
+	case len(a.queue) >= queueSlots*slots || expected > allowed:
+		w.reject(Busy)
+	default:
+		w.until = until
+		a.queue = append(a.queue, w)
+	}
+}
+
+// expected returns how long a call would wait for a slot now.
+func (a *Admission) expected(w *Waiter, now time.Time) time.Duration {
+	ahead := 0
+	for _, o := range a.queue {
+		if !a.before(w, o, now) {
+			ahead++
+		}
+	}
+	return a.work * time.Duration(ahead+1) / time.Duration(max(1, a.Slots(now)))
+}
+
+// Backlog returns how long a new call would wait behind all others.
+func (a *Admission) Backlog(now time.Time) time.Duration {
+	return a.work * time.Duration(len(a.queue)+1) / time.Duration(max(1, a.Slots(now)))
+}
+
+// before tells whether a waiter goes before one that came earlier: it can still
+// meet its objective and the other cannot, or it is more urgent.
+func (a *Admission) before(w, earlier *Waiter, now time.Time) bool {
+	if late := a.late(w, now); late != a.late(earlier, now) {
+		return !late
+	}
+	return w.Priority < earlier.Priority
+}
+
+// late tells whether a call that starts now would miss its objective.
+func (a *Admission) late(w *Waiter, now time.Time) bool {
+	return !w.Objective.IsZero() && now.Add(a.classes.of(w.Class, a.work)).After(w.Objective)
+}
+
+// first returns the place of the waiter that gets the next slot.
+func (a *Admission) first(now time.Time) int {
+	best := 0
+	for i := 1; i < len(a.queue); i++ {
+		if a.before(a.queue[i], a.queue[best], now) {
+			best = i
+		}
+	}
+	return best
+}
+
+// maxClasses bounds the classes whose work is known by itself.
+const maxClasses = 64
+
+// works holds the average duration of calls by class.
+type works struct {
+	names []string
+	work  []time.Duration
+}
+
+func (s *works) of(class string, otherwise time.Duration) time.Duration {
+	if i := slices.Index(s.names, class); i >= 0 {
+		return s.work[i]
+	}
+	return otherwise
+}
+
+func (s *works) add(class string, took time.Duration) {
+	if class == "" {
+		return
+	}
+	i := slices.Index(s.names, class)
+	if i < 0 {
+		if len(s.names) == maxClasses {
+			s.names, s.work = nil, nil
+		}
+		s.names, s.work = append(s.names, class), append(s.work, took)
+		return
+	}
+	s.work[i] += time.Duration(workShare * float64(took-s.work[i]))
+}
+
+const (
+	failingShare = 0.1             // of a new result in the share of failures
+	failingHalf  = 2 * time.Second // in which a share that is not renewed counts for half
+)
+
+// fading is a share of failures that counts for less as time passes, so that a
+// server that gets no calls because of it is tried again.
+type fading struct {
+	share float64
+	seen  time.Time
+}
+
+func (f *fading) add(failed bool, now time.Time) {
+	result := 0.0
+	if failed {
+		result = 1
+	}
+	share := f.at(now)
+	f.share, f.seen = share+failingShare*(result-share), now
+}
+
+func (f *fading) at(now time.Time) float64 {
+	if f.share == 0 {
+		return 0
+	}
+	halves := float64(now.Sub(f.seen)) / float64(failingHalf)
+	return f.share / (1 + halves)
+}
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -50,6 +50,7 @@
 type known struct {
 	instances map[string]*instance
 	accounts  map[string]*account
+	patience  map[string]*patience // by route
 }
 
 // instance is an instance at one incarnation.
@@ -59,7 +60,7 @@
 }
 
 func newKnown() known {
-	return known{instances: map[string]*instance{}, accounts: map[string]*account{}}
+	return known{instances: map[string]*instance{}, accounts: map[string]*account{}, patience: map[string]*patience{}}
 }
 
 // renew returns the directory of the table and the members in force.
@@ -91,6 +92,9 @@
 	maps.DeleteFunc(p.known.instances, func(name string, i *instance) bool {
 		return v.Members[name].GetIncarnation() != i.incarnation
 	})
+	if len(p.known.patience) > len(t.Routes)+len(p.known.instances) {
+		clear(p.known.patience) // most are of routes that are gone
+	}
 	maps.DeleteFunc(p.known.accounts, func(name string, _ *account) bool { return t.Services[name] == nil })
 }
 
@@ -112,6 +116,18 @@
 	return s
 }
 
+// patience returns what is known of the callers of a route.
+func (d *directory) patience(p *Proxy, route string) *patience {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known.patience[route]
+	if known == nil {
+		known = &patience{}
+		p.known.patience[route] = known
+	}
+	return known
+}
+
 // build puts a service together. The caller holds p.mu.
 func (p *Proxy) build(d *directory, name string) *service {
 	s := &service{policy: d.router.Table.Policy(name), choice: &call.Choice{}, account: p.known.accounts[name]}
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -13,6 +13,7 @@
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/telemetry"
 )
 
 // The shape of retries where the policy names none.
@@ -28,6 +29,7 @@
 	r     *http.Request
 
 	id         string
+	start      time.Time
 	directory  *directory
 	route      *record.Route
 	target     string // service that the call goes to
@@ -41,8 +43,14 @@
 	span       trace.Span
 
 	tried    []*call.Instance
+	spent    []*call.Instance // those of tried that are not worth another attempt
+	demand   call.Demand
+	looks    int           // gates asked for a slot at once
+	backlog  time.Duration // that the last gate named
 	attempts int
-	arrivals int // attempts that may have reached a backend server
+	arrivals int  // attempts that may have reached a backend server
+	waited   bool // a gate was asked to let the call wait
+	good     bool // the answer was a backend server's
 }
 
 // result is what became of an attempt.
@@ -77,9 +85,15 @@
 			next.outcome = next.outcome.Worst(last.outcome)
 		}
 		last = next
+		if last.reason != "" {
+			x.turned(last)
+		}
 		if last.reason == "" || !x.again(last) {
 			break
 		}
+		if last.reason.Arrived() {
+			x.log(telemetry.CallRetried, "reason", string(last.reason), "ran", last.outcome.String())
+		}
 		x.proxy.metrics.retries.Inc(1)
 	}
 	x.finish(last)
@@ -87,6 +101,9 @@
 
 // pick chooses an instance that was not tried, or nil.
 func (x *exchange) pick() *call.Instance {
+	if x.route.Objective > 0 {
+		return x.place()
+	}
 	i := x.service.choice.Pick(*x.proxy.policy.Load(), x.tried, time.Now(), rand.IntN)
 	if i != nil {
 		x.tried = append(x.tried, i)
@@ -112,12 +129,13 @@
 		most = defaultAttempts
 	}
 	switch {
-	case x.ctx.Err() != nil, x.arrivals >= most, len(x.tried) >= most+maxTurned, x.body.Streamed():
+	case x.ctx.Err() != nil, x.arrivals >= most, len(x.tried) >= most+maxTurned, x.waited, x.body.Streamed():
 		return false
 	case !call.Repeatable(last.outcome, x.idempotent, x.extra):
 		return false
 	}
-	return last.reason.Free() || x.service.retry.Take()
+	turned := x.route.Objective > 0 && !last.reason.Arrived()
+	return turned || last.reason.Free() || x.service.retry.Take()
 }
 
 // maxTurned bounds the gates that may turn a call away beyond its attempts.
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -99,7 +99,7 @@
 	defer p.calls.End(entry)
 	start := time.Now()
 	w.Header()[call.HeaderID] = []string{id}
-	x := &exchange{proxy: p, w: w, r: r, id: id}
+	x := &exchange{proxy: p, w: w, r: r, id: id, start: start}
 	if p.closing.Load() || p.leaving.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
@@ -111,7 +111,11 @@
 	defer x.cancel()
 	defer x.span.End()
 	x.serve()
-	p.metrics.latency.RecordDuration(time.Since(start))
+	took := time.Since(start)
+	p.metrics.latency.RecordDuration(took)
+	if o := x.route.Objective; o > 0 && took > o && x.good {
+		x.log(telemetry.CallSlow, "took", ms(took), "objective", ms(o))
+	}
 }
 
 // name returns the ID of a call: the caller's own where it has one.
@@ -165,6 +169,10 @@
 	timeout := call.Timeout(route.Timeout, p.config.Timeout, carried)
 	x.ctx, x.cancel = context.WithTimeout(r.Context(), timeout)
 	x.deadline, _ = x.ctx.Deadline()
+	if route.Objective > 0 {
+		left, known := call.ParseLeft(carried)
+		x.ask(time.Now(), left, known)
+	}
 	x.ctx, x.span = p.startSpan(x.ctx, x)
 	return x.shape()
 }
@@ -201,20 +209,33 @@
 // refuse answers a call that was not run.
 func (x *exchange) refuse(reason call.Reason) {
 	x.proxy.metrics.refused(reason)
+	x.log(telemetry.CallRefused, "reason", string(reason), "ran", call.NotRun.String())
 	x.fail(reason, call.NotRun)
 }
 
 // fail answers with a failure of the node's own.
 func (x *exchange) fail(reason call.Reason, outcome call.Outcome) {
-	after := reason.After()
-	if outcome != call.NotRun {
-		after = 0
-	}
 	if d := x.proxy.config.Dialect; d != nil {
+		after := time.Duration(0)
+		if outcome == call.NotRun {
+			after = comeBack(reason, x.backlog, x.left(), rand.Float64())
+		}
 		hop.Explain(x.w.Header(), reason, outcome, after)
 		d.Refused(x.w.Header(), after)
 		x.w.WriteHeader(reason.Status())
 		return
 	}
-	hop.Fail(x.w, reason, outcome, after)
+	hop.Fail(x.w, reason, outcome, reason.After())
+}
+
+// left returns how long the caller will wait: as it says, or what is left of
+// the deadline.
+func (x *exchange) left() time.Duration {
+	if left, ok := x.proxy.config.Dialect.Left(x.r.Header); ok {
+		return left - time.Since(x.start)
+	}
+	if !x.deadline.IsZero() {
+		return time.Until(x.deadline)
+	}
+	return x.proxy.config.Timeout
 }
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/telemetry"
 )
 
 // metrics are the proxy's metrics, made once.
@@ -48,6 +49,7 @@
 	} else {
 		m.refused(last.reason)
 	}
+	x.logEnd(last)
 	if !x.span.IsRecording() {
 		return
 	}
@@ -57,6 +59,40 @@
 	}
 }
 
+// logEnd writes one line about a call that was not answered well.
+func (x *exchange) logEnd(last *result) {
+	switch {
+	case last.reason == "":
+		x.good = true
+	case x.r.Context().Err() != nil:
+		x.log(telemetry.CallGone, "reason", string(last.reason), "ran", last.outcome.String())
+	case last.outcome == call.NotRun:
+		x.log(telemetry.CallRefused, "reason", string(last.reason), "ran", last.outcome.String())
+	default:
+		x.log(telemetry.CallFailed, "reason", string(last.reason), "ran", last.outcome.String())
+	}
+}
+
+// log writes one line about the call: what is known of it, with the inputs of
+// the decisions that led there.
+func (x *exchange) log(message string, args ...any) {
+	args = append([]any{"call", x.id, "path", x.r.URL.Path, "service", x.target}, args...)
+	if x.directory != nil && x.route != nil {
+		args = append(args, "route", x.route.Name, "table", x.directory.router.Table.Number, "left", ms(time.Until(x.deadline)))
+	}
+	if len(x.tried) > 0 {
+		tried := make([]string, len(x.tried))
+		for i, one := range x.tried {
+			tried[i] = one.Name
+		}
+		args = append(args, "tried", tried, "arrivals", x.arrivals, "instances", len(x.service.choice.Near)+len(x.service.choice.Far))
+	}
+	x.proxy.config.Sinks.Log.Info(message, args...)
+}
+
+// ms returns a duration in whole milliseconds, for log lines.
+func ms(d time.Duration) int64 { return d.Milliseconds() }
+
 // startSpan starts the span of one call at its entry node, and writes its
 // context for the next hop.
 func (p *Proxy) startSpan(ctx context.Context, x *exchange) (context.Context, trace.Span) {
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -101,6 +101,9 @@
 	if !x.idempotent && body == http.NoBody {
 		out.Body = hop.Empty{}
 	}
+	if x.route.Objective > 0 {
+		out.Header[call.HeaderDemand] = []string{x.demand.Format(time.Now())}
+	}
 	out.Header[call.HeaderDeadline] = []string{call.FormatLeft(x.deadline, time.Now())}
 	if number > 1 || x.extra {
 		out.Header[call.HeaderAttempt] = []string{strconv.Itoa(max(2, number))}
@@ -119,6 +122,7 @@
 		i.Carry(load, now)
 	}
 	if reason := resp.Header.Get(call.HeaderReason); reason != "" {
+		x.backlog = backlog(resp.Header)
 		_ = resp.Body.Close()
 		res := &result{instance: i, reason: call.Reason(reason), outcome: call.ParseOutcome(resp.Header.Get(call.HeaderRan))}
 		x.blame(res, now)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -64,6 +64,7 @@
 	operator  *operator.Service
 	servers   []*http.Server
 	stopping  atomic.Bool
+	wasReady  atomic.Bool
 }
 
 // listeners are a node's open ports.
@@ -277,7 +278,7 @@
 		Lease: ms(s.GetLease()), Change: n.announced, Local: backend.Hosts(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
 	}
 	if n.platform != nil {
-		gate.Dialect, proxy.Dialect, proxy.Whole, announcer.Flaps = n.platform.Backend, n.platform.Caller, wholeAnswer, ownFlaps
+		gate.Warmup, gate.Dialect, proxy.Dialect, proxy.Whole, announcer.Flaps = -1, n.platform.Backend, n.platform.Caller, wholeAnswer, ownFlaps
 	}
 	n.Gate = backend.NewGate(gate)
 	proxy.Own = n.Gate
@@ -335,7 +336,13 @@
 }
 
 // ready tells whether callers should come to this node.
-func (n *Node) ready() bool { return n.Holder.Ready() && !n.stopping.Load() }
+func (n *Node) ready() bool {
+	ready := n.Holder.Ready() && !n.stopping.Load()
+	if n.wasReady.Swap(ready) != ready {
+		n.sinks.Log.Info("readiness", "ready", ready, "table", n.Holder.Table().Number, "floor", n.Holder.Floor(), "stopping", n.stopping.Load())
+	}
+	return ready
+}
 
 // streamBuffer bounds what one HTTP/2 stream holds for a slow reader, in bytes.
 const streamBuffer = 256 << 10
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -81,6 +81,7 @@
 	}
 	old := s.last
 	s.last = t
+	s.node.sinks.Log.Info("table in force", "number", t.Number, "before", old.Number, "routes", len(t.Routes), "services", len(t.Services))
 	if t.Number <= old.Number {
 		s.broken("backwards").Inc(1)
 		s.node.sinks.Log.Error("table went backwards", "from", old.Number, "to", t.Number)
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -99,7 +99,8 @@
 // publish lets readers see the agent's view. The caller holds m.mu.
 func (m *Members) publish() {
 	v := m.agent.View()
-	if v != m.view.Load() {
+	if old := m.view.Load(); v != old {
+		m.logChange(old, v)
 		m.stale.Store(v.Outdated())
 		m.view.Store(v)
 	}
@@ -108,6 +109,27 @@
 	m.ticked.Store(time.Now().UnixNano())
 }
 
+// logChange writes which members the node believes in from now on.
+func (m *Members) logChange(old, v *member.View) {
+	if old == nil {
+		return
+	}
+	for _, name := range v.Names {
+		now, before := v.Members[name], old.Members[name]
+		switch {
+		case before == nil:
+			m.config.Sinks.Log.Info("member found", "member", name, "state", now.GetState().String(), "incarnation", now.GetIncarnation(), "members", len(v.Names))
+		case before != now && before.GetState() != now.GetState():
+			m.config.Sinks.Log.Info("member changed", "member", name, "state", now.GetState().String(), "incarnation", now.GetIncarnation(), "members", len(v.Names))
+		}
+	}
+	for _, name := range old.Names {
+		if v.Members[name] == nil {
+			m.config.Sinks.Log.Info("member lost", "member", name, "members", len(v.Names))
+		}
+	}
+}
+
 // Announce replaces the servers beside the own node.
 func (m *Members) Announce(servers []*wire.Server) {
 	m.start(m.with(func(a *member.Agent, now time.Time) []member.Action { return a.Announce(now, servers) }))
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -55,7 +55,9 @@
 	}
 	p := &process{config: config, settings: s, level: new(slog.LevelVar)}
 	p.level.Set(telemetry.ParseLevel(s.GetLog().GetLevel()))
-	log := telemetry.Log(out, p.level)
+	queue := telemetry.NewQueue(out)
+	defer queue.Close()
+	log := telemetry.Log(queue, p.level)
 	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
 	p.log = log.With("instance", instance, "domain", domain)
 	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, instance, domain)
--- a/mesh/telemetry/limit.go
+++ b/mesh/telemetry/limit.go
@@ -12,9 +12,10 @@
 
 // LimiterConfig configures a Limiter. Zero fields take their defaults.
 type LimiterConfig struct {
-	Burst    int           // lines of one message in an interval, 5 when zero
-	Interval time.Duration // 10 s when zero
-	Messages int           // messages told apart, 256 when zero
+	Burst    int            // lines of one message in an interval, 5 when zero
+	Interval time.Duration  // 10 s when zero
+	Messages int            // messages told apart, 256 when zero
+	Bursts   map[string]int // by message, in place of Burst
 }
 
 // Limiter is a slog.Handler that passes the first lines of a message in each
@@ -101,7 +102,11 @@
 	if w == nil {
 		w = s.start(m)
 	}
-	if w.passed < s.config.Burst {
+	burst := s.config.Burst
+	if own, ok := s.config.Bursts[m.text]; ok {
+		burst = own
+	}
+	if w.passed < burst {
 		w.passed++
 		return true
 	}
--- /dev/null
+++ b/mesh/telemetry/queue.go
@@ -0,0 +1,62 @@
+package telemetry
+
+// This file keeps log lines from delaying whoever writes them.
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// queueLines bounds the lines that wait to be written: a second of the most
+// that the limits on calls let through.
+const queueLines = 1024
+
+// Queue is a writer that never blocks: lines wait in a bounded queue, and those
+// beyond it are counted in place of written. A line with the count follows once
+// there is room.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewQueue returns a queue in front of a writer. Close writes what waits.
+func NewQueue(w io.Writer) *Queue {
+	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go q.run(w)
+	return q
+}
+
+func (q *Queue) run(w io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		_, _ = w.Write(line) // there is nowhere else to report to
+		if n := q.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines lost","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
+		}
+	}
+}
+
+// Write implements io.Writer. It takes one line and never fails.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes what waits, for a second at most. Nothing may be written after
+// it.
+func (q *Queue) Close() {
+	q.once.Do(func() { close(q.lines) })
+	select {
+	case <-q.done:
+	case <-time.After(time.Second):
+	}
+}
--- /dev/null
+++ b/mesh/telemetry/queue_test.go
@@ -0,0 +1,63 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stuck is a writer that blocks until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Buffer.Write(p)
+}
+
+// TestQueueNeverBlocks writes more than the queue holds to a writer that is
+// stuck: no time passes, and what was lost is counted.
+func TestQueueNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &stuck{release: make(chan struct{})}
+		q := NewQueue(w)
+		start := time.Now()
+		for range queueLines + 100 {
+			n, err := q.Write([]byte("line\n"))
+			require.NoError(t, err)
+			require.Equal(t, 5, n)
+		}
+		require.Equal(t, start, time.Now())
+		close(w.release)
+		q.Close()
+		lines := strings.Count(w.String(), "line\n")
+		require.GreaterOrEqual(t, lines, queueLines)
+		require.Less(t, lines, queueLines+100)
+		require.Contains(t, w.String(), `"log lines lost"`)
+	})
+}
+
+// TestLimiterLetsCallsThrough keeps the lines of calls in a limit of their own.
+func TestLimiterLetsCallsThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := Log(&out, nil)
+		for range 3 * callLines {
+			log.Info(CallRefused, "call", "x")
+			log.Info("other")
+		}
+		require.Equal(t, callLines, strings.Count(out.String(), CallRefused))
+		require.Equal(t, 5, strings.Count(out.String(), "other"))
+		time.Sleep(time.Minute)
+	})
+}
