Check a backend server's health before its first calls, and hand over at stops

Cause: a restarted node cannot tell a late announcement from a present one, and would send calls to a server that said to its earlier life that it leaves. At a stop, the gate refused from the first moment although the server goes on running, so a rolling stop took each server out for the whole handover. Ruled out: marks in the store before each acknowledgement; they cost a write for each leaving and do not help while the store is down. Change: Announcer asks the health path of a named life before its first announcement takes effect (three newer announcements stand for an answer); Stop keeps the gate open through the handover and lingers by setting; the source waits longer for changes and takes quick ones together; large answers stay in their failure domain unless waiting there would miss the objective.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -29,15 +29,19 @@
 	Change func(*Announcement)    // takes each change; nil when the server is gone
 	Local  func(host string) bool // whether an address is of this instance; loopback always is
 	Log    *slog.Logger           // nil discards
-	Flaps  int                    // appearances within half a minute that take effect at once; zero means 3
+	// Health asks a named server whether it takes calls before its first
+	// announcement takes effect; nil takes announcements at their word.
+	Health func(context.Context, *Announcement) Health
+	Flaps  int // appearances within half a minute that take effect at once; zero means 3
 }
 
 // Announcer takes the announcements of the backend server and lets them lapse.
 type Announcer struct {
 	config AnnouncerConfig
 
-	mu    sync.Mutex
-	lease lease
+	mu      sync.Mutex
+	lease   lease
+	vetting vetting
 }
 
 // NewAnnouncer returns an announcer without a backend server.
@@ -106,6 +110,10 @@
 // take renews the lease, and tells whether the announcement holds.
 func (a *Announcer) take(in *Announcement) bool {
 	return a.step(func(now time.Time) (bool, *Announcement, bool) {
+		if !a.vet(in) {
+			next, changed := a.lease.effect(now)
+			return true, next, changed
+		}
 		held := a.lease.renew(in, now)
 		next, changed := a.lease.effect(now)
 		return held, next, changed
--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// farCost and bulkCost are what a call to another failure domain costs,
-	// as a share of the objective. It saves bytes between failure domains at the
-	// price of a wait that leaves most of the objective; large answers are worth
-	// more of it.
-	farCost  = 0.05
-	bulkCost = 0.30
+	// farCost and bulkCost are what a call to another failure domain costs, as
+	// a share of the objective. It saves bytes between failure domains at the
+	// price of a wait that leaves most of the objective. A large answer goes
+	// there only to be spared a wait that would miss the objective.
+	farCost  = 0.12
+	bulkCost = 0.80
 	// failedTime is what a failed attempt costs, in seconds: the time to notice
 	// and the time of another attempt, in the middle of what was measured.
 	failedTime = 0.5
@@ -31,44 +31,45 @@
 	spread = 0.15
 )
 
-// Place returns the instance that is not among those tried at which a call is
-// expected to finish first, and the time that it will wait for a slot there. It
-// returns nil when all were tried. Ejected instances count as failing.
-func (c *Choice) Place(bulk bool, objective time.Duration, tried []*Instance, now time.Time, rand Rand) (*Instance, time.Duration) {
+// Place returns the instance that is not among those left out at which a call
+// is expected to finish first, and its cost: the seconds until the answer, with
+// what the way there costs. It returns nil when none is left. Ejected instances
+// count as failing.
+func (c *Choice) Place(bulk bool, objective time.Duration, out []*Instance, now time.Time, rand Rand) (*Instance, float64) {
 	mean := c.meanWork()
 	far := farCost * objective.Seconds()
 	if bulk {
 		far = bulkCost * objective.Seconds()
 	}
 	var best *Instance
-	var least, bestWait float64
+	var least float64
 	look := func(from []*Instance, extra float64) {
 		for _, i := range from {
-			if slices.Contains(tried, i) {
+			if slices.Contains(out, i) {
 				continue
 			}
-			wait, finish := i.finish(mean, now)
-			cost := (finish + extra) * (1 + spread*float64(rand(1000))/1000)
+			cost := (i.finish(mean, now) + extra) * (1 + spread*float64(rand(1000))/1000)
 			if best == nil || cost < least {
-				best, least, bestWait = i, cost, wait
+				best, least = i, cost
 			}
 		}
 	}
 	look(c.Near, 0)
 	look(c.Far, far)
-	return best, time.Duration(bestWait * float64(time.Second))
+	return best, least
 }
 
-// finish returns how long a call is expected to wait for a slot at an instance,
-// and until it is answered, in seconds. mean is the work where the instance has
-// told none.
-func (i *Instance) finish(mean float64, now time.Time) (wait, total float64) {
+// finish returns how long a call is expected to take at an instance, the wait
+// for a slot included, in seconds. mean is the work where the instance has told
+// none.
+func (i *Instance) finish(mean float64, now time.Time) float64 {
 	work := i.work.value()
 	if work <= 0 {
 		work = mean
 	}
 	slots := float64(i.slots.Load())
 	load := (i.InProgress(now) + 1) / slots
+	wait := 0.0
 	if load > 1 {
 		wait = (load - 1) * work
 	}
@@ -76,7 +77,7 @@
 	if i.Ejected(now) {
 		failing = 1
 	}
-	return wait, wait + work*(1+crowdShare*min(load*load, 1)) + failing*failedTime
+	return wait + work*(1+crowdShare*min(load*load, 1)) + failing*failedTime
 }
 
 // meanWork returns the average work of the instances that have told theirs.
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -18,26 +18,27 @@
 // gate, which its answers tell too seldom when a node sends it few calls.
 const maxLooks = 3
 
-// place chooses the instance for the next attempt. While gates are left to look
-// at, a call asks for a slot at once; the last one may let it wait.
+// place chooses the instance for the next attempt. A gate that was not asked yet
+// is asked for a slot at once, as long as waiting at one that had none is not
+// expected to be better; the last one may let the call wait.
 func (x *exchange) place() *call.Instance {
 	now := time.Now()
 	choice, bulk, objective := x.service.choice, x.route.Bulk, x.route.Objective
-	i, _ := choice.Place(bulk, objective, x.tried, now, rand.IntN)
-	if i != nil && x.looks < maxLooks && len(x.tried)+1 < choice.Len() {
-		x.looks++
-		x.tried = append(x.tried, i)
-		x.demand.Now = true
-		return i
-	}
 	// Those that had no free slot may be waited at, those that failed may not.
-	i, _ = choice.Place(bulk, objective, x.spent, now, rand.IntN)
-	if i == nil {
+	known, wait := choice.Place(bulk, objective, x.spent, now, rand.IntN)
+	if known == nil {
 		return nil
 	}
-	x.waited, x.demand.Now = true, false
-	x.tried = append(x.tried, i)
-	return i
+	fresh, look := choice.Place(bulk, objective, x.tried, now, rand.IntN)
+	if fresh != nil && x.looks < maxLooks && len(x.tried)+1 < choice.Len() && (look <= wait || fresh == known) {
+		x.looks++
+		x.demand.Now = true
+		known = fresh
+	} else {
+		x.waited, x.demand.Now = true, false
+	}
+	x.tried = append(x.tried, known)
+	return known
 }
 
 // turned takes that a gate turned the call away, or that an attempt failed.
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -280,12 +280,24 @@
 	if n.platform != nil {
 		gate.Warmup, gate.Dialect, proxy.Dialect, proxy.Whole, announcer.Flaps = -1, n.platform.Backend, n.platform.Caller, wholeAnswer, ownFlaps
 	}
+	if n.platform != nil {
+		announcer.Health = n.health
+	}
 	n.Gate = backend.NewGate(gate)
 	proxy.Own = n.Gate
 	n.Proxy = caller.New(proxy)
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
+// health asks the backend server whether it takes calls.
+func (n *Node) health(ctx context.Context, in *backend.Announcement) backend.Health {
+	service := n.Holder.Table().Services[in.Service]
+	if service == nil {
+		return backend.Unclear
+	}
+	return n.Gate.Health(ctx, in, service.Health)
+}
+
 const (
 	// wholeAnswer is the part of an answer that is read before it is handed on,
 	// in bytes: larger than the largest usual download, and small against the
--- a/mesh/node/stop.go
+++ b/mesh/node/stop.go
@@ -13,12 +13,12 @@
 	"caroblift.dev/mesh/hop"
 )
 
-// Stop shuts the node down gracefully: it is not ready any more, refuses new
-// work for its backend server as not run and announces that it leaves. For the
-// time of stop.handover it goes on taking the calls of its own callers, with a
-// notice that their connections close. Then it refuses these too, finishes what
-// is in progress and closes. Until the backend server has finished, the node
-// still takes its outgoing calls.
+// Stop shuts the node down gracefully. It is not ready any more, and for the
+// time of stop.handover it goes on as before, with a notice to its callers that
+// their connections close. Then it refuses new work for its backend server as
+// not run, announces that it leaves and finishes what is in progress; until the
+// backend server has finished, it still takes calls of its callers and of the
+// server. Then it refuses these too and closes.
 //
 // The context bounds the wait, and so does the policy of the backend server's
 // service. Calls that are still in progress then are cut, and the error is a
@@ -27,11 +27,11 @@
 	ctx, cancel := n.drainBound(ctx)
 	defer cancel()
 	n.stopping.Store(true)
+	n.Proxy.Notice()
+	wait(ctx, ms(n.settings.GetStop().GetHandover()))
 	n.Gate.Refuse()
 	var leave sync.WaitGroup
 	leave.Go(func() { n.Members.Leave(ctx) })
-	n.Proxy.Notice()
-	wait(ctx, ms(n.settings.GetStop().GetHandover()))
 	err := join(n.Gate.Drain(ctx), n.Proxy.Drain(ctx))
 	leave.Wait()
 	n.linger(ctx)
@@ -76,11 +76,9 @@
 	return &all
 }
 
-// lingerTime is how long a node that has drained goes on refusing calls, so
-// that nodes that have not heard of its leaving get an answer.
-const lingerTime = 1500 * time.Millisecond
-
-func (n *Node) linger(ctx context.Context) { wait(ctx, lingerTime) }
+// linger goes on refusing calls for a while, so that nodes that have not heard
+// of the leaving get an answer.
+func (n *Node) linger(ctx context.Context) { wait(ctx, ms(n.settings.GetStop().GetLinger())) }
 
 // wait waits, or returns early when the context ends.
 func wait(ctx context.Context, d time.Duration) {
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -88,6 +88,9 @@
 const (
 	sourceRetry    = 150 * time.Millisecond
 	maxSourceRetry = time.Second
+	// sourceRest is the pause after a change: configurations that come in quick
+	// succession are taken together, well within the bound for one.
+	sourceRest = 300 * time.Millisecond
 )
 
 // follow reads the object and watches it until a call fails.
@@ -122,6 +125,9 @@
 		}
 		s.settle()
 		from = max(from, next)
+		if len(objs) > 0 {
+			pause(ctx, sourceRest)
+		}
 	}
 	return nil
 }
