Read health answers without the stamp that only calls carry

Ruled out: tables that come late (the nodes were ready within 50 ms), slots. Change: the dialect tells the life that answered and whether it was turned away; an unclear answer is asked for again at once.

--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -21,10 +21,19 @@
 	Elsewhere               // another life of the server answers
 )
 
+// String returns a word for the log.
+func (h Health) String() string {
+	return [...]string{"unclear", "well", "unwell", "elsewhere"}[h]
+}
+
 const (
 	// vetTimeout bounds one question. A server answers in a few ms unless all
 	// its slots are taken, and the next announcement leads to another question.
 	vetTimeout = 500 * time.Millisecond
+	// vetPause is the pause before an unclear answer is asked for again, and
+	// vetTries how often: a node that starts may not know the health path yet.
+	vetPause = 50 * time.Millisecond
+	vetTries = 20
 	// vetAnnouncements is how many announcements of a life, each newer than the
 	// one before, stand for a good answer: late ones come out of order, and a
 	// server that leaves says so in its next.
@@ -65,33 +74,46 @@
 	return false
 }
 
-// ask asks the health path and lets the newest announcement of the life take
-// effect if the server is well.
+// ask asks the health path, again while the answer is unclear, and lets the
+// newest announcement of the life take effect if the server is well.
 func (a *Announcer) ask(in Announcement) {
-	ctx, cancel := context.WithTimeout(context.Background(), vetTimeout)
-	defer cancel()
-	health := a.config.Health(ctx, &in)
-	a.config.Log.Info("backend server checked", "server", in.Name, "seq", in.Seq, "health", int(health))
+	for tries := 1; ; tries++ {
+		ctx, cancel := context.WithTimeout(context.Background(), vetTimeout)
+		health := a.config.Health(ctx, &in)
+		cancel()
+		if again := a.asked(in, health, tries); !again {
+			return
+		}
+		time.Sleep(vetPause)
+	}
+}
+
+// asked takes an answer, and tells whether to ask again.
+func (a *Announcer) asked(in Announcement, health Health, tries int) (again bool) {
+	a.config.Log.Info("backend server checked", "server", in.Name, "seq", in.Seq, "health", health.String(), "tries", tries)
 	a.step(func(now time.Time) (bool, *Announcement, bool) {
 		v := &a.vetting
 		if v.done || !v.life.sameLife(&in) {
 			return false, nil, false
 		}
-		v.asking = false
 		if health != Well {
+			again = health == Unclear && tries < vetTries
+			v.asking = again
 			return false, nil, false
 		}
-		v.done = true
+		v.asking, v.done = false, true
 		held := a.lease.renew(v.newest, now)
 		next, changed := a.lease.effect(now)
 		return held, next, changed
 	})
+	return again
 }
 
 // Inspector is a Dialect that can also ask for a server's health.
 type Inspector interface {
-	// Life returns the name of the life that answered, or nothing.
-	Life(answer *http.Response) string
+	// Life returns the name of the life that answered, and false when the
+	// question was turned away like a call, for lack of a slot.
+	Life(answer *http.Response) (name string, taken bool)
 }
 
 // Health asks the server beside the gate whether it takes calls. path is its
@@ -110,10 +132,10 @@
 		return Unclear
 	}
 	defer resp.Body.Close()
-	switch reason, _ := g.config.Dialect.Judge(req.Header, resp); {
-	case reason != "":
-		return Unclear // it was turned away like a call, for lack of a slot
-	case inspector.Life(resp) != in.Name:
+	switch life, taken := inspector.Life(resp); {
+	case !taken:
+		return Unclear
+	case life != in.Name:
 		return Elsewhere
 	case resp.StatusCode == http.StatusOK:
 		return Well
--- a/mesh/backend/vet_test.go
+++ b/mesh/backend/vet_test.go
@@ -40,6 +40,8 @@
 					synctest.Wait()
 				}
 				require.Equal(t, c.served, now != nil && !now.Leaving)
+				time.Sleep(vetTries * (vetPause + vetTimeout)) // the last question ends
+				require.Equal(t, c.served, now != nil && !now.Leaving)
 			})
 		})
 	}
