--- a/mesh/storetest/http.go
+++ b/mesh/storetest/http.go
@@ -19,9 +19,7 @@
 // ServeHTTP serves /objects as the platform does, and /faults and /calls for
 // tests.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.mute(r.Context()) {
-		panic(http.ErrAbortHandler) // nothing arrives on a silent connection
-	}
+	Hear(r)
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case r.URL.Path == "/faults" && r.Method == http.MethodPut:
@@ -37,6 +35,14 @@
 	}
 }
 
+// Hear returns once a request has arrived, and never in a handler whose
+// connection is silent.
+func Hear(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok && c.mute(r.Context()) {
+		panic(http.ErrAbortHandler) // nothing arrives on a silent connection
+	}
+}
+
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
