Count a call as in time only with half more than its average left

Cause: at loads above the capacity, calls started with just the average of their class left and half of them missed the objective, while fresh ones waited. Ruled out: lost capacity (servers full all the time, busiest/mean explained by their lives), entry choice. Change: likely() is 1.5 times the average of the class; the grace for late ones is an eighth of the time to the deadline.

--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -67,7 +67,11 @@
 	// call may wait beyond what its objective allows, as one in graceShare. An
 	// answer after the objective earns a third, so a late answer is worth a
 	// short wait and not one to the end.
-	graceShare = 4
+	graceShare = 8
+	// workMargin is how much longer than the average of its class a call may
+	// take that is still expected to meet its objective: durations spread, and a
+	// call that starts with just the average left misses it as often as not.
+	workMargin = 1.5
 )
 
 // Judge takes that the backend server did or did not answer a call whose
@@ -78,7 +82,7 @@
 // slot in time, and refuses it otherwise.
 func (a *Admission) join(w *Waiter, now time.Time) {
 	slots := max(1, a.Slots(now))
-	expected, work := a.expected(w, now), a.classes.of(w.Class, a.work)
+	expected, work := a.expected(w, now), a.likely(w)
 	allowed := max(0, w.Objective.Sub(now)-work)
 	until := now.Add(2 * allowed)
 	if !w.Deadline.IsZero() {
@@ -127,7 +131,12 @@
 
 // late tells whether a call that starts now would miss its objective.
 func (a *Admission) late(w *Waiter, now time.Time) bool {
-	return !w.Objective.IsZero() && now.Add(a.classes.of(w.Class, a.work)).After(w.Objective)
+	return !w.Objective.IsZero() && now.Add(a.likely(w)).After(w.Objective)
+}
+
+// likely returns the time in which most calls of a waiter's class are answered.
+func (a *Admission) likely(w *Waiter) time.Duration {
+	return time.Duration(workMargin * float64(a.classes.of(w.Class, a.work)))
 }
 
 // first returns the place of the waiter that gets the next slot.
