Prefer the own failure domain more, and weigh the grace of late calls

Change: a call to another failure domain costs a quarter of the objective; late calls wait a sixth of the time to the deadline.

--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -15,7 +15,7 @@
 	// a share of the objective. It saves bytes between failure domains at the
 	// price of a wait that leaves most of the objective. A large answer goes
 	// there only to be spared a wait that would miss the objective.
-	farCost  = 0.12
+	farCost  = 0.25
 	bulkCost = 0.80
 	// failedTime is what a failed attempt costs, in seconds: the time to notice
 	// and the time of another attempt, in the middle of what was measured.
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -67,7 +67,7 @@
 	// call may wait beyond what its objective allows, as one in graceShare. An
 	// answer after the objective earns a third, so a late answer is worth a
 	// short wait and not one to the end.
-	graceShare = 8
+	graceShare = 6
 	// workMargin is how much longer than the average of its class a call may
 	// take that is still expected to meet its objective: durations spread, and a
 	// call that starts with just the average left misses it as often as not.
