Test the source, meeting points and joining without seeds; hold limits of callers

Cause: these had no tests; a watch that hears nothing for good was not noticed by the source alone (TestSourceFollows failed: 8 in place of 13). Result: store, member, caller and adapter tests pass.

--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -57,22 +57,24 @@
 
 // The values of Reason.
 const (
-	NotReady  Reason = "not-ready"  // the node holds no configuration yet
-	NoRoute   Reason = "no-route"   // no route matches
-	NoServer  Reason = "no-server"  // no backend server serves the service
-	Busy      Reason = "busy"       // every slot and the queue are taken
-	Late      Reason = "late"       // it could not start before its deadline
-	Leaving   Reason = "leaving"    // the node or the backend server is stopping
-	Dial      Reason = "dial"       // no connection was made
-	Refused   Reason = "refused"    // the connection ended before the call was taken
-	Broken    Reason = "broken"     // the connection broke before the answer
-	Crossed   Reason = "crossed"    // the answer belonged to another call
-	Deadline  Reason = "deadline"   // the deadline passed
-	Canceled  Reason = "canceled"   // the caller went away
-	Shed      Reason = "shed"       // the backend server itself refused with 503
-	Moved     Reason = "moved"      // another server than the expected one has the address
-	ShortBody Reason = "short-body" // the caller's body ended early
-	Upgrade   Reason = "upgrade"    // protocol upgrades are not forwarded
+	NotReady  Reason = "not-ready"   // the node holds no configuration yet
+	NoRoute   Reason = "no-route"    // no route matches
+	NoServer  Reason = "no-server"   // no backend server serves the service
+	Busy      Reason = "busy"        // every slot and the queue are taken
+	Late      Reason = "late"        // it could not start before its deadline
+	Leaving   Reason = "leaving"     // the node or the backend server is stopping
+	Dial      Reason = "dial"        // no connection was made
+	Refused   Reason = "refused"     // the connection ended before the call was taken
+	Broken    Reason = "broken"      // the connection broke before the answer
+	Crossed   Reason = "crossed"     // the answer belonged to another call
+	Deadline  Reason = "deadline"    // the deadline passed
+	Canceled  Reason = "canceled"    // the caller went away
+	Shed      Reason = "shed"        // the backend server itself refused with 503
+	Moved     Reason = "moved"       // another server than the expected one has the address
+	ShortBody Reason = "short-body"  // the caller's body ended early
+	LongHead  Reason = "long-header" // the header is longer than the configuration allows
+	LongBody  Reason = "long-body"   // the body is longer than the configuration allows
+	Upgrade   Reason = "upgrade"     // protocol upgrades are not forwarded
 )
 
 // Status returns the HTTP status of an answer that reports a reason.
@@ -82,6 +84,10 @@
 		return http.StatusNotFound
 	case ShortBody:
 		return http.StatusBadRequest
+	case LongHead:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case LongBody:
+		return http.StatusRequestEntityTooLarge
 	case Upgrade:
 		return http.StatusNotImplemented
 	case Deadline:
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -156,6 +156,9 @@
 	call.Strip(r.Header)
 	call.StripHop(r.Header)
 	x.directory = p.renew()
+	if reason := exceeds(x.directory.router.Table.Limits, r); reason != "" {
+		return reason
+	}
 	route := x.directory.router.Match(r.Host, r.Method, r.URL.Path, r.Header)
 	if route == nil {
 		return call.NoRoute
--- a/mesh/member/member_test.go
+++ b/mesh/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -142,3 +143,37 @@
 	}
 	require.Equal(t, loneFleet, last)
 }
+
+// TestMeetingPointsReplaceSeeds lets nodes without seeds find each other by
+// their meeting points, with points among them that lead nowhere, and finds
+// again a node that was killed with all others.
+func TestMeetingPointsReplaceSeeds(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	self := &wire.Member{Name: "a", Peer: "a", Domain: "x", Incarnation: 1, State: wire.State_STATE_ALIVE}
+	a := New(Config{Beat: testBeat, Suspect: 3 * testBeat, Meet: true, Rand: rand.New(rand.NewPCG(1, 2))}, self, now)
+	require.False(t, a.Joined(), "a node without seeds that has a meeting place is not alone")
+	points := []*wire.Member{{Name: "gone", Peer: "gone"}, {Name: "a", Peer: "a"}, {Name: "b", Peer: "b"}}
+	asked := map[string]time.Time{}
+	for range 200 {
+		now = now.Add(testBeat / ticksPerBeat)
+		for _, act := range a.Tick(now) {
+			switch act.Kind {
+			case Meet:
+				a.MeetDone(now, points)
+			case Join:
+				asked[act.Addr] = now
+				if act.Addr == "b" {
+					a.JoinDone(now, act, &wire.JoinResponse{Members: []*wire.Member{
+						{Name: "b", Peer: "b", Domain: "x", Incarnation: 1, State: wire.State_STATE_ALIVE},
+					}})
+				} // the other never answers
+			}
+		}
+		if a.table.Len() == 2 {
+			break
+		}
+	}
+	require.Equal(t, 2, a.table.Len())
+	require.NotContains(t, asked, "a")
+	require.LessOrEqual(t, asked["b"].Sub(asked["gone"]), (patience+1)*testBeat, "it does not wait for the point that is gone")
+}
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -88,6 +88,10 @@
 const (
 	sourceRetry    = 150 * time.Millisecond
 	maxSourceRetry = time.Second
+	// quietWatches is after how many watches without a change the object is read
+	// beside them. Peers tell sooner that a node is behind; this is for a node
+	// whose watch alone is silent and that reaches no peer.
+	quietWatches = 3
 	// sourceRest is the pause after a change: configurations that come in quick
 	// succession are taken together, well within the bound for one.
 	sourceRest = 300 * time.Millisecond
@@ -106,13 +110,20 @@
 	}
 	s.deliver(o)
 	answered()
+	quiet := 0
 	for from := o.Version; ctx.Err() == nil && s.config.Active(); {
 		objs, next, err := s.config.Store.Watch(ctx, s.config.Place.Kind, from, s.config.Wait)
 		if err != nil {
 			return errors.Wrap(err, "watch configuration")
 		}
-		if len(objs) == 0 && next > from {
-			// Something changed, and this may be it if the watch was silent.
+		quiet++
+		if len(objs) > 0 {
+			quiet = 0
+		}
+		if len(objs) == 0 && next > from || quiet == quietWatches {
+			// The watch may be silent: the store has changed, or it should have
+			// said something for long.
+			quiet = 0
 			if o, err = s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name); err != nil {
 				return errors.Wrap(err, "read configuration beside the watch")
 			}
