Let the others find a restarted node while the platform is away

With the store down from 18.0 s, nodes that were stopped and started again had no seeds and could not read the meeting points, so they found nobody, held no table and did not know their server's health path until the store was back; two such nodes beside two leaving servers left a service without any server (440 calls refused as no-server in 6 s). Ruled out: the leaving servers (acknowledged and drained in time), the queues. Change: members that were lost within half a minute are tried at the pace of heartbeats, by eight nodes of the fleet at most, those that left included; a child without a table gets it at once.

--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -55,6 +55,7 @@
 	busy       map[string]bool // heartbeats on their way
 	mismatch   map[string]int  // heartbeats with another digest, by neighbour
 	doubts     map[string]*doubt
+	lostAt     time.Time            // when a member was last seen to leave or found silent
 	avoided    map[string]time.Time // members that the own node alone cannot reach, until when
 	census     census
 	parted     map[string]bool
@@ -153,6 +154,9 @@
 // collect queues what changed in the table.
 func (a *Agent) collect() {
 	for _, m := range a.table.News() {
+		if m.GetState() != wire.State_STATE_ALIVE {
+			a.lostAt = a.last
+		}
 		if m.GetState() == wire.State_STATE_SUSPECT && a.parted[a.table.Get(m.GetName()).GetDomain()] {
 			continue // everyone who must know avoids the whole domain
 		}
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -49,7 +49,7 @@
 	if a.joiner.joined && now.Sub(a.since) > settleBeats*a.config.Beat {
 		a.settled = true
 	}
-	if a.beats%healBeats == 0 {
+	if a.beats%healBeats == 0 || a.healsSooner(now) {
 		out = append(out, a.heal(now)...)
 	}
 	for name, until := range a.avoided { // order does not matter
@@ -72,14 +72,30 @@
 	return []Action{act}
 }
 
-// heal tries to reach a member that is silent, one that was found dead, or a
+const (
+	// soonLost is how long after a member was lost the others try to reach it at
+	// the pace of heartbeats: a process that was killed or stopped is back within
+	// seconds, and may find nobody by itself while the platform is away.
+	soonLost = 30 * time.Second
+	// soonTries bounds these attempts to so many a beat of the whole fleet.
+	soonTries = 8
+)
+
+// healsSooner tells whether this node is among those that try, in this beat, to
+// reach a member that was lost not long ago.
+func (a *Agent) healsSooner(now time.Time) bool {
+	return !a.lostAt.IsZero() && now.Sub(a.lostAt) < soonLost && a.rand.IntN(max(1, a.table.Len())) < soonTries
+}
+
+// heal tries to reach a member that is silent or leaving, and may be back by
+// now, one that was found dead, or a
 // seed that is not known: two parts of a fleet that took each other for dead
 // meet again by it.
 func (a *Agent) heal(now time.Time) []Action {
 	known := map[string]bool{}
 	var silent []string
 	for _, name := range a.table.names {
-		if a.usable(name) {
+		if a.usable(name) && a.table.State(name) != wire.State_STATE_LEAVING {
 			known[a.table.Get(name).GetPeer()] = true
 		} else if name != a.table.self.GetName() {
 			silent = append(silent, name)
@@ -88,7 +104,7 @@
 	if len(silent) > 0 {
 		return a.beatTo(now, silent[a.rand.IntN(len(silent))])
 	}
-	if lost := a.table.lost(); len(lost) > 0 && a.rand.IntN(2) == 0 {
+	if lost := a.table.lost(now); len(lost) > 0 && a.rand.IntN(2) == 0 {
 		name := lost[a.rand.IntN(len(lost))]
 		e := a.table.members[name]
 		act := Action{Kind: News, Addr: e.addr, At: now, Probe: &wire.ProbeRequest{
--- a/mesh/member/member_test.go
+++ b/mesh/member/member_test.go
@@ -177,3 +177,24 @@
 	require.NotContains(t, asked, "a")
 	require.LessOrEqual(t, asked["b"].Sub(asked["gone"]), (patience+1)*testBeat, "it does not wait for the point that is gone")
 }
+
+// TestOthersFindARestartedNode restarts a node that has no seeds while the
+// platform with the meeting points is away: the others find it within seconds.
+func TestOthersFindARestartedNode(t *testing.T) {
+	for name, stop := range map[string]func(w *world){
+		"killed":   func(w *world) { w.nodes["n3"].up = false },
+		"stopped":  func(w *world) { w.perform("n3", w.nodes["n3"].agent.Leave(w.now)); w.nodes["n3"].up = false },
+		"for long": func(w *world) { w.nodes["n3"].up = false; w.run(20 * testBeat) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(3, "x", "x", "x", "y", "y", "y", "z", "z", "z", "z")
+			w.run(20 * testBeat)
+			w.seeds, w.meets, w.down = nil, true, true
+			stop(w)
+			w.run(testBeat)
+			w.start("n3", uint64(w.now.UnixMilli()))
+			w.run(5 * testBeat)
+			require.Len(t, w.nodes["n3"].agent.View().Names, len(w.names))
+		})
+	}
+}
--- a/mesh/member/table.go
+++ b/mesh/member/table.go
@@ -40,6 +40,7 @@
 	suspected uint64       // newest incarnation that a watcher suspects
 	died      uint64       // newest incarnation that a watcher found dead
 	addr      string       // where one that was found dead last listened
+	left      bool         // it said that it leaves before it was found dead
 	since     time.Time    // when the present state began
 	shown     *wire.Member // as the view shows a suspect member
 	hash      uint64       // of the name
@@ -205,7 +206,7 @@
 func (t *Table) judge(name string, incarnation uint64, state wire.State, now time.Time) bool {
 	e := &entry{hash: hashName(name), since: now}
 	if old := t.members[name]; old != nil {
-		e.member, e.suspected, e.died, e.addr = old.member, old.suspected, old.died, old.addr
+		e.member, e.suspected, e.died, e.addr, e.left = old.member, old.suspected, old.died, old.addr, old.left
 	}
 	switch {
 	case state == wire.State_STATE_DEAD && incarnation > e.died:
@@ -216,9 +217,7 @@
 		return false
 	}
 	if m := e.member; m != nil && m.GetIncarnation() <= e.died {
-		if e.member = nil; m.GetState() != wire.State_STATE_LEAVING {
-			e.addr = m.GetPeer()
-		}
+		e.member, e.addr, e.left = nil, m.GetPeer(), m.GetState() == wire.State_STATE_LEAVING
 	}
 	t.store(NewVerdict(name, incarnation, state), e)
 	return true
@@ -322,11 +321,12 @@
 	return out
 }
 
-// lost returns the names of the dead that did not leave, sorted.
-func (t *Table) lost() []string {
+// lost returns the names of the dead that may be back, sorted: those that did
+// not leave, and for a while those that did, since a stop may be a restart.
+func (t *Table) lost(now time.Time) []string {
 	var out []string
 	for name, e := range t.members {
-		if e.member == nil && e.addr != "" {
+		if e.member == nil && e.addr != "" && (!e.left || now.Sub(e.since) < soonLost) {
 			out = append(out, name)
 		}
 	}
--- a/mesh/member/world_test.go
+++ b/mesh/member/world_test.go
@@ -31,6 +31,7 @@
 	sent    int
 	down    bool // the platform
 	seeds   []string
+	meets   bool // nodes have meeting points in place of seeds
 }
 
 // host is one instance of the world.
@@ -74,7 +75,7 @@
 	n.up, n.paused, n.left, n.tombs = true, false, time.Time{}, map[string]uint64{}
 	n.life++
 	n.agent = New(Config{
-		Beat: testBeat, Suspect: 3 * testBeat, Seeds: w.seeds, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
+		Beat: testBeat, Suspect: 3 * testBeat, Seeds: w.seeds, Meet: w.meets, Rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)),
 	}, &wire.Member{
 		Name: name, Peer: name, Hop: name, Domain: n.domain, Incarnation: incarnation, State: wire.State_STATE_ALIVE,
 		Servers: []*wire.Server{{Service: "quotes", Slots: 1, Epoch: n.life}},
--- a/mesh/spread/children.go
+++ b/mesh/spread/children.go
@@ -144,7 +144,8 @@
 	if c.behind.IsZero() {
 		c.behind = now
 	}
-	if c.pushing || now.Before(c.retry) || now.Sub(c.behind) < s.config.Patience {
+	patient := c.mark.Number > 0 && now.Sub(c.behind) < s.config.Patience // one without a table is helped at once
+	if c.pushing || now.Before(c.retry) || patient {
 		return
 	}
 	c.pushing = true
