--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -49,7 +49,7 @@
 	backlog  time.Duration // that the last gate named
 	attempts int
 	arrivals int  // attempts that may have reached a backend server
-	waited   bool // a gate was asked to let the call wait
+	waits    int  // gates asked to let the call wait
 	good     bool // the answer was a backend server's
 }
 
@@ -129,7 +129,7 @@
 		most = defaultAttempts
 	}
 	switch {
-	case x.ctx.Err() != nil, x.arrivals >= most, len(x.tried) >= most+maxTurned, x.waited, x.body.Streamed():
+	case x.ctx.Err() != nil, x.arrivals >= most, len(x.tried) >= most+maxTurned, x.body.Streamed():
 		return false
 	case !call.Repeatable(last.outcome, x.idempotent, x.extra):
 		return false
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -18,6 +18,11 @@
 // gate, which its answers tell too seldom when a node sends it few calls.
 const maxLooks = 3
 
+// maxWaits bounds the gates that are asked to let a call wait. When that one
+// refuses, only a free slot elsewhere helps: what a node
+// believes of the others may be old.
+const maxWaits = 1
+
 // place chooses the instance for the next attempt. A gate that was not asked yet
 // is asked for a slot at once, as long as waiting at one that had none is not
 // expected to be better; the last one may let the call wait.
@@ -30,26 +35,29 @@
 		return nil
 	}
 	fresh, look := choice.Place(bulk, objective, x.tried, now, rand.IntN)
-	if fresh != nil && x.looks < maxLooks && len(x.tried)+1 < choice.Len() && (look <= wait || fresh == known) {
+	canLook := fresh != nil && x.looks < maxLooks && choice.Len() > 1
+	switch {
+	case canLook && (look <= wait || fresh == known || x.waits == maxWaits):
 		x.looks++
 		x.demand.Now = true
 		known = fresh
-	} else {
-		x.waited, x.demand.Now = true, false
+	case x.waits < maxWaits:
+		x.waits++
+		x.demand.Now = false
+	default:
+		return nil
 	}
 	x.tried = append(x.tried, known)
 	return known
 }
 
 // turned takes that a gate turned the call away, or that an attempt failed.
+// One that had no slot at once may still be waited at.
 func (x *exchange) turned(res *result) {
-	if res.reason == call.Busy && !x.waited {
+	if res.reason == call.Busy && x.demand.Now {
 		return
 	}
 	x.spent = append(x.spent, res.instance)
-	if res.reason.Arrived() {
-		x.waited = false // another attempt looks for a slot again
-	}
 }
 
 // patience is the longest time that callers of a route have said they will
