Refuse records where the configuration comes as one document, and test the shared budget

Cause: carobctl apply would have written objects that nothing reads; the retry budget of a whole fleet had no test. Change: Apply and Delete answer failed-precondition there; TestBudgetOfTheFleet plays waves on 1, 10 and 78 nodes.

--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -281,3 +281,44 @@
 		require.Equal(t, call.Demand{}, call.ParseDemand(text, now), text)
 	}
 }
+
+// TestBudgetOfTheFleet lets every node of a fleet make as many extra attempts as
+// its budget allows, under calls that come in waves: in no window are there more
+// than the share of the calls in it and the slack of all nodes.
+func TestBudgetOfTheFleet(t *testing.T) {
+	const (
+		percent = 20
+		slack   = 56
+		window  = 100 // steps
+	)
+	for name, nodes := range map[string]int{"one": 1, "few": 10, "many": 78} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
+			budgets := make([]*call.Budget, nodes)
+			for i := range budgets {
+				budgets[i] = call.NewBudget()
+				budgets[i].Limit(slack, nodes)
+			}
+			var calls, extra []int
+			for step := range 1000 {
+				calls, extra = append(calls, 0), append(extra, 0)
+				for _, b := range budgets {
+					for range random.IntN(1 + step/50%5) {
+						b.Pay(percent)
+						calls[step]++
+						for range random.IntN(3) {
+							if b.Take() {
+								extra[step]++
+							}
+						}
+					}
+				}
+				sumCalls, sumExtra := 0, 0
+				for i := max(0, step-window+1); i <= step; i++ {
+					sumCalls, sumExtra = sumCalls+calls[i], sumExtra+extra[i]
+				}
+				require.LessOrEqual(t, sumExtra*100, sumCalls*percent+slack*100)
+			}
+		})
+	}
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -147,7 +147,7 @@
 	n.operator = operator.New(operator.Config{
 		Store:  n.store, // operators' calls are few however large the fleet, so no share of its rates bounds them
 		Holder: n.Holder, View: n.Members.View, Checked: n.Spread.Checked, Working: n.reads.Working,
-		Report: n.Spread.Report, Metrics: n.sinks.Metrics,
+		Report: n.Spread.Report, Metrics: n.sinks.Metrics, Whole: n.platform != nil,
 	})
 }
 
--- a/mesh/operator/records.go
+++ b/mesh/operator/records.go
@@ -29,6 +29,9 @@
 // so nothing that exists is written over. With force it writes over whatever
 // is present. A record that differs from none present is left as it is.
 func (s *Service) Apply(ctx context.Context, req *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error) {
+	if err := s.writable(); err != nil {
+		return nil, err
+	}
 	findings, warnings := record.Check(req.Msg.GetRecord())
 	if len(findings) > 0 {
 		return connect.NewResponse(&wire.ApplyResponse{Findings: findings, Warnings: warnings}), nil
@@ -245,6 +248,9 @@
 // Delete implements the Operator service. It leaves a tombstone in place of
 // the version given, or of the version that it reads when none is given.
 func (s *Service) Delete(ctx context.Context, req *connect.Request[wire.DeleteRequest]) (*connect.Response[wire.DeleteResponse], error) {
+	if err := s.writable(); err != nil {
+		return nil, err
+	}
 	key := record.Key{Kind: req.Msg.GetKind(), Name: req.Msg.GetName()}
 	p, err := read(ctx, s.config.Store, key)
 	if err != nil {
--- a/mesh/operator/service.go
+++ b/mesh/operator/service.go
@@ -11,6 +11,9 @@
 	"context"
 	"net/http"
 
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/store"
@@ -26,6 +29,7 @@
 	Checked func() int64                       // when the head was last confirmed, Unix ms
 	Working func() bool                        // whether the platform answers
 	Metrics http.Handler                       // serves /metrics; may be nil
+	Whole   bool                               // the configuration comes as one document, so records are neither written nor read
 }
 
 // Service implements the Operator service of a node.
@@ -35,3 +39,14 @@
 
 // New returns a service.
 func New(config Config) *Service { return &Service{config: config} }
+
+// errWhole says that records have no effect here.
+var errWhole = errors.New("the configuration comes from the platform as one document; records are not written here")
+
+// writable returns an error where records cannot be written.
+func (s *Service) writable() error {
+	if s.config.Whole {
+		return connect.NewError(connect.CodeFailedPrecondition, errWhole)
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/operator/service_test.go
@@ -0,0 +1,20 @@
+package operator
+
+import (
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/wire"
+)
+
+// TestWholeTakesNoRecords refuses records where the configuration comes as one
+// document, since nothing would read them.
+func TestWholeTakesNoRecords(t *testing.T) {
+	s := New(Config{Whole: true})
+	_, err := s.Apply(t.Context(), connect.NewRequest(&wire.ApplyRequest{}))
+	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
+	_, err = s.Delete(t.Context(), connect.NewRequest(&wire.DeleteRequest{}))
+	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
+}
