--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -61,15 +61,7 @@
 	start := time.Now()
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
-		switch {
-		case failure.reason == call.Canceled || failure.reason == call.Moved:
-			g.leaveLater(slot, call.Untold)
-		case failure.outcome == call.NotRun:
-			g.leave(slot, call.Untold)
-			g.judge(false)
-		default:
-			g.leaveLater(slot, call.Bad)
-		}
+		g.leaveFailed(slot, failure)
 		done()
 		g.metrics.failed(failure.reason)
 		g.config.Sinks.Log.Info(telemetry.GateFailed, "call", id, "service", target.Service, "server", target.Server,
@@ -79,16 +71,10 @@
 	call.Strip(resp.Header)
 	empty := resp.Body == http.NoBody
 	resp.Body = hop.OnDone(resp.Body, func(err error) {
-		switch {
-		case err != nil && err != io.EOF && ctx.Err() == nil:
-			g.leaveLater(slot, call.Bad)
-		case err != io.EOF && !empty:
-			g.leaveLater(slot, call.Untold)
-		case resp.StatusCode >= http.StatusInternalServerError && ctx.Err() == nil:
-			g.leave(slot, call.Bad)
-		default:
-			g.leave(slot, call.Good)
+		if empty {
+			err = io.EOF
 		}
+		g.leaveAnswered(slot, resp.StatusCode, err, ctx.Err() != nil)
 		done()
 		g.metrics.answered(time.Since(start))
 	})
@@ -97,6 +83,35 @@
 	return resp
 }
 
+// leaveFailed gives back the slot of a call that was not answered.
+func (g *Gate) leaveFailed(slot *call.Waiter, f *failed) {
+	switch {
+	case f.reason == call.Canceled || f.reason == call.Moved:
+		g.leaveLater(slot, call.Untold)
+	case f.outcome == call.NotRun:
+		g.leave(slot, call.Untold)
+		g.judge(false)
+	default:
+		g.leaveLater(slot, call.Bad)
+	}
+}
+
+// leaveAnswered gives back the slot of a call whose answer has ended: whole with
+// io.EOF, broken off with another error, or closed early with none. over tells
+// that the call was canceled or its deadline has passed.
+func (g *Gate) leaveAnswered(slot *call.Waiter, status int, err error, over bool) {
+	switch {
+	case err == io.EOF && (status < http.StatusInternalServerError || over):
+		g.leave(slot, call.Good)
+	case err == io.EOF:
+		g.leave(slot, call.Bad)
+	case err != nil && !over:
+		g.leaveLater(slot, call.Bad)
+	default:
+		g.leaveLater(slot, call.Untold)
+	}
+}
+
 // mark sets what every answer of a node carries.
 func (g *Gate) mark(resp *http.Response, id string) {
 	report, _ := g.load()
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -110,36 +110,40 @@
 	}
 	s.deliver(o)
 	answered()
-	quiet := 0
-	for from := o.Version; ctx.Err() == nil && s.config.Active(); {
+	for from, quiet := o.Version, 0; ctx.Err() == nil && s.config.Active(); {
 		objs, next, err := s.config.Store.Watch(ctx, s.config.Place.Kind, from, s.config.Wait)
 		if err != nil {
 			return errors.Wrap(err, "watch configuration")
 		}
-		quiet++
-		if len(objs) > 0 {
+		if quiet++; len(objs) > 0 || next > from || quiet == quietWatches {
 			quiet = 0
-		}
-		if len(objs) == 0 && next > from || quiet == quietWatches {
-			// The watch may be silent: the store has changed, or it should have
-			// said something for long.
-			quiet = 0
-			if o, err = s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name); err != nil {
-				return errors.Wrap(err, "read configuration beside the watch")
-			}
-			objs = []Object{o}
-		}
-		for _, o := range objs {
-			if o.Name == s.config.Place.Name && !o.Deleted {
-				s.deliver(o)
+			if err := s.changed(ctx, objs); err != nil {
+				return err
 			}
 		}
 		s.settle()
 		from = max(from, next)
-		if len(objs) > 0 {
-			pause(ctx, sourceRest)
+	}
+	return nil
+}
+
+// changed takes what a watch told. When that is nothing although the store has
+// changed, or for long, the watch may be silent, and the object is read beside
+// it.
+func (s *Source) changed(ctx context.Context, objs []Object) error {
+	if len(objs) == 0 {
+		o, err := s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name)
+		if err != nil {
+			return errors.Wrap(err, "read configuration beside the watch")
+		}
+		objs = []Object{o}
+	}
+	for _, o := range objs {
+		if o.Name == s.config.Place.Name && !o.Deleted {
+			s.deliver(o)
 		}
 	}
+	pause(ctx, sourceRest)
 	return nil
 }
 
