--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -19,8 +19,7 @@
 const maxLooks = 3
 
 // maxWaits bounds the gates that are asked to let a call wait. When that one
-// refuses, only a free slot elsewhere helps: what a node
-// believes of the others may be old.
+// refuses, only a free slot elsewhere helps, which a node may not know of.
 const maxWaits = 1
 
 // place chooses the instance for the next attempt. A gate that was not asked yet
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -87,10 +87,9 @@
 	return !a.lostAt.IsZero() && now.Sub(a.lostAt) < soonLost && a.rand.IntN(max(1, a.table.Len())) < soonTries
 }
 
-// heal tries to reach a member that is silent or leaving, and may be back by
-// now, one that was found dead, or a
-// seed that is not known: two parts of a fleet that took each other for dead
-// meet again by it.
+// heal tries to reach a member that is silent, one that is leaving and may be
+// back by now, one that was found dead, or a seed that is not known: two parts
+// of a fleet that took each other for dead meet again by it.
 func (a *Agent) heal(now time.Time) []Action {
 	known := map[string]bool{}
 	var silent []string
--- a/mesh/record/document.go
+++ b/mesh/record/document.go
@@ -18,15 +18,3 @@
 	Service string
 	Weight  int
 }
-
-// Services returns every service that a route may send calls to.
-func (r *Route) Services() []string {
-	if len(r.Parts) == 0 {
-		return []string{r.Service}
-	}
-	out := make([]string, len(r.Parts))
-	for i, p := range r.Parts {
-		out[i] = p.Service
-	}
-	return out
-}
