Keep late log lines harmless, and meeting points inside the rates

A part that logs after the queue was closed wrote to a closed channel, which panics at the end of a process; and meeting points of the product's own platform had left the node's share of its rates. Change: Close stops the writer and leaves the channel open; meeting points go through the budget unless a platform of its own is in use.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -214,8 +214,12 @@
 	n.openStore()
 	n.assembleBudget()
 	objects, poll := n.budget.Wrap(n.store), n.budget.Wrap(n.poll)
+	points := objects
+	if n.platform != nil {
+		points = n.store // as for the source: a node that starts does not know the fleet yet
+	}
 	n.meeting = store.NewMeeting(store.MeetingConfig{
-		Store: n.store, Self: func() *wire.Member { return n.Members.View().Self },
+		Store: points, Self: func() *wire.Member { return n.Members.View().Self },
 		Alive: func(name string) bool { return n.Members.View().Members[name] != nil }, Known: n.Members.Joined,
 		Places: meetingPlaces, Sinks: n.sinks.Sub("platform"),
 	})
--- a/mesh/telemetry/queue.go
+++ b/mesh/telemetry/queue.go
@@ -18,29 +18,43 @@
 // beyond it are counted in place of written. A line with the count follows once
 // there is room.
 type Queue struct {
-	lines   chan []byte
+	lines   chan []byte // never closed: parts that end late may still write
 	dropped atomic.Int64
+	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
 // NewQueue returns a queue in front of a writer. Close writes what waits.
 func NewQueue(w io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	q := &Queue{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go q.run(w)
 	return q
 }
 
 func (q *Queue) run(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		_, _ = w.Write(line) // there is nowhere else to report to
-		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines lost","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(w, line)
+		case <-q.stop:
+			for len(q.lines) > 0 {
+				q.write(w, <-q.lines)
+			}
+			return
 		}
 	}
 }
 
+// write writes one line, and how many were lost before it.
+func (q *Queue) write(w io.Writer, line []byte) {
+	_, _ = w.Write(line) // there is nowhere else to report to
+	if n := q.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w, `{"time":%q,"level":"WARN","msg":"log lines lost","lines":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
+	}
+}
+
 // Write implements io.Writer. It takes one line and never fails.
 func (q *Queue) Write(line []byte) (int, error) {
 	select {
@@ -51,10 +65,10 @@
 	return len(line), nil
 }
 
-// Close writes what waits, for a second at most. Nothing may be written after
-// it.
+// Close writes what waits, for a second at most. What is written after it is
+// lost.
 func (q *Queue) Close() {
-	q.once.Do(func() { close(q.lines) })
+	q.once.Do(func() { close(q.stop) })
 	select {
 	case <-q.done:
 	case <-time.After(time.Second):
--- a/mesh/telemetry/queue_test.go
+++ b/mesh/telemetry/queue_test.go
@@ -44,6 +44,8 @@
 		require.GreaterOrEqual(t, lines, queueLines)
 		require.Less(t, lines, queueLines+100)
 		require.Contains(t, w.String(), `"log lines lost"`)
+		_, err := q.Write([]byte("late\n"))
+		require.NoError(t, err, "a part that ends late does no harm")
 	})
 }
 
