Hold callers' connections against the limits of the configuration

Cause: the header and idle time-outs of the document were decoded and used nowhere; every port waited 10 s for a header and for ever for the next call. Ruled out: setting the server's own fields when the configuration changes (a data race in net/http); timers by connection state (net/http reports a call as begun only after its whole header). Change: the callers' listener replaces the read deadlines that net/http sets by the limits in force then. What the platform's dialects need stands in platform.go. HTTP/2 callers are not bounded by these limits.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -282,10 +282,7 @@
 		Lease: ms(s.GetLease()), Change: n.announced, Local: backend.Hosts(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
 	}
 	if n.platform != nil {
-		gate.Warmup, gate.Dialect, proxy.Dialect, proxy.Whole, announcer.Flaps = -1, n.platform.Backend, n.platform.Caller, wholeAnswer, ownFlaps
-	}
-	if n.platform != nil {
-		announcer.Health = n.health
+		n.fit(&gate, &proxy, &announcer)
 	}
 	n.Gate = backend.NewGate(gate)
 	proxy.Own = n.Gate
@@ -293,25 +290,6 @@
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
-// health asks the backend server whether it takes calls.
-func (n *Node) health(ctx context.Context, in *backend.Announcement) backend.Health {
-	service := n.Holder.Table().Services[in.Service]
-	if service == nil {
-		return backend.Unclear
-	}
-	return n.Gate.Health(ctx, in, service.Health)
-}
-
-const (
-	// wholeAnswer is the part of an answer that is read before it is handed on,
-	// in bytes: larger than the largest usual download, and small against the
-	// memory of a node with a few of them in progress.
-	wholeAnswer = 1 << 20
-	// ownFlaps is how often a backend server may appear within half a minute
-	// where its node alone sends calls to it and sees at once that it is gone.
-	ownFlaps = 30
-)
-
 // announced takes a change of the backend server beside this node.
 func (n *Node) announced(a *backend.Announcement) {
 	n.Gate.Serve(a.Target())
@@ -325,7 +303,7 @@
 	mux.Handle(path, rpc)
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
 	n.serve(n.listeners.hop, n.Gate)
-	n.serve(n.listeners.caller, n.Proxy)
+	n.serve(caller.Listen(n.listeners.caller, func() record.Limits { return n.Holder.Table().Limits }), n.Proxy)
 	n.serve(n.listeners.backend, n.announcements())
 	n.serve(n.listeners.operator, n.operator.Handler())
 	loops := []func(context.Context) error{
@@ -365,9 +343,10 @@
 
 func (n *Node) serve(l net.Listener, h http.Handler) {
 	server := &http.Server{
-		Handler: h, Protocols: peer.Protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer}, ReadHeaderTimeout: 10 * time.Second,
+		Handler: h, Protocols: peer.Protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer},
 		ErrorLog: slog.NewLogLogger(n.sinks.Log.Handler(), slog.LevelDebug),
 	}
+	caller.Bound(server)
 	n.servers = append(n.servers, server)
 	n.tomb.Go(func() error {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -65,3 +65,30 @@
 		Deliver: func(snapshot *wire.Snapshot) error { return n.Spread.Current(snapshot) }, Sinks: n.sinks.Sub("platform"),
 	})
 }
+
+const (
+	// wholeAnswer is the part of an answer that is read before it is handed on,
+	// in bytes: larger than the largest usual download, and small against the
+	// memory of a node with a few of them in progress.
+	wholeAnswer = 1 << 20
+	// ownFlaps is how often a backend server may appear within half a minute
+	// where its node alone sends calls to it and sees at once that it is gone.
+	ownFlaps = 30
+)
+
+// fit adapts what serves calls to the platform's dialects. No configuration
+// names a warm-up there: backend servers announce that they are cold.
+func (n *Node) fit(gate *backend.GateConfig, proxy *caller.Config, announcer *backend.AnnouncerConfig) {
+	gate.Dialect, proxy.Dialect, proxy.Whole = n.platform.Backend, n.platform.Caller, wholeAnswer
+	gate.Warmup = -1
+	announcer.Flaps, announcer.Health = ownFlaps, n.health
+}
+
+// health asks the backend server whether it takes calls.
+func (n *Node) health(ctx context.Context, in *backend.Announcement) backend.Health {
+	service := n.Holder.Table().Services[in.Service]
+	if service == nil {
+		return backend.Unclear
+	}
+	return n.Gate.Health(ctx, in, service.Health)
+}
