Give both programs one command line

platform/main.go repeated the flags, exit codes and messages of caroblift/main.go. process.Program holds them; the mains name what differs: settings, platform, where logs go. No behaviour changes; the tests of the command line run against it.

--- a/caroblift/main_test.go
+++ b/caroblift/main_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/process"
 )
 
 const fiveMistakes = `[instance]
@@ -30,7 +32,7 @@
 
 func command(args ...string) (code int, out, errOut string) {
 	var o, e bytes.Buffer
-	code = run(args, &o, &e)
+	code = program.Main(args, &o, &e)
 	return code, o.String(), e.String()
 }
 
@@ -38,7 +40,7 @@
 	path := filepath.Join(t.TempDir(), "node.ini")
 	require.NoError(t, os.WriteFile(path, []byte(fiveMistakes), 0o600))
 	code, out, errOut := command("--config", path, "--check")
-	require.Equal(t, exitSettings, code)
+	require.Equal(t, process.ExitSettings, code)
 	require.Empty(t, out)
 	require.Equal(t, []string{
 		path + ":1: instance.domain: is required (word)",
@@ -58,10 +60,10 @@
 		"check":       {[]string{"--config", node1, "--check"}, 0, "settings are valid"},
 		"describe":    {[]string{"--describe"}, 0, "# Settings of a node"},
 		"help":        {[]string{"--help"}, 0, "--config="},
-		"no config":   {nil, exitSettings, "--config is required"},
-		"no file":     {[]string{"--config", "none.ini"}, exitSettings, "none.ini: open none.ini: no such file"},
-		"unknown":     {[]string{"--conf", "x"}, exitSettings, "unknown flag `conf'"},
-		"a directory": {[]string{"--config", "."}, exitSettings, "is a directory"},
+		"no config":   {nil, process.ExitSettings, "--config is required"},
+		"no file":     {[]string{"--config", "none.ini"}, process.ExitSettings, "none.ini: open none.ini: no such file"},
+		"unknown":     {[]string{"--conf", "x"}, process.ExitSettings, "unknown flag `conf'"},
+		"a directory": {[]string{"--config", "."}, process.ExitSettings, "is a directory"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			code, out, errOut := command(c.args...)
