Classify lost and refused calls to a store once

The product's client and the adapter's each told lost from unknown calls, read Retry-After and mapped statuses. Both use store.Lost and store.Refused now; they differ in the status of a conflict only.

--- a/mesh/store/client.go
+++ b/mesh/store/client.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,12 +23,6 @@
 // maxBody bounds an answer of the platform, in bytes.
 const maxBody = 64 << 20
 
-// Bounds of the time that a busy platform asks for.
-const (
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = time.Minute
-)
-
 // The kinds of calls that are counted.
 const (
 	callGet    = "get"
@@ -139,15 +132,15 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.moveOn()
-		return answer{}, lost(in.method, err)
+		return answer{}, Lost(in.method, err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
 	if err != nil {
 		c.moveOn()
-		return answer{}, lost(in.method, err)
+		return answer{}, Lost(in.method, err)
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: data}, statusError(in.method, resp, data)
+	return answer{status: resp.StatusCode, header: resp.Header, body: data}, Refused(in.method, http.StatusPreconditionFailed, resp, data)
 }
 
 // moveOn makes the next call use the next address and a new connection: what
@@ -157,47 +150,6 @@
 	c.http.CloseIdleConnections()
 }
 
-// lost classifies a call without an answer: a write may have taken effect
-// unless the connection was never made.
-func lost(method string, err error) error {
-	var op *net.OpError
-	if method == http.MethodGet || (errors.As(err, &op) && op.Op == "dial") {
-		return errors.Wrap(ErrDown, err.Error())
-	}
-	return errors.Wrap(ErrUnknown, err.Error())
-}
-
-func statusError(method string, resp *http.Response, body []byte) error {
-	switch {
-	case resp.StatusCode < 300:
-		return nil
-	case resp.StatusCode == http.StatusNotFound:
-		return ErrNotFound
-	case resp.StatusCode == http.StatusPreconditionFailed:
-		return ErrConflict
-	case resp.StatusCode == http.StatusGone:
-		return ErrGone
-	case resp.StatusCode == http.StatusTooManyRequests:
-		return &BusyError{After: retryAfter(resp.Header.Get("Retry-After"))}
-	case resp.StatusCode == http.StatusServiceUnavailable:
-		return errors.Wrap(ErrDown, resp.Status)
-	case resp.StatusCode >= 500 && method != http.MethodGet:
-		return errors.Wrap(ErrUnknown, resp.Status)
-	}
-	return errors.Errorf("platform answers %s: %s", resp.Status, strings.TrimSpace(string(body)))
-}
-
-// retryAfter reads the header in seconds, or as a date.
-func retryAfter(text string) time.Duration {
-	var d time.Duration
-	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
-		d = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-	} else if at, err := http.ParseTime(text); err == nil {
-		d = time.Until(at)
-	}
-	return min(max(d, minRetryAfter), maxRetryAfter)
-}
-
 func objectPath(kind, name string) string {
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
