Tell why calls fail: a line and a counter for each reason, and carobctl explain

Cause: failures at the entry node had a line but no counter by reason; a slow call's line did not say where its time went; lines left out were told in the log only; budgets, attempts and queueing time had no metric. A line about an ejected instance named it under the key of the node that wrote it. Change: counters failures by reason, attempts, log_lines_lost and log_lines_left_out, histogram queued, gauge budget by service; fields spent and queued in the lines; carobctl explain ID prints a call's lines, the changes of belief around it and what follows. Tests: TestEveryReasonIsTold reads the reasons from the source and requires a line and a counter for each (before: no failures counter); TestFullLogDelaysNoCall refuses 5,000 calls on a log that nothing reads, in no time of the paused clock; TestExplain.

--- a/carobctl/apply.go
+++ b/carobctl/apply.go
@@ -80,7 +80,7 @@
 	var lines []string
 	code := 0
 	for _, e := range entries {
-		resp, err := call(c.app, false, c.app.client().Apply, &wire.ApplyRequest{Record: e.record, Force: c.Force, Check: true})
+		resp, err := ask(c.app, false, c.app.client().Apply, &wire.ApplyRequest{Record: e.record, Force: c.Force, Check: true})
 		if err != nil {
 			return err
 		}
@@ -134,7 +134,7 @@
 
 func (c *applyCommand) write(e entry) (*wire.Record, error) {
 	a := c.app
-	resp, err := call(a, true, a.client().Apply, &wire.ApplyRequest{Record: e.record, Force: c.Force})
+	resp, err := ask(a, true, a.client().Apply, &wire.ApplyRequest{Record: e.record, Force: c.Force})
 	if err != nil {
 		return nil, err
 	}
--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -25,9 +25,9 @@
 	return wireconnect.NewOperatorClient(direct, "http://"+a.Node)
 }
 
-// call makes one call to the node. A failed read is an exit; so is a failed
+// ask makes one call to the node. A failed read is an exit; so is a failed
 // write, which may have taken effect when its answer was lost.
-func call[Q, R any](a *app, write bool, method func(context.Context, *connect.Request[Q]) (*connect.Response[R], error), req *Q) (*R, error) {
+func ask[Q, R any](a *app, write bool, method func(context.Context, *connect.Request[Q]) (*connect.Response[R], error), req *Q) (*R, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
 	resp, err := method(ctx, connect.NewRequest(req))
@@ -55,7 +55,7 @@
 
 // present returns the record on the platform, or nil.
 func (a *app) present(key record.Key) (*wire.Record, error) {
-	resp, err := call(a, false, a.client().Get, &wire.GetRequest{Kind: key.Kind, Name: key.Name})
+	resp, err := ask(a, false, a.client().Get, &wire.GetRequest{Kind: key.Kind, Name: key.Name})
 	if err != nil || len(resp.GetRecords()) == 0 {
 		return nil, err
 	}
--- a/carobctl/complete.go
+++ b/carobctl/complete.go
@@ -63,7 +63,7 @@
 // Complete implements flags.Completer.
 func (recordName) Complete(match string) []flags.Completion {
 	a := &app{options: options{Node: completionNode, Timeout: completionTimeout}}
-	resp, err := call(a, false, a.client().Get, &wire.GetRequest{})
+	resp, err := ask(a, false, a.client().Get, &wire.GetRequest{})
 	if err != nil {
 		return nil
 	}
--- /dev/null
+++ b/carobctl/explain_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Lines of three failed calls, as nodes write them; some come with what a
+// collector puts before them.
+const (
+	refusedLog = `{"time":"2026-05-27T10:00:05.1Z","level":"INFO","msg":"backend server","instance":"b-1","domain":"b","part":"backend","service":"quotes","server":"i-1","slots":6,"seq":20,"leaving":true}
+{"time":"2026-05-27T10:00:06.2Z","level":"INFO","msg":"call refused","instance":"a-1","call":"78b7","path":"/q","service":"quotes","reason":"busy","ran":"no","route":"r","table":86,"left":890,"tried":["b-1","b-2"],"arrivals":0,"instances":6}
+{"time":"2026-05-27T10:00:06.3Z","level":"INFO","msg":"call refused","instance":"a-2","call":"other","path":"/q","service":"quotes","reason":"busy","ran":"no","tried":["b-3"]}
+{"time":"2026-05-27T10:00:06.4Z","level":"INFO","msg":"member lost","instance":"a-1","member":"b-9","members":9}
+`
+	lostLog = `  7.1 b-2 {"time":"2026-05-27T10:00:07.1Z","level":"INFO","msg":"gate failed","instance":"b-2","call":"5480","service":"quotes","server":"i-2","reason":"broken","ran":"unknown","detail":"reset by peer","queued":3,"took":27}
+  7.2 a-1 {"time":"2026-05-27T10:00:07.2Z","level":"INFO","msg":"call lost","instance":"a-1","call":"5480","path":"/q","service":"quotes","reason":"broken","ran":"unknown","route":"r","table":42,"left":2280,"tried":["b-2"],"arrivals":1,"instances":8}
+  9.0 b-2 {"time":"2026-05-27T10:00:08.9Z","level":"INFO","msg":"backend server lost","instance":"b-2","heard":2000}
+not a line of a node
+`
+	slowLog = `{"time":"2026-05-27T10:00:09Z","level":"INFO","msg":"call slow","instance":"a-1","call":"99aa","service":"quotes","took":700,"spent":600,"queued":450,"objective":300,"tried":["b-2"],"arrivals":1}
+`
+)
+
+// TestExplain tells from logs what became of calls.
+func TestExplain(t *testing.T) {
+	var load strings.Builder
+	for range fewRefusals {
+		load.WriteString(strings.ReplaceAll(refusedLog, "78b7", "another"))
+	}
+	for name, c := range map[string]struct {
+		id, log string
+		want    []string
+		not     []string
+		code    int
+	}{
+		"refused": {
+			id: "78b7", log: refusedLog,
+			want: []string{"no free slot", "has not run and never will", "leaving or stopping then: b-1"},
+			not:  []string{"other", "b-9", "more work than"},
+		},
+		"refused under load": {id: "78b7", log: load.String() + refusedLog, want: []string{"22 calls of the service were refused for load"}},
+		"outcome unknown": {
+			id: "5480", log: lostLog,
+			want: []string{"may have run", "b-2, beside the backend server, saw: the connection broke", "3 ms in the queue and 27 ms", "reset by peer", "lost then: b-2"},
+		},
+		"slow":          {id: "99aa", log: slowLog, want: []string{"450 ms in the queue of the last node, 150 ms at its server, 100 ms on the way", "nothing changed at a-1, b-2"}},
+		"only the gate": {id: "5480", log: strings.SplitAfter(lostLog, "\n")[0], want: []string{"no line about its end"}},
+		"unknown":       {id: "0000", log: lostLog, want: []string{"no line names call 0000 in 3 lines"}, code: exitRefused},
+		"as JSON":       {id: "5480", log: lostLog, want: []string{`"causes":["call lost (broken)`, `"beliefs":[{`}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "log")
+			require.NoError(t, os.WriteFile(path, []byte(c.log), 0o600))
+			args := []string{"explain", c.id, path}
+			if name == "as JSON" {
+				args = append([]string{"--json"}, args...)
+			}
+			for _, got := range []console{
+				carobctl("127.0.0.1:1", "", args...),
+				carobctl("127.0.0.1:1", c.log, args[:len(args)-1]...),
+			} {
+				require.Equal(t, c.code, got.code, got.err)
+				for _, want := range c.want {
+					require.Contains(t, got.out+got.err, want)
+				}
+				for _, not := range c.not {
+					require.NotContains(t, got.out, not)
+				}
+			}
+		})
+	}
+	require.Equal(t, exitUsage, carobctl("127.0.0.1:1", "", "explain", "1", "no-such-file").code)
+}
--- a/carobctl/main.go
+++ b/carobctl/main.go
@@ -129,6 +129,7 @@
 		{"delete", "Delete a record", deleteHelp, &deleteCommand{app: a}},
 		{"status", "Print what is in force and where", statusHelp, &statusCommand{app: a}},
 		{"members", "Print the instances and their backend servers", membersHelp, &membersCommand{app: a}},
+		{"explain", "Tell from logs what became of a call", explainHelp, &explainCommand{app: a}},
 		{"completion", "Print a script that completes names in bash", completionHelp, &completionCommand{app: a}},
 	}
 }
--- a/carobctl/read.go
+++ b/carobctl/read.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := call(c.app, false, c.app.client().Get, &wire.GetRequest{Kind: key.Kind, Name: key.Name, Schema: c.Schema})
+	resp, err := ask(c.app, false, c.app.client().Get, &wire.GetRequest{Kind: key.Kind, Name: key.Name, Schema: c.Schema})
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 		return exitf(exitUsage, "%s names no record; write KIND/NAME", c.Args.Record)
 	}
 	a := c.app
-	resp, err := call(a, true, a.client().Delete, &wire.DeleteRequest{Kind: key.Kind, Name: key.Name, Version: c.Version})
+	resp, err := ask(a, true, a.client().Delete, &wire.DeleteRequest{Kind: key.Kind, Name: key.Name, Version: c.Version})
 	if err != nil {
 		return err
 	}
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -32,7 +32,7 @@
 // Execute prints what is in force and where.
 func (c *statusCommand) Execute([]string) error {
 	a := c.app
-	m, err := call(a, false, a.client().Status, &wire.StatusRequest{})
+	m, err := ask(a, false, a.client().Status, &wire.StatusRequest{})
 	if err != nil {
 		return err
 	}
@@ -98,7 +98,7 @@
 		fmt.Fprintln(t, "INSTANCE\tDOMAIN\tREGION\tSTATE\tSERVICE\tSLOTS\tSERVER\tCALLS AT")
 	}
 	for after := ""; ; {
-		m, err := call(a, false, a.client().Members, &wire.MembersRequest{Service: c.Service, After: after})
+		m, err := ask(a, false, a.client().Members, &wire.MembersRequest{Service: c.Service, After: after})
 		if err != nil {
 			return err
 		}
--- a/carobctl/wait.go
+++ b/carobctl/wait.go
@@ -62,7 +62,7 @@
 	var status *wire.StatusResponse
 	accepted := true
 	for _, r := range records {
-		s, err := call(a, false, a.client().Status, &wire.StatusRequest{Kind: r.GetKind(), Name: r.GetName(), Version: r.GetVersion()})
+		s, err := ask(a, false, a.client().Status, &wire.StatusRequest{Kind: r.GetKind(), Name: r.GetName(), Version: r.GetVersion()})
 		if err != nil {
 			return p, err
 		}
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -59,13 +59,15 @@
 		return resp
 	}
 	start := time.Now()
+	queued := start.Sub(came)
+	g.metrics.queued.RecordDuration(queued)
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
 		g.leaveFailed(slot, failure)
 		done()
 		g.metrics.failed(failure.reason)
 		g.config.Sinks.Log.Info(telemetry.GateFailed, "call", id, "service", target.Service, "server", target.Server,
-			"reason", string(failure.reason), "ran", failure.outcome.String(), "detail", failure.detail, "took", time.Since(start).Milliseconds())
+			"reason", string(failure.reason), "ran", failure.outcome.String(), "detail", failure.detail, "queued", queued.Milliseconds(), "took", time.Since(start).Milliseconds())
 		return g.failure(id, failure)
 	}
 	call.Strip(resp.Header)
@@ -79,6 +81,9 @@
 		g.metrics.answered(time.Since(start))
 	})
 	g.mark(resp, id)
+	if wait := queued.Milliseconds(); wait > 0 {
+		resp.Header[call.HeaderQueued] = []string{strconv.FormatInt(wait, 10)}
+	}
 	resp.Header[call.HeaderSpent] = []string{strconv.FormatInt(time.Since(came).Milliseconds(), 10)}
 	return resp
 }
--- a/mesh/backend/report.go
+++ b/mesh/backend/report.go
@@ -21,6 +21,7 @@
 	answers tally.Counter
 	silence tally.Counter
 	work    tally.Histogram
+	queued  tally.Histogram // of admitted calls
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -29,6 +30,7 @@
 		answers: scope.Counter("answers"),
 		silence: scope.Counter("silent"),
 		work:    scope.Histogram("work", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
+		queued:  scope.Histogram("queued", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 	}
 }
 
--- a/mesh/call/budget.go
+++ b/mesh/call/budget.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// Left returns the extra attempts that the budget allows now.
+func (b *Budget) Left() int { return int(b.credit.Load() / extraCost) }
+
 // Take spends one extra attempt and tells whether the budget allowed it.
 func (b *Budget) Take() bool {
 	for {
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -150,6 +150,18 @@
 	return s
 }
 
+// Budgets returns the extra attempts that are left for each service that was
+// called.
+func (p *Proxy) Budgets() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := make(map[string]int, len(p.known.accounts))
+	for name, a := range p.known.accounts {
+		left[name] = a.retry.Left()
+	}
+	return left
+}
+
 // account returns the budgets of a service that is used for the first time.
 func (p *Proxy) account() *account {
 	a := &account{retry: call.NewBudget(), hedge: call.NewBudget()}
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -48,9 +48,11 @@
 	looks    int           // gates asked for a slot at once
 	backlog  time.Duration // that the last gate named
 	attempts int
-	arrivals int  // attempts that may have reached a backend server
-	waits    int  // gates asked to let the call wait
-	good     bool // the answer was a backend server's
+	arrivals int           // attempts that may have reached a backend server
+	waits    int           // gates asked to let the call wait
+	good     bool          // the answer was a backend server's
+	spentAt  time.Duration // the node that answered it
+	queuedAt time.Duration
 }
 
 // result is what became of an attempt.
@@ -59,6 +61,10 @@
 	resp     *http.Response // of an answer, which may be the backend server's own refusal
 	reason   call.Reason    // empty when the attempt succeeded
 	outcome  call.Outcome
+
+	timed  bool          // the node beside the backend server told the times below
+	spent  time.Duration // there, until the answer began
+	queued time.Duration // of that, until it had a slot
 }
 
 func (r *result) close() {
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -21,13 +21,15 @@
 	scope                      tally.Scope
 	outcomes                   [call.Answered + 1]tally.Counter
 	retries, hedges, ejections tally.Counter
+	attempts                   tally.Counter
 	latency                    tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		scope: scope, retries: scope.Counter("retries"), hedges: scope.Counter("hedges"), ejections: scope.Counter("ejections"),
-		latency: scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
+		attempts: scope.Counter("attempts"),
+		latency:  scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 	}
 	for _, o := range []call.Outcome{call.Unknown, call.NotRun, call.Answered} {
 		m.outcomes[o] = scope.Tagged(map[string]string{"ran": o.String()}).Counter("calls")
@@ -38,16 +40,29 @@
 // refused counts a call that was not run.
 func (m *metrics) refused(reason call.Reason) {
 	m.outcomes[call.NotRun].Inc(1)
-	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refusals").Inc(1)
+	m.count("refusals", reason)
+}
+
+// failed counts a call that may have run and was not answered well.
+func (m *metrics) failed(reason call.Reason, outcome call.Outcome) {
+	m.outcomes[outcome].Inc(1)
+	m.count("failures", reason)
+}
+
+func (m *metrics) count(name string, reason call.Reason) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter(name).Inc(1)
 }
 
 // report counts what became of a call and ends its span's story.
 func (x *exchange) report(last *result) {
 	m := x.proxy.metrics
-	if last.reason == "" || last.outcome != call.NotRun {
+	switch {
+	case last.reason == "":
 		m.outcomes[last.outcome].Inc(1)
-	} else {
+	case last.outcome == call.NotRun:
 		m.refused(last.reason)
+	default:
+		m.failed(last.reason, last.outcome)
 	}
 	x.logEnd(last)
 	if !x.span.IsRecording() {
@@ -63,7 +78,7 @@
 func (x *exchange) logEnd(last *result) {
 	switch {
 	case last.reason == "":
-		x.good = true
+		x.good, x.spentAt, x.queuedAt = true, last.spent, last.queued
 	case x.r.Context().Err() != nil:
 		x.log(telemetry.CallGone, "reason", string(last.reason), "ran", last.outcome.String())
 	case last.outcome == call.NotRun:
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -31,6 +31,7 @@
 // another, but may be sent at the same time.
 func (x *exchange) prepared(ctx context.Context, i *call.Instance) *attemptRequest {
 	x.attempts++
+	x.proxy.metrics.attempts.Inc(1)
 	a := &attemptRequest{exchange: x, instance: i}
 	if x.transport(i) != x.proxy.config.Own {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -68,8 +69,8 @@
 			a.onWay(time.Since(start))
 			return broken
 		}
-		if spent, ok := call.ParseLeft(resp.Header.Get(call.HeaderSpent)); ok {
-			a.onWay(time.Since(start) - spent)
+		if res.timed {
+			a.onWay(time.Since(start) - res.spent)
 		}
 	}
 	return res
@@ -126,7 +127,7 @@
 func (x *exchange) answered(i *call.Instance, resp *http.Response, took time.Duration, now time.Time) *result {
 	if got := resp.Header.Get(call.HeaderID); got != x.id {
 		_ = resp.Body.Close()
-		x.proxy.config.Sinks.Log.Error("crossed answer", "call", x.id, "answer", got, "instance", i.Name)
+		x.proxy.config.Sinks.Log.Error("crossed answer", "call", x.id, "answer", got, "member", i.Name)
 		return &result{instance: i, reason: call.Crossed, outcome: call.Unknown}
 	}
 	if load, ok := call.ParseReport(resp.Header.Get(call.HeaderLoad)); ok {
@@ -144,6 +145,8 @@
 		x.service.slow.Add(took)
 	}
 	res := &result{instance: i, resp: resp, outcome: call.Answered}
+	res.spent, res.timed = call.ParseLeft(resp.Header.Get(call.HeaderSpent))
+	res.queued, _ = call.ParseLeft(resp.Header.Get(call.HeaderQueued))
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		res.reason = call.Shed
 	}
@@ -168,7 +171,7 @@
 func (x *exchange) judge(res *result, good bool, now time.Time) {
 	if x.service.choice.Judge(res.instance, good, now) {
 		x.proxy.metrics.ejections.Inc(1)
-		x.proxy.config.Sinks.Log.Warn("instance ejected", "instance", res.instance.Name, "reason", string(res.reason))
+		x.proxy.config.Sinks.Log.Warn("instance ejected", "member", res.instance.Name, "reason", string(res.reason))
 	}
 }
 
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -117,6 +117,9 @@
 	}
 	report := n.Spread.Subtree()
 	s.gauge("laggards", float64(len(report.GetLaggards())+int(report.GetMore())))
+	for service, left := range n.Proxy.Budgets() {
+		s.scope.Tagged(map[string]string{"service": service}).Gauge("budget").Update(float64(left))
+	}
 	s.members()
 	s.traffic()
 }
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -55,17 +55,17 @@
 	}
 	p := &process{config: config, settings: s, level: new(slog.LevelVar)}
 	p.level.Set(telemetry.ParseLevel(s.GetLog().GetLevel()))
-	queue := telemetry.NewQueue(out)
+	metrics := telemetry.NewMetrics()
+	defer metrics.Close()
+	queue := telemetry.NewQueue(out, metrics.Scope.Counter("log_lines_lost"))
 	defer queue.Close()
-	log := telemetry.Log(queue, p.level)
+	log := telemetry.Log(queue, p.level, metrics.Scope.Counter("log_lines_left_out"))
 	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
 	p.log = log.With("instance", instance, "domain", domain)
 	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, instance, domain)
 	if err != nil {
 		return err
 	}
-	metrics := telemetry.NewMetrics()
-	defer metrics.Close()
 	n, err := node.On(config.Platform, s, telemetry.Sinks{
 		Log: log, Scope: metrics.Scope, Metrics: metrics.Handler(), Tracer: traces.Tracer,
 	})
--- a/mesh/telemetry/limit.go
+++ b/mesh/telemetry/limit.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // LimiterConfig configures a Limiter. Zero fields take their defaults.
@@ -16,6 +18,7 @@
 	Interval time.Duration  // 10 s when zero
 	Messages int            // messages told apart, 256 when zero
 	Bursts   map[string]int // by message, in place of Burst
+	Left     tally.Counter  // of lines left out; may be nil
 }
 
 // Limiter is a slog.Handler that passes the first lines of a message in each
@@ -62,6 +65,9 @@
 	if config.Messages == 0 {
 		config.Messages = 256
 	}
+	if config.Left == nil {
+		config.Left = tally.NoopScope.Counter("")
+	}
 	return &Limiter{next: next, all: &limits{config: config, open: map[message]*window{}}}
 }
 
@@ -111,6 +117,7 @@
 		return true
 	}
 	w.dropped++
+	s.config.Left.Inc(1)
 	w.last, w.next = r.Clone(), next
 	return false
 }
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -6,6 +6,8 @@
 	"context"
 	"io"
 	"log/slog"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // partKey is the attribute that names a part of the node.
@@ -35,10 +37,10 @@
 
 // Log returns a logger that writes JSON lines from a level up. The level may
 // change while the logger is in use. Events that repeat are counted, as
-// [Limiter] says.
-func Log(w io.Writer, level slog.Leveler) *slog.Logger {
+// [Limiter] says, and all lines left out in a counter, which may be nil.
+func Log(w io.Writer, level slog.Leveler, left tally.Counter) *slog.Logger {
 	json := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
-	return slog.New(NewLimiter(json, LimiterConfig{Bursts: beliefBursts}))
+	return slog.New(NewLimiter(json, LimiterConfig{Bursts: beliefBursts, Left: left}))
 }
 
 // ParseLevel returns the level that a word of the settings names, or info.
--- a/mesh/telemetry/queue.go
+++ b/mesh/telemetry/queue.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // queueLines bounds the lines that wait to be written: a second of the most
@@ -18,16 +20,18 @@
 // beyond it are counted in place of written. A line with the count follows once
 // there is room.
 type Queue struct {
-	lines   chan []byte // never closed: parts that end late may still write
-	dropped atomic.Int64
+	lines   chan []byte   // never closed: parts that end late may still write
+	dropped atomic.Int64  // since the last line that told of it
+	lost    tally.Counter // all of them
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
-// NewQueue returns a queue in front of a writer. Close writes what waits.
-func NewQueue(w io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
+// NewQueue returns a queue in front of a writer, which counts the lines that are
+// lost. Close writes what waits.
+func NewQueue(w io.Writer, lost tally.Counter) *Queue {
+	q := &Queue{lines: make(chan []byte, queueLines), lost: lost, stop: make(chan struct{}), done: make(chan struct{})}
 	go q.run(w)
 	return q
 }
@@ -61,6 +65,7 @@
 	case q.lines <- append([]byte(nil), line...):
 	default:
 		q.dropped.Add(1)
+		q.lost.Inc(1)
 	}
 	return len(line), nil
 }
--- a/mesh/telemetry/queue_test.go
+++ b/mesh/telemetry/queue_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 // stuck is a writer that blocks until it is released.
@@ -30,7 +31,8 @@
 func TestQueueNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &stuck{release: make(chan struct{})}
-		q := NewQueue(w)
+		lost := tally.NewTestScope("", nil)
+		q := NewQueue(w, lost.Counter("lost"))
 		start := time.Now()
 		for range queueLines + 100 {
 			n, err := q.Write([]byte("line\n"))
@@ -44,6 +46,7 @@
 		require.GreaterOrEqual(t, lines, queueLines)
 		require.Less(t, lines, queueLines+100)
 		require.Contains(t, w.String(), `"log lines lost"`)
+		require.EqualValues(t, queueLines+100-lines, lost.Snapshot().Counters()["lost+"].Value())
 		_, err := q.Write([]byte("late\n"))
 		require.NoError(t, err, "a part that ends late does no harm")
 	})
@@ -53,13 +56,15 @@
 func TestLimiterLetsCallsThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		log := Log(&out, nil)
+		left := tally.NewTestScope("", nil)
+		log := Log(&out, nil, left.Counter("left"))
 		for range 3 * callLines {
 			log.Info(CallRefused, "call", "x")
 			log.Info("other")
 		}
 		require.Equal(t, callLines, strings.Count(out.String(), CallRefused))
 		require.Equal(t, 5, strings.Count(out.String(), "other"))
+		require.EqualValues(t, 2*callLines+3*callLines-5, left.Snapshot().Counters()["left+"].Value())
 		time.Sleep(time.Minute)
 	})
 }
--- a/mesh/telemetry/sinks.go
+++ b/mesh/telemetry/sinks.go
@@ -10,7 +10,7 @@
 //	}
 //	defer traces.Close(ctx)
 //	n, err := node.New(settings, telemetry.Sinks{
-//		Log: telemetry.Log(os.Stderr, &level), Scope: metrics.Scope,
+//		Log: telemetry.Log(os.Stderr, &level, nil), Scope: metrics.Scope,
 //		Metrics: metrics.Handler(), Tracer: traces.Tracer,
 //	})
 package telemetry
