--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -82,40 +82,25 @@
 // circumstances names what happened at the nodes concerned, or how much else
 // was refused.
 func (s *story) circumstances(end logLine, lines []logLine, from, to time.Time) []string {
-	var left, lost, restarted, ejected []string
-	for _, l := range s.Beliefs {
-		switch {
-		case l.Message == "backend server" && l.Leaving, l.Message == "stopping":
-			left = append(left, l.Instance)
-		case l.Message == "backend server lost":
-			lost = append(lost, l.Instance)
-		case l.Message == "member lost":
-			lost = append(lost, l.Member)
-		case l.Message == "started":
-			restarted = append(restarted, l.Instance)
-		case l.Message == "instance ejected":
-			ejected = append(ejected, l.Member)
-		}
-	}
 	var out []string
 	for _, one := range []struct {
-		what  string
-		names []string
+		what string
+		who  func(logLine) string // empty for a line that does not tell of it
 	}{
-		{"leaving or stopping then", left}, {"lost then", lost}, {"started then", restarted}, {"ejected for failures", ejected},
+		{"leaving or stopping then", leaving}, {"lost then", lost},
+		{"started then", by("started", logLine.instance)}, {"ejected for failures", by("instance ejected", logLine.member)},
 	} {
-		if len(one.names) > 0 {
-			out = append(out, one.what+": "+quote(one.names))
+		var names []string
+		for _, l := range s.Beliefs {
+			if name := one.who(l); name != "" {
+				names = append(names, name)
+			}
 		}
-	}
-	refused := 0
-	for _, l := range lines {
-		load := l.Reason == string(call.Busy) || l.Reason == string(call.Late)
-		if l.Message == telemetry.CallRefused && load && l.All["service"] == end.All["service"] && !l.Time.Before(from) && !l.Time.After(to) {
-			refused++
+		if len(names) > 0 {
+			out = append(out, one.what+": "+quote(names))
 		}
 	}
-	if refused >= fewRefusals {
+	if refused := refusedForLoad(end, lines, from, to); refused >= fewRefusals {
 		out = append(out, fmt.Sprintf("%d calls of the service were refused for load between %s and %s: more work than its servers can take",
 			refused, from.Format("15:04:05"), to.Format("15:04:05")))
 	}
@@ -125,6 +110,51 @@
 	return out
 }
 
+func (l logLine) instance() string { return l.Instance }
+
+func (l logLine) member() string { return l.Member }
+
+// by returns a function that names a node for lines with a message.
+func by(message string, who func(logLine) string) func(logLine) string {
+	return func(l logLine) string {
+		if l.Message != message {
+			return ""
+		}
+		return who(l)
+	}
+}
+
+// leaving returns the node whose backend server leaves, or that stops.
+func leaving(l logLine) string {
+	if l.Message == "backend server" && l.Leaving || l.Message == "stopping" {
+		return l.Instance
+	}
+	return ""
+}
+
+// lost returns the node that was lost, or whose backend server was.
+func lost(l logLine) string {
+	switch l.Message {
+	case "backend server lost":
+		return l.Instance
+	case "member lost":
+		return l.Member
+	}
+	return ""
+}
+
+// refusedForLoad counts the calls of the same service that gates turned away.
+func refusedForLoad(end logLine, lines []logLine, from, to time.Time) int {
+	n := 0
+	for _, l := range lines {
+		load := l.Reason == string(call.Busy) || l.Reason == string(call.Late)
+		if l.Message == telemetry.CallRefused && load && l.All["service"] == end.All["service"] && !l.Time.Before(from) && !l.Time.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // nodes returns the instances that the call's lines name.
 func (s *story) nodes() []string {
 	var out []string
