Let most nodes watch the configuration four times as long

Every node watched for 2.5 s, so that it would notice a silent watch by itself within the bound for configurations. Ruled out: fewer watchers and pushes down the tree (a configuration of 1,600 routes to 16 children takes seconds on a link of 5 Mbit/s); a read by all at a heartbeat's news (news needs several beats to reach 78 nodes). Change: the readers of each failure domain watch for 2.5 s as before, the others for 10 s. A node that hears from a peer of a newer number than its own for 0.3 s ends its watch and reads the object on another connection. Test: TestSourceHearsOfPeers.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -65,6 +65,8 @@
 	servers   []*http.Server
 	stopping  atomic.Bool
 	wasReady  atomic.Bool
+	newest    atomic.Uint64 // configuration that a peer holds
+	news      chan struct{} // tells that a peer holds a newer one
 }
 
 // listeners are a node's open ports.
@@ -83,7 +85,7 @@
 
 // On is New for a platform with a protocol of its own.
 func On(p *Platform, s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
-	n := &Node{settings: s, Holder: &revision.Holder{}, platform: p}
+	n := &Node{settings: s, Holder: &revision.Holder{}, platform: p, news: make(chan struct{}, 1)}
 	n.sinks = sinks.OrDiscard()
 	n.sinks.Log = telemetry.WithRevision(n.sinks.Log, func() uint64 { return n.Holder.Table().Number }).
 		With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
@@ -181,8 +183,11 @@
 // carrier lets heartbeats carry the revision in force.
 type carrier struct{ node *Node }
 
-func (c carrier) Number() uint64                   { return c.node.Spread.Number() }
-func (c carrier) Heard(name string, number uint64) { c.node.Spread.Heard(name, number) }
+func (c carrier) Number() uint64 { return c.node.Spread.Number() }
+func (c carrier) Heard(name string, number uint64) {
+	c.node.Spread.Heard(name, number)
+	c.node.heard(number)
+}
 
 // head returns the newest revision on the platform after the one given.
 func (n *Node) head(ctx context.Context, after uint64) (uint64, error) {
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"caroblift.dev/mesh/backend"
 	"caroblift.dev/mesh/caller"
@@ -48,6 +49,30 @@
 	return len(n.Members.View().Names) <= maxWatchers || n.Spread.Reader()
 }
 
+// calmWaits is how much longer than a reader's the watches of other nodes wait.
+// A watch that has gone silent is noticed by what peers hold, so that only the
+// readers of each failure domain must notice it by themselves.
+const calmWaits = 4
+
+// heard takes the number of a configuration that a peer holds.
+func (n *Node) heard(number uint64) {
+	for old := n.newest.Load(); number > old; old = n.newest.Load() {
+		if n.newest.CompareAndSwap(old, number) {
+			break
+		}
+	}
+	if !n.behind() {
+		return
+	}
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
+// behind tells whether a peer holds a newer configuration.
+func (n *Node) behind() bool { return n.newest.Load() > n.Holder.Table().Number }
+
 // confirmer is what reads the platform.
 type confirmer interface {
 	Checked() int64 // when the platform last confirmed the head, Unix ms; 0 for never
@@ -61,7 +86,13 @@
 func (n *Node) assembleSource(p *Platform) {
 	s := n.settings.GetPlatform()
 	n.reads = store.NewSource(store.SourceConfig{
-		Store: n.store, Poll: n.poll, Place: p.Place, Active: n.watches, Wait: ms(s.GetWait()),
+		Store: n.store, Poll: n.poll, Place: p.Place, Active: n.watches, News: n.news, Behind: n.behind,
+		Wait: func() time.Duration {
+			if n.Spread.Reader() {
+				return ms(s.GetWait())
+			}
+			return calmWaits * ms(s.GetWait())
+		},
 		Deliver: func(snapshot *wire.Snapshot) error { return n.Spread.Current(snapshot) }, Sinks: n.sinks.Sub("platform"),
 	})
 }
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -22,22 +22,25 @@
 	Decode func(Object) (*wire.Snapshot, error)
 }
 
-// SourceConfig configures a Source. Every field but Sinks is required.
+// SourceConfig configures a Source. Every field up to Wait is required.
 type SourceConfig struct {
 	Store   Store
 	Poll    Store // on connections of its own, since a watch can go silent
 	Place   Place
 	Active  func() bool                // whether this node reads the store now
 	Deliver func(*wire.Snapshot) error // takes what was just read; an error is logged
-	Wait    time.Duration              // of one watch
+	Wait    func() time.Duration       // of the next watch
+	News    <-chan struct{}            // tells that peers may hold a newer version
+	Behind  func() bool                // whether they do
 	Sinks   telemetry.Sinks
 }
 
 // Source hands each version of a configuration from the store to its node. It
 // watches the object and does not rely on the watch alone: one that ends
 // without events although the store has changed, that fails, or whose history
-// is gone is followed by a plain read on another connection. It costs one call
-// for each wait.
+// is gone is followed by a plain read on another connection, and so is one that
+// has told nothing while a peer holds a newer version. It costs one call for
+// each wait.
 type Source struct {
 	config  SourceConfig
 	checked atomic.Int64
@@ -102,7 +105,7 @@
 	o, err := s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name)
 	if errors.Is(err, ErrNotFound) {
 		s.settle()
-		pause(ctx, s.config.Wait/4) // the operator has written nothing yet
+		pause(ctx, s.config.Wait()/4) // the operator has written nothing yet
 		return nil
 	}
 	if err != nil {
@@ -111,11 +114,12 @@
 	s.deliver(o)
 	answered()
 	for from, quiet := o.Version, 0; ctx.Err() == nil && s.config.Active(); {
-		objs, next, err := s.config.Store.Watch(ctx, s.config.Place.Kind, from, s.config.Wait)
-		if err != nil {
+		objs, next, err := s.watch(ctx, from)
+		behind := errors.Is(err, errOvertaken)
+		if err != nil && !behind {
 			return errors.Wrap(err, "watch configuration")
 		}
-		if quiet++; len(objs) > 0 || next > from || quiet == quietWatches {
+		if quiet++; behind || len(objs) > 0 || next > from || quiet == quietWatches {
 			quiet = 0
 			if err := s.changed(ctx, objs); err != nil {
 				return err
@@ -127,6 +131,48 @@
 	return nil
 }
 
+// errOvertaken ends a watch that has missed a change.
+var errOvertaken = errors.New("a peer holds a newer version")
+
+// newsGrace is how long a watch may take to tell of a version that a peer holds
+// already: the fleet's watches are answered within some ms of each other.
+const newsGrace = 300 * time.Millisecond
+
+// watch waits for changes. It ends with errOvertaken when a peer holds a newer
+// version that it has not told of.
+func (s *Source) watch(ctx context.Context, from uint64) ([]Object, uint64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if s.config.News != nil {
+		go s.compare(ctx, cancel)
+	}
+	objs, next, err := s.config.Store.Watch(ctx, s.config.Place.Kind, from, s.config.Wait())
+	if err != nil && errors.Is(context.Cause(ctx), errOvertaken) {
+		return nil, from, errOvertaken
+	}
+	return objs, next, err
+}
+
+// compare ends a watch when peers go ahead of it.
+func (s *Source) compare(ctx context.Context, end context.CancelCauseFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.config.News:
+		}
+		if !s.config.Behind() {
+			continue
+		}
+		pause(ctx, newsGrace)
+		if ctx.Err() == nil && s.config.Behind() {
+			s.config.Sinks.Log.Info("watch missed a change", "version", s.version)
+			end(errOvertaken)
+			return
+		}
+	}
+}
+
 // changed takes what a watch told. When that is nothing although the store has
 // changed, or for long, the watch may be silent, and the object is read beside
 // it.
--- a/mesh/store/source_test.go
+++ b/mesh/store/source_test.go
@@ -22,6 +22,8 @@
 	source   *store.Source
 	got      []uint64
 	object   store.Object
+	news     chan struct{}
+	peers    uint64 // newest version that peers hold
 }
 
 // watchWait is how long a watch waits.
@@ -29,10 +31,11 @@
 
 // newFollowed starts a source in the bubble of a test.
 func newFollowed(t *testing.T) *followed {
-	f := &followed{platform: storetest.New()}
+	f := &followed{platform: storetest.New(), news: make(chan struct{}, 1)}
 	f.watch = f.platform.Conn(500 * time.Millisecond)
 	f.source = store.NewSource(store.SourceConfig{
-		Store: f.watch, Poll: f.platform.Conn(500 * time.Millisecond), Active: func() bool { return true }, Wait: watchWait,
+		Store: f.watch, Poll: f.platform.Conn(500 * time.Millisecond), Active: func() bool { return true }, Wait: func() time.Duration { return watchWait },
+		News: f.news, Behind: func() bool { return f.peers > f.last() },
 		Place: store.Place{Kind: "setup", Name: "whole", Decode: func(o store.Object) (*wire.Snapshot, error) {
 			number, err := strconv.ParseUint(string(o.Body), 10, 64)
 			return &wire.Snapshot{Number: number}, errors.Wrap(err, "body")
@@ -105,6 +108,35 @@
 	}
 }
 
+// TestSourceHearsOfPeers reads beside a watch that hears nothing as soon as a
+// peer holds a newer version, and not while the watch is merely a little later
+// than the peer's.
+func TestSourceHearsOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowed(t)
+		f.write(t, "3")
+		time.Sleep(time.Second)
+		hear := func(number uint64) {
+			f.peers = number
+			f.news <- struct{}{}
+		}
+		before := f.platform.Calls()["get"]
+		hear(5)
+		time.Sleep(100 * time.Millisecond)
+		f.write(t, "5")
+		time.Sleep(time.Second)
+		require.EqualValues(t, 5, f.last())
+		require.Equal(t, before, f.platform.Calls()["get"], "the watch told of it")
+		f.platform.Set(storetest.Faults{Silent: true})
+		f.write(t, "8")
+		time.Sleep(200 * time.Millisecond)
+		require.EqualValues(t, 5, f.last())
+		hear(8)
+		time.Sleep(500 * time.Millisecond)
+		require.EqualValues(t, 8, f.last())
+	})
+}
+
 // TestSourceOutage calls a store that is away seldom, and is up to date soon
 // after it is back.
 func TestSourceOutage(t *testing.T) {
