Send large answers one after the other, below the rate of the link

Cause: on the grown sites the nodes beside the called service have links of 5 or 10 Mbit/s, and downloads offer 103% of what these carry. Downloads filled the queue at the link; the quick calls of backend servers to the same node took 200 to 400 ms on the way (spent 20 to 100 ms, by the lines of slow calls), past their objective of 200 ms and at last their deadline; calls that needed them failed with 500, connections between nodes were given up as silent. Ruled out: compression of the hop (answers are random bytes: 111,055 deflate to 111,070); processors (0.016 cores in the mean). Change: call.Link gives large answers to other nodes one turn after the other at 80% of the link's rate (settings: instance.link), refuses calls whose answer would be sent after their objective, and is told to entry nodes with each answer, which place downloads by it. The gate reads large answers whole first, so that the server is free. A first form let downloads wait for a part of the time beyond their objective, as for slots; TestLinkOverload showed that with a standing queue all answers were late, so there is no grace here. Tests: TestLinkTurns, TestLinkOverload, TestLinkSparesLocal, TestLinkUnknown, TestPlaceByLink, TestTurn.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -24,7 +24,7 @@
 	if r.ContentLength != 0 {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	resp := g.run(r, r.Header)
+	resp := g.run(r, r.Header, true)
 	defer resp.Body.Close()
 	hop.Copy(w, resp)
 }
@@ -33,11 +33,12 @@
 // header as it is. The answer is the same as another node would get; the error
 // is always nil.
 func (g *Gate) RoundTrip(r *http.Request) (*http.Response, error) {
-	return g.run(r, r.Header.Clone()), nil
+	return g.run(r, r.Header.Clone(), false), nil
 }
 
-// run admits a call and hands it over. It owns the header.
-func (g *Gate) run(r *http.Request, header http.Header) *http.Response {
+// run admits a call and hands it over. It owns the header. remote tells that the
+// answer goes to another node.
+func (g *Gate) run(r *http.Request, header http.Header, remote bool) *http.Response {
 	id := header.Get(call.HeaderID)
 	entry, came := g.calls.Begin(id), time.Now()
 	ctx, cancel := r.Context(), context.CancelFunc(func() {})
@@ -50,12 +51,13 @@
 		span.End()
 		g.calls.End(entry)
 	}
-	target, slot, reason := g.enter(ctx, header)
+	target, slot, reason := g.enter(ctx, header, remote)
 	if target == nil {
 		done()
 		g.metrics.refused(reason)
 		resp := g.refusal(id, reason)
-		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.backlog().Milliseconds(), 10)}
+		class := call.ParseDemand(header.Get(call.HeaderDemand), time.Now()).Class
+		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.backlog(class).Milliseconds(), 10)}
 		return resp
 	}
 	start := time.Now()
@@ -77,14 +79,22 @@
 			err = io.EOF
 		}
 		g.leaveAnswered(slot, resp.StatusCode, err, ctx.Err() != nil)
-		done()
 		g.metrics.answered(time.Since(start))
 	})
+	turn := time.Duration(0)
+	if remote && g.link != nil {
+		var err error
+		if turn, err = g.turn(ctx, resp, slot.Class); err != nil {
+			defer done()
+			return g.failure(id, g.classify(ctx, err))
+		}
+	}
+	resp.Body = hop.OnDone(resp.Body, func(error) { done() })
 	g.mark(resp, id)
 	if wait := queued.Milliseconds(); wait > 0 {
 		resp.Header[call.HeaderQueued] = []string{strconv.FormatInt(wait, 10)}
 	}
-	resp.Header[call.HeaderSpent] = []string{strconv.FormatInt(time.Since(came).Milliseconds(), 10)}
+	resp.Header[call.HeaderSpent] = []string{strconv.FormatInt((time.Since(came) + turn).Milliseconds(), 10)}
 	return resp
 }
 
@@ -119,8 +129,11 @@
 
 // mark sets what every answer of a node carries.
 func (g *Gate) mark(resp *http.Response, id string) {
-	report, _ := g.load()
+	report, link, _ := g.load()
 	resp.Header[call.HeaderID] = []string{id}
+	if wait := link.Milliseconds(); wait > 0 {
+		resp.Header[call.HeaderLink] = []string{strconv.FormatInt(wait, 10)}
+	}
 	resp.Header[call.HeaderLoad] = []string{report.String()}
 }
 
@@ -161,7 +174,7 @@
 	if !f.repeat || g.config.Dialect != nil {
 		return g.result(ctx, g.reuse, f.out)
 	}
-	_, work := g.load()
+	_, _, work := g.load()
 	f.watch(max(g.config.Silent, silentWorks*work))
 	resp, failure := g.result(ctx, g.reuse, f.out)
 	if f.settle() {
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -42,6 +42,7 @@
 	// more may be sent is the entry node's decision.
 	Dialect Dialect
 	Warmup  time.Duration // of slow start where the policy names none; less than zero means none
+	Link    float64       // rate of the link to other nodes in bytes/s; zero means that it never binds
 	Sinks   telemetry.Sinks
 }
 
@@ -57,6 +58,7 @@
 
 	mu        sync.Mutex // held for one decision at a time
 	admission call.Admission
+	link      *call.Link
 	draining  bool
 }
 
@@ -80,7 +82,8 @@
 	if config.Settle <= 0 {
 		config.Settle = defaultSettle
 	}
-	g := &Gate{config: config, calls: hop.NewCalls(), metrics: newMetrics(config.Sinks.Scope)}
+	g := &Gate{config: config, calls: hop.NewCalls(), metrics: newMetrics(config.Sinks.Scope), link: call.NewLink(config.Link)}
+	g.admission.Through(g.link)
 	g.reuse = &http.Transport{
 		DialContext: hop.Dialer(config.Silent).DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxServerConns, MaxConnsPerHost: maxServerConns, IdleConnTimeout: idleConn,
@@ -152,12 +155,15 @@
 
 // enter takes a slot for a call of a service, waiting in the queue if need be.
 // It returns the backend server and the slot, or why the call was not admitted.
-func (g *Gate) enter(ctx context.Context, header http.Header) (*Target, *call.Waiter, call.Reason) {
+func (g *Gate) enter(ctx context.Context, header http.Header, remote bool) (*Target, *call.Waiter, call.Reason) {
 	t := g.target.Load()
 	if t == nil || t.Service != header.Get(call.HeaderService) {
 		return nil, nil, call.NoServer
 	}
 	w := &call.Waiter{}
+	if remote {
+		w.Remote()
+	}
 	w.Deadline, _ = ctx.Deadline()
 	if demand := header.Get(call.HeaderDemand); demand != "" {
 		w.Demand = call.ParseDemand(demand, time.Now())
@@ -234,16 +240,20 @@
 	g.admission.Judge(good, time.Now())
 }
 
-// backlog returns how long a new call would wait.
-func (g *Gate) backlog() time.Duration {
+// backlog returns how long a new call of a class would wait for a slot, or its
+// answer for the link.
+func (g *Gate) backlog(class string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admission.Backlog(time.Now())
+	now := time.Now()
+	return max(g.admission.Backlog(now), g.link.Expected(class, now))
 }
 
-// load returns the load as answers carry it, and the average duration of calls.
-func (g *Gate) load() (call.Report, time.Duration) {
+// load returns the load as answers carry it, how long another large answer
+// would wait for the link, and the average duration of calls.
+func (g *Gate) load() (report call.Report, link, work time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admission.Report(time.Now()), g.admission.Work()
+	now := time.Now()
+	return g.admission.Report(now), g.link.Backlog(now), g.admission.Work()
 }
--- /dev/null
+++ b/mesh/backend/link.go
@@ -0,0 +1,95 @@
+package backend
+
+// This file sends large answers to other nodes one after the other, below the
+// rate of the instance's link.
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
+)
+
+const (
+	// heldAnswer is the largest answer that is read before it is sent, in bytes.
+	// The backend server is free for the next call meanwhile. Longer ones are
+	// rare, and their callers read them piece by piece.
+	heldAnswer = 1 << 20
+	// pacedPiece is what is sent at once, in bytes: small answers wait for one
+	// at most, 25 ms on a link of 5 Mbit/s.
+	pacedPiece = 16 << 10
+)
+
+// turn reads a large answer to another node whole, gives it its turn on the
+// link and returns how long it waits for that. It returns an error when the
+// answer broke off.
+func (g *Gate) turn(ctx context.Context, resp *http.Response, class string) (time.Duration, error) {
+	size := resp.ContentLength
+	g.mu.Lock()
+	g.link.Learn(class, size)
+	g.mu.Unlock()
+	if size < call.LargeAnswer || size > heldAnswer {
+		return 0, nil
+	}
+	if err := hop.Whole(resp, heldAnswer); err != nil {
+		return 0, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	start, each := g.link.Reserve(size, now)
+	resp.Body = &paced{ReadCloser: resp.Body, ctx: ctx, start: start, each: each, left: size, back: g.giveBack}
+	return start.Sub(now), nil
+}
+
+// giveBack returns what was reserved on the link and not sent.
+func (g *Gate) giveBack(bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.link.Return(bytes)
+}
+
+// paced is a body that is read no sooner than its turn on the link allows.
+type paced struct {
+	io.ReadCloser
+	ctx   context.Context
+	start time.Time // of the turn
+	each  float64   // seconds that one byte takes
+	sent  int64
+	left  int64
+	back  func(bytes int64)
+}
+
+// Read waits until the next piece may be sent. It fails when the call ends
+// first.
+func (p *paced) Read(into []byte) (int, error) {
+	if len(into) > pacedPiece {
+		into = into[:pacedPiece]
+	}
+	due := p.start.Add(time.Duration(float64(p.sent) * p.each * float64(time.Second)))
+	if wait := time.Until(due); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-p.ctx.Done():
+			return 0, p.ctx.Err()
+		case <-timer.C:
+		}
+	}
+	n, err := p.ReadCloser.Read(into)
+	p.sent += int64(n)
+	p.left -= int64(n)
+	return n, err
+}
+
+// Close gives back what is left of the turn.
+func (p *paced) Close() error {
+	if p.left > 0 {
+		p.back(p.left)
+		p.left = 0
+	}
+	return p.ReadCloser.Close()
+}
--- /dev/null
+++ b/mesh/backend/link_test.go
@@ -0,0 +1,55 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestTurn sends two large answers one after the other at the rate of the link,
+// a small one at once, and gives back the turn of one that is given up.
+func TestTurn(t *testing.T) {
+	const size = 160_000
+	answer := func(size int) *http.Response {
+		return &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, size))), ContentLength: int64(size)}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(GateConfig{Link: 1e6})
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		first, second, small, third := answer(size), answer(size), answer(100), answer(size)
+		for _, one := range []struct {
+			resp *http.Response
+			wait time.Duration
+		}{{first, 0}, {second, 200 * time.Millisecond}, {small, 0}, {third, 400 * time.Millisecond}} {
+			wait, err := g.turn(ctx, one.resp, "class")
+			require.NoError(t, err)
+			require.Equal(t, one.wait, wait)
+		}
+		_, _, _ = g.load()
+		read := func(resp *http.Response) time.Duration {
+			data, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Len(t, data, int(resp.ContentLength))
+			require.NoError(t, resp.Body.Close())
+			return time.Since(start)
+		}
+		require.Zero(t, read(small))
+		require.InDelta(t, 0.2, read(first).Seconds(), 0.03)
+		require.InDelta(t, 0.4, read(second).Seconds(), 0.03)
+		require.InDelta(t, 0.2, g.link.Backlog(time.Now()).Seconds(), 0.03)
+		cancel()
+		_, err := io.ReadAll(third.Body)
+		if err == nil {
+			t.Fatal("the call has ended, and its answer was sent on")
+		}
+		require.NoError(t, third.Body.Close())
+		require.InDelta(t, 0, g.link.Backlog(time.Now()).Seconds(), 0.03)
+	})
+}
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -31,6 +31,8 @@
 	Ready    chan struct{} // closed by whoever runs the admission, once it is decided
 	Demand                 // the zero Demand waits in turn, as the limits say
 
+	remote bool      // its answer leaves the instance
+	bytes  float64   // that the link expects of its answer
 	start  time.Time // when it was admitted
 	until  time.Time
 	state  Verdict
@@ -59,8 +61,12 @@
 	work     time.Duration
 	classes  works
 	failing  fading
+	link     *Link
 }
 
+// Through sets the link that answers leave by; nil means that it never binds.
+func (a *Admission) Through(l *Link) { a.link = l }
+
 // Limit sets the limits and returns the waiters that they admit.
 func (a *Admission) Limit(l Limits, now time.Time) []*Waiter {
 	if a.limits == l {
@@ -109,9 +115,10 @@
 		w.reject(Leaving)
 	case !w.Deadline.IsZero() && !now.Before(w.Deadline):
 		w.reject(Late)
+	case a.overLink(w, now):
+		w.reject(Busy)
 	case len(a.queue) == 0 && a.progress < a.Slots(now):
-		a.progress++
-		w.state, w.start = Admitted, now
+		a.begin(w, now)
 	case w.Now:
 		w.reject(Busy)
 	case !w.Objective.IsZero():
@@ -122,6 +129,15 @@
 	return w.state
 }
 
+// begin gives a slot to a waiter.
+func (a *Admission) begin(w *Waiter, now time.Time) {
+	a.progress++
+	w.state, w.start = Admitted, now
+	if w.remote {
+		w.bytes = a.link.Begin(w.Class)
+	}
+}
+
 // enqueue puts a waiter in the queue unless that is full or it could not start
 // in time.
 func (a *Admission) enqueue(w *Waiter, now time.Time) {
@@ -147,6 +163,9 @@
 	}
 }
 
+// Remote marks a call whose answer leaves the instance.
+func (w *Waiter) Remote() { w.remote = true }
+
 func (w *Waiter) reject(r Reason) { w.state, w.reason = Rejected, r }
 
 // Until returns when a waiting waiter must be abandoned.
@@ -171,6 +190,7 @@
 
 // Finish is Leave for a waiter, and learns from how its call ended.
 func (a *Admission) Finish(w *Waiter, end End, now time.Time) []*Waiter {
+	a.link.End(w.bytes)
 	if end == Untold {
 		a.progress--
 		return a.admit(now)
@@ -198,8 +218,7 @@
 		i := a.first(now)
 		w := a.queue[i]
 		a.queue = slices.Delete(a.queue, i, i+1)
-		a.progress++
-		w.state, w.start = Admitted, now
+		a.begin(w, now)
 		decided = append(decided, w)
 	}
 	return decided
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -25,6 +25,7 @@
 	HeaderLoad     = "Caroblift-Load"     // calls in progress or waiting, and slots, at the backend server
 	HeaderSpent    = "Caroblift-Spent"    // ms that the call spent at the gate and the backend server, until the answer began
 	HeaderQueued   = "Caroblift-Queued"   // ms of it that the call waited for a slot; left out when none
+	HeaderLink     = "Caroblift-Link"     // ms that another large answer would wait for the instance's link; left out when none
 	HeaderDemand   = "Caroblift-Demand"   // what the call asks of a gate, as Demand formats it
 	HeaderCaller   = "Caroblift-Caller"   // service on the instance where the call entered
 	HeaderAfter    = "Caroblift-After"    // ms after which a refused caller may come back
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -79,6 +79,7 @@
 	work        average      // as carried, in seconds
 	carried     average      // share of failures as carried
 	path        [2]average   // time that the way there took, in seconds; the second for large answers
+	link        average      // wait for its link as carried, in seconds
 	until       atomic.Int64 // end of the ejection, Unix ns
 	ejections   atomic.Int32 // in a row
 }
@@ -188,6 +189,16 @@
 	i.way(bulk).add(max(0, d.Seconds()), pathShare, now)
 }
 
+// Link takes how long a large answer would wait for the instance's link.
+func (i *Instance) Link(wait time.Duration, now time.Time) { i.link.keep(wait.Seconds(), now) }
+
+// turn returns how long a large answer is expected to wait for the link, in
+// seconds: what was carried, and less as time passes.
+func (i *Instance) turn(now time.Time) float64 {
+	age := time.Duration(now.UnixNano() - i.link.at.Load())
+	return max(0, i.link.value()-age.Seconds())
+}
+
 // way returns the average time of the way.
 func (i *Instance) way(bulk bool) *average {
 	if bulk {
--- /dev/null
+++ b/mesh/call/link_test.go
@@ -0,0 +1,140 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLinkTurns gives large answers one turn after the other, below the rate of
+// the link, and takes back what was not sent.
+func TestLinkTurns(t *testing.T) {
+	now := time.Now()
+	l := NewLink(1e6) // 800 KB/s of large answers
+	first, each := l.Reserve(80_000, now)
+	require.Equal(t, now, first)
+	require.InDelta(t, 1.0/800_000, each, 1e-12)
+	second, _ := l.Reserve(80_000, now)
+	require.Equal(t, now.Add(100*time.Millisecond), second)
+	require.Equal(t, 200*time.Millisecond, l.Backlog(now))
+	l.Return(40_000) // the second was given up halfway
+	require.Equal(t, 150*time.Millisecond, l.Backlog(now))
+	require.Zero(t, l.Backlog(now.Add(time.Second)))
+	later, _ := l.Reserve(80_000, now.Add(time.Second))
+	require.Equal(t, now.Add(time.Second), later, "an idle link saves up nothing")
+}
+
+// TestLinkUnknown lets everything through where the rate is not known.
+func TestLinkUnknown(t *testing.T) {
+	now := time.Now()
+	l := NewLink(0)
+	l.Learn("bulk", 1<<20)
+	l.End(l.Begin("bulk"))
+	require.Zero(t, l.Expected("bulk", now))
+	require.Zero(t, l.Backlog(now))
+}
+
+// TestLinkOverload plays downloads at 1.5 times what the link can carry, beside
+// small answers at the same server with slots to spare: the small ones are all
+// admitted, the downloads that are admitted meet their objective, and the link
+// is used to its share.
+func TestLinkOverload(t *testing.T) {
+	const (
+		rate      = 1_000_000 / 1.0 // bytes/s of the link
+		size      = 80_000
+		each      = 67 * time.Millisecond // between downloads: 1.5 times 800 KB/s
+		work      = 20 * time.Millisecond
+		objective = time.Second
+		patience  = 2 * time.Second
+		length    = 30 * time.Second
+	)
+	var a Admission
+	link := NewLink(rate)
+	a.Through(link)
+	start := time.Now()
+	a.Limit(Limits{Slots: 20}, start)
+	for range 10 {
+		link.Learn("bulk", size)
+		link.Learn("small", 1000)
+		a.classes.add("bulk", work)
+	}
+	type running struct {
+		w    *Waiter
+		ends time.Time
+	}
+	var now time.Time
+	var busy []running
+	sent, refused, late := 0, 0, 0
+	finish := func() {
+		for len(busy) > 0 && !busy[0].ends.After(now) {
+			r := busy[0]
+			busy = busy[1:]
+			a.Finish(r.w, Good, r.ends)
+			from, _ := link.Reserve(size, r.ends)
+			sent++
+			if from.Add(time.Duration(size / (largeShare * rate) * float64(time.Second))).After(r.w.Objective) {
+				late++
+			}
+		}
+	}
+	for at := time.Duration(0); at < length; at += each {
+		now = start.Add(at)
+		finish()
+		w := &Waiter{Deadline: now.Add(patience), Demand: Demand{Class: "bulk", Objective: now.Add(objective)}}
+		w.Remote()
+		if a.Enter(w, now) == Admitted {
+			busy = append(busy, running{w, now.Add(work)})
+		} else {
+			require.Equal(t, Busy, w.Reason())
+			refused++
+		}
+		small := &Waiter{Deadline: now.Add(patience), Demand: Demand{Class: "small", Objective: now.Add(objective)}}
+		small.Remote()
+		require.Equal(t, Admitted, a.Enter(small, now), "a small answer waits for no large one")
+		a.Finish(small, Good, now)
+	}
+	most := length.Seconds() * largeShare * rate / size
+	require.InDelta(t, most, sent, 0.1*most, "the link is used")
+	require.InDelta(t, 0.5*most, refused, 0.15*most)
+	require.Zero(t, late)
+	require.LessOrEqual(t, link.Backlog(now), objective)
+}
+
+// TestLinkSparesLocal admits calls of the own instance, whose answers do not
+// use the link.
+func TestLinkSparesLocal(t *testing.T) {
+	var a Admission
+	link := NewLink(1e6)
+	a.Through(link)
+	now := time.Now()
+	a.Limit(Limits{Slots: 2}, now)
+	link.Learn("bulk", 1<<20)
+	link.Reserve(10<<20, now)
+	demand := Demand{Class: "bulk", Objective: now.Add(time.Second)}
+	far := &Waiter{Demand: demand, Deadline: now.Add(2 * time.Second)}
+	far.Remote()
+	require.Equal(t, Rejected, a.Enter(far, now))
+	require.Equal(t, Admitted, a.Enter(&Waiter{Demand: demand, Deadline: now.Add(2 * time.Second)}, now))
+}
+
+// TestPlaceByLink places a download at the instance whose link is free soonest,
+// and a small call where it would go without it.
+func TestPlaceByLink(t *testing.T) {
+	now := time.Now()
+	busy, free := NewInstance("busy", 9), NewInstance("free", 9)
+	for _, i := range []*Instance{busy, free} {
+		i.Carry(Report{Slots: 9, Work: 100 * time.Millisecond}, now)
+	}
+	free.Carry(Report{Progress: 4, Slots: 9, Work: 100 * time.Millisecond}, now)
+	busy.Link(700*time.Millisecond, now)
+	c := &Choice{Near: []*Instance{busy, free}}
+	none := func(int) int { return 0 }
+	i, _ := c.Place(true, time.Second, nil, now, none)
+	require.Equal(t, "free", i.Name)
+	i, _ = c.Place(false, time.Second, nil, now, none)
+	require.Equal(t, "busy", i.Name)
+	free.Carry(Report{Progress: 4, Slots: 9, Work: 100 * time.Millisecond}, now.Add(time.Second))
+	i, _ = c.Place(true, time.Second, nil, now.Add(time.Second), none)
+	require.Equal(t, "busy", i.Name, "what was carried has been sent since")
+}
--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -49,7 +49,11 @@
 			if slices.Contains(out, i) {
 				continue
 			}
-			cost := (i.finish(mean, now) + i.way(bulk).faded(now) + extra) * (1 + spread*float64(rand(1000))/1000)
+			way := i.way(bulk).faded(now)
+			if bulk {
+				way += i.turn(now)
+			}
+			cost := (i.finish(mean, now) + way + extra) * (1 + spread*float64(rand(1000))/1000)
 			if best == nil || cost < least {
 				best, least = i, cost
 			}
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -72,6 +72,10 @@
 	// take that is still expected to meet its objective: durations spread, and a
 	// call that starts with just the average left misses it as often as not.
 	workMargin = 1.5
+	// linkMargin is how much longer than expected a large answer may take to be
+	// sent that is still expected in time: sizes spread, and small answers take
+	// a part of the link that varies.
+	linkMargin = 1.25
 )
 
 // Judge takes that the backend server did or did not answer a call whose
@@ -83,14 +87,9 @@
 func (a *Admission) join(w *Waiter, now time.Time) {
 	slots := max(1, a.Slots(now))
 	expected, work := a.expected(w, now), a.likely(w)
-	allowed := max(0, w.Objective.Sub(now)-work)
+	allowed := a.allowed(w, now, work)
 	until := now.Add(2 * allowed)
 	if !w.Deadline.IsZero() {
-		latest := w.Objective
-		if latest.Before(now) {
-			latest = now
-		}
-		allowed += max(0, w.Deadline.Sub(latest)) / graceShare
 		until = w.Deadline.Add(-work)
 	}
 	switch {
@@ -104,6 +103,37 @@
 	}
 }
 
+// allowed returns how long a call that takes some time may wait in all.
+func (a *Admission) allowed(w *Waiter, now time.Time, work time.Duration) time.Duration {
+	allowed := max(0, w.Objective.Sub(now)-work)
+	if !w.Deadline.IsZero() {
+		latest := w.Objective
+		if latest.Before(now) {
+			latest = now
+		}
+		allowed += max(0, w.Deadline.Sub(latest)) / graceShare
+	}
+	return allowed
+}
+
+// overLink tells whether the answer to a call would be sent too late. There is
+// no grace beyond the objective: downloads above what the link carries keep its
+// queue as long as it may be, and with a grace all of them would be late. A call
+// that is late already is let through where it holds up nearly nobody.
+func (a *Admission) overLink(w *Waiter, now time.Time) bool {
+	if !w.remote || w.Objective.IsZero() {
+		return false
+	}
+	expected := a.link.Expected(w.Class, now)
+	if expected == 0 {
+		return false
+	}
+	if left := w.Objective.Sub(now) - a.likely(w); left > 0 {
+		return time.Duration(linkMargin*float64(expected)) > left
+	}
+	return a.link.Backlog(now) > expected/2
+}
+
 // expected returns how long a call would wait for a slot now.
 func (a *Admission) expected(w *Waiter, now time.Time) time.Duration {
 	ahead := 0
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -63,7 +63,7 @@
 	}
 	resp.Body = hop.OnDone(resp.Body, func(err error) { a.done(res, err) })
 	if limit := a.proxy.config.Whole; limit > 0 {
-		if err := whole(resp, limit); err != nil {
+		if err := hop.Whole(resp, limit); err != nil {
 			broken := &result{instance: a.instance}
 			broken.reason, broken.outcome = classify(a.out.Context(), err)
 			a.onWay(time.Since(start))
@@ -132,6 +132,8 @@
 	}
 	if load, ok := call.ParseReport(resp.Header.Get(call.HeaderLoad)); ok {
 		i.Carry(load, now)
+		wait, _ := call.ParseLeft(resp.Header.Get(call.HeaderLink))
+		i.Link(wait, now)
 	}
 	if reason := resp.Header.Get(call.HeaderReason); reason != "" {
 		x.backlog = backlog(resp.Header)
--- a/mesh/hop/whole.go
+++ b/mesh/hop/whole.go
@@ -1,4 +1,4 @@
-package caller
+package hop
 
 // This file reads answers whole before they are handed on, so that one that
 // breaks off can be replaced by another attempt.
@@ -9,10 +9,10 @@
 	"net/http"
 )
 
-// whole reads the body of an answer up to a limit in bytes. An answer that is
+// Whole reads the body of an answer up to a limit in bytes. An answer that is
 // longer keeps the rest of its body as a stream. An error means that the answer
 // broke off.
-func whole(resp *http.Response, limit int64) error {
+func Whole(resp *http.Response, limit int64) error {
 	if resp.ContentLength > limit || resp.Body == http.NoBody {
 		return nil
 	}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -264,6 +264,9 @@
 	n.store, n.poll = client, client.Fresh()
 }
 
+// bytesPerKbit converts the rate of a link in the settings.
+const bytesPerKbit = 1000 / 8
+
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
@@ -272,7 +275,7 @@
 	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
 	gate := backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		Silent: silent, Sinks: n.sinks.Sub("backend"),
+		Silent: silent, Sinks: n.sinks.Sub("backend"), Link: float64(n.settings.GetInstance().GetLink()) * bytesPerKbit,
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
