Give large answers what all else leaves of the link

Change: the link learns the rate of all else from the bytes that the node has sent; large answers get the rest up to 90%, and 20% at least. Lines that libraries print go to the log. Test: TestLinkLeavesRoom. Not solved: three of eleven nodes beside the called service still answer after 170 ms on the way or not at all; they use 93% of their processor's share.

--- a/mesh/backend/link.go
+++ b/mesh/backend/link.go
@@ -28,8 +28,13 @@
 // answer broke off.
 func (g *Gate) turn(ctx context.Context, resp *http.Response, class string) (time.Duration, error) {
 	size := resp.ContentLength
+	sent := int64(0)
+	if g.config.Sent != nil {
+		sent = g.config.Sent()
+	}
 	g.mu.Lock()
 	g.link.Learn(class, size)
+	g.link.Sent(sent, time.Now())
 	g.mu.Unlock()
 	if size < call.LargeAnswer || size > heldAnswer {
 		return 0, nil
@@ -41,17 +46,10 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	start, each := g.link.Reserve(size, now)
-	resp.Body = &paced{ReadCloser: resp.Body, ctx: ctx, start: start, each: each, left: size, back: g.giveBack}
+	resp.Body = &paced{ReadCloser: resp.Body, ctx: ctx, start: start, each: each, left: size, gate: g}
 	return start.Sub(now), nil
 }
 
-// giveBack returns what was reserved on the link and not sent.
-func (g *Gate) giveBack(bytes int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.link.Return(bytes)
-}
-
 // paced is a body that is read no sooner than its turn on the link allows.
 type paced struct {
 	io.ReadCloser
@@ -60,7 +58,7 @@
 	each  float64   // seconds that one byte takes
 	sent  int64
 	left  int64
-	back  func(bytes int64)
+	gate  *Gate
 }
 
 // Read waits until the next piece may be sent. It fails when the call ends
@@ -87,9 +85,10 @@
 
 // Close gives back what is left of the turn.
 func (p *paced) Close() error {
-	if p.left > 0 {
-		p.back(p.left)
-		p.left = 0
-	}
+	p.gate.mu.Lock()
+	p.gate.link.Gone(p.sent)
+	p.gate.link.Return(p.left)
+	p.gate.mu.Unlock()
+	p.sent, p.left = 0, 0
 	return p.ReadCloser.Close()
 }
--- a/mesh/backend/link_test.go
+++ b/mesh/backend/link_test.go
@@ -20,7 +20,7 @@
 		return &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, size))), ContentLength: int64(size)}
 	}
 	synctest.Test(t, func(t *testing.T) {
-		g := NewGate(GateConfig{Link: 1e6})
+		g := NewGate(GateConfig{Link: 800_000 / 0.9})
 		ctx, cancel := context.WithCancel(t.Context())
 		start := time.Now()
 		first, second, small, third := answer(size), answer(size), answer(100), answer(size)
--- a/mesh/call/link.go
+++ b/mesh/call/link.go
@@ -3,8 +3,9 @@
 // This file shares the link of an instance between large answers and all else.
 // It answers loads of downloads near and above what the link can carry, where a
 // few large answers would hold up every small one, and later ones would all be
-// late. Large answers are sent one after the other below the link's rate, and
-// calls whose answer would wait too long are refused before they run.
+// late. Large answers are sent one after the other by what all else leaves of
+// the link, and calls whose answer would wait too long are refused before they
+// run.
 
 import (
 	"slices"
@@ -15,9 +16,16 @@
 	// LargeAnswer is the size from which an answer waits for its turn, in bytes:
 	// one holds a link of 5 Mbit/s for 50 ms, half the objective of a quick call.
 	LargeAnswer = 32 << 10
-	// largeShare is the part of the link that large answers take together. The
-	// rest is for small answers, heartbeats and the framing of all.
-	largeShare = 0.8
+	// fullShare is the part of the link that is used at most: what is sent comes
+	// in bursts, and framing and acknowledgements are not counted.
+	fullShare = 0.9
+	// leastShare is the part of the link that large answers take together
+	// however much else is sent, so that some are sent at all.
+	leastShare = 0.2
+	// restShare is the part of a new rate of all else in its average, and
+	// restEvery how often it is taken: some twenty small answers apart.
+	restShare = 0.3
+	restEvery = 250 * time.Millisecond
 	// sizeShare is the part of a new size in the average of its class.
 	sizeShare = 0.1
 )
@@ -25,7 +33,11 @@
 // Link is the way out of an instance. The nil Link is as fast as need be. It is
 // not safe for concurrent use.
 type Link struct {
-	rate  float64   // bytes/s of large answers together
+	whole float64 // bytes/s of the link
+	rest  float64 // bytes/s of all that is not a large answer
+	large int64   // bytes of large answers so far
+	sent  int64   // bytes of everything at the time below
+	taken time.Time
 	free  time.Time // when those let through so far have been sent
 	ahead float64   // bytes that calls in progress are expected to add
 	names []string  // classes with an average size, in bytes
@@ -37,7 +49,29 @@
 	if rate <= 0 {
 		return nil
 	}
-	return &Link{rate: largeShare * rate}
+	return &Link{whole: rate}
+}
+
+// Sent takes the bytes that the instance has sent so far by any way, of which
+// the link learns what large answers leave to all else.
+func (l *Link) Sent(total int64, now time.Time) {
+	passed := now.Sub(l.taken)
+	if passed < restEvery {
+		return
+	}
+	if !l.taken.IsZero() {
+		rest := max(0, float64(total-l.sent-l.large)/passed.Seconds())
+		l.rest += restShare * (rest - l.rest)
+	}
+	l.sent, l.large, l.taken = total, 0, now
+}
+
+// Gone takes bytes of a large answer that have been sent.
+func (l *Link) Gone(bytes int64) { l.large += bytes }
+
+// rate returns the bytes/s of large answers together.
+func (l *Link) rate() float64 {
+	return max(fullShare*l.whole-l.rest, leastShare*l.whole)
 }
 
 // size returns the bytes that an answer of a class is expected to have, or 0
@@ -113,7 +147,7 @@
 	}
 	start = l.free
 	l.free = start.Add(l.time(float64(bytes)))
-	return start, 1 / l.rate
+	return start, 1 / l.rate()
 }
 
 // Return gives back what was reserved and not sent.
@@ -121,5 +155,5 @@
 
 // time returns how long bytes take.
 func (l *Link) time(bytes float64) time.Duration {
-	return time.Duration(bytes / l.rate * float64(time.Second))
+	return time.Duration(bytes / l.rate() * float64(time.Second))
 }
--- a/mesh/call/link_test.go
+++ b/mesh/call/link_test.go
@@ -11,7 +11,7 @@
 // the link, and takes back what was not sent.
 func TestLinkTurns(t *testing.T) {
 	now := time.Now()
-	l := NewLink(1e6) // 800 KB/s of large answers
+	l := NewLink(800_000 / fullShare)
 	first, each := l.Reserve(80_000, now)
 	require.Equal(t, now, first)
 	require.InDelta(t, 1.0/800_000, each, 1e-12)
@@ -25,6 +25,32 @@
 	require.Equal(t, now.Add(time.Second), later, "an idle link saves up nothing")
 }
 
+// TestLinkLeavesRoom lets large answers have what all else leaves of the link,
+// and a share of it in any case.
+func TestLinkLeavesRoom(t *testing.T) {
+	const rate = 1e6
+	for name, c := range map[string]struct{ rest, want float64 }{
+		"nothing else": {0, fullShare * rate},
+		"some":         {400_000, fullShare*rate - 400_000},
+		"too much":     {2 * rate, leastShare * rate},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := NewLink(rate), time.Now()
+			total := int64(0)
+			for range 40 {
+				total += int64(c.rest / 4)
+				l.Gone(30_000)
+				total += 30_000
+				now = now.Add(restEvery)
+				l.Sent(total, now)
+			}
+			start, each := l.Reserve(1000, now)
+			require.Equal(t, now, start)
+			require.InEpsilon(t, c.want, 1/each, 0.01)
+		})
+	}
+}
+
 // TestLinkUnknown lets everything through where the rate is not known.
 func TestLinkUnknown(t *testing.T) {
 	now := time.Now()
@@ -41,16 +67,16 @@
 // is used to its share.
 func TestLinkOverload(t *testing.T) {
 	const (
-		rate      = 1_000_000 / 1.0 // bytes/s of the link
+		large     = 800_000.0 // bytes/s that the link has for large answers
 		size      = 80_000
-		each      = 67 * time.Millisecond // between downloads: 1.5 times 800 KB/s
+		each      = 67 * time.Millisecond // between downloads: 1.5 times that
 		work      = 20 * time.Millisecond
 		objective = time.Second
 		patience  = 2 * time.Second
 		length    = 30 * time.Second
 	)
 	var a Admission
-	link := NewLink(rate)
+	link := NewLink(large / fullShare)
 	a.Through(link)
 	start := time.Now()
 	a.Limit(Limits{Slots: 20}, start)
@@ -73,7 +99,7 @@
 			a.Finish(r.w, Good, r.ends)
 			from, _ := link.Reserve(size, r.ends)
 			sent++
-			if from.Add(time.Duration(size / (largeShare * rate) * float64(time.Second))).After(r.w.Objective) {
+			if from.Add(time.Duration(size / large * float64(time.Second))).After(r.w.Objective) {
 				late++
 			}
 		}
@@ -94,7 +120,7 @@
 		require.Equal(t, Admitted, a.Enter(small, now), "a small answer waits for no large one")
 		a.Finish(small, Good, now)
 	}
-	most := length.Seconds() * largeShare * rate / size
+	most := length.Seconds() * large / size
 	require.InDelta(t, most, sent, 0.1*most, "the link is used")
 	require.InDelta(t, 0.5*most, refused, 0.15*most)
 	require.Zero(t, late)
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -59,6 +59,7 @@
 	meeting   *store.Meeting
 	pool      *peer.Pool
 	inbound   peer.Counter // control bytes of accepted connections
+	calls     peer.Counter // bytes of calls to and from other nodes
 	hops      *http.Transport
 	announcer *backend.Announcer
 	operator  *operator.Service
@@ -270,12 +271,12 @@
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
-	n.hops = peer.NewTransport(silent, new(peer.Counter))
+	n.hops = peer.NewTransport(silent, &n.calls)
 	n.hops.HTTP2.MaxReceiveBufferPerStream = streamBuffer
 	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
 	gate := backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		Silent: silent, Sinks: n.sinks.Sub("backend"), Link: float64(n.settings.GetInstance().GetLink()) * bytesPerKbit,
+		Silent: silent, Sinks: n.sinks.Sub("backend"), Link: float64(n.settings.GetInstance().GetLink()) * bytesPerKbit, Sent: n.sent,
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
@@ -298,6 +299,12 @@
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
+// sent returns the bytes sent to other nodes so far, calls and control messages.
+func (n *Node) sent() int64 {
+	_, control := n.controlBytes()
+	return n.calls.Out.Load() + control
+}
+
 // announced takes a change of the backend server beside this node.
 func (n *Node) announced(a *backend.Announcement) {
 	n.Gate.Serve(a.Target())
@@ -310,7 +317,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, rpc)
 	n.serve(&peer.Listener{Listener: n.listeners.peer, Counter: &n.inbound}, mux)
-	n.serve(n.listeners.hop, n.Gate)
+	n.serve(&peer.Listener{Listener: n.listeners.hop, Counter: &n.calls}, n.Gate)
 	n.serve(caller.Listen(n.listeners.caller, func() record.Limits { return n.Holder.Table().Limits }), n.Proxy)
 	n.serve(n.listeners.backend, n.announcements())
 	n.serve(n.listeners.operator, n.operator.Handler())
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -62,6 +62,7 @@
 	log := telemetry.Log(queue, p.level, metrics.Scope.Counter("log_lines_left_out"))
 	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
 	p.log = log.With("instance", instance, "domain", domain)
+	slog.SetDefault(p.log) // what libraries print goes the same way
 	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, instance, domain)
 	if err != nil {
 		return err
