--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -234,6 +234,7 @@
 		s.config.Sinks.Log.Error("configuration refused", "object", o.Kind+"/"+o.Name, "version", o.Version, "error", err.Error())
 		return
 	}
+	s.config.Sinks.Log.Info("configuration read", "version", o.Version, "number", snapshot.GetNumber(), "bytes", len(o.Body))
 	s.version = o.Version
 	s.settle()
 }
