Keep unused connections to a backend server for 0.2 s

Cause: on the grown sites servers forget connections that have rested for some 0.3 s; what is sent next on one is reset, and a call that may run once is lost. The gate kept them for 1 s. Ruled out: connections of their own for calls that may run once (as many new ones as calls).

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -68,8 +68,9 @@
 	// 110; some are left for others.
 	maxServerConns = 100
 	// idleConn is how long an unused connection is kept. It is short, since a
-	// connection can go silent while nobody uses it and a new one costs 1 ms.
-	idleConn = time.Second
+	// connection can go silent while nobody uses it, servers may forget one that
+	// has rested for 0.3 s, and a new one costs 1 ms.
+	idleConn = 200 * time.Millisecond
 	// defaultSettle is how long the slot of a call that was broken off is kept.
 	defaultSettle = 20 * time.Millisecond
 )
--- a/mesh/backend/link_test.go
+++ b/mesh/backend/link_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/call"
 )
 
 // TestTurn sends two large answers one after the other at the rate of the link,
@@ -20,7 +22,8 @@
 		return &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, size))), ContentLength: int64(size)}
 	}
 	synctest.Test(t, func(t *testing.T) {
-		g := NewGate(GateConfig{Link: 800_000 / 0.9})
+		_, each := call.NewLink(1e6).Reserve(1, time.Now())
+		g := NewGate(GateConfig{Link: 800_000 * 1e6 * each}) // 800 KB/s of large answers
 		ctx, cancel := context.WithCancel(t.Context())
 		start := time.Now()
 		first, second, small, third := answer(size), answer(size), answer(100), answer(size)
