Read a configuration that changes often once a rest

Cause: a watch tells of each change with the whole object (two versions of 245 KB arrived in the same moment); in a storm of configurations, three a rest took 1.2 s of a link of 5 Mbit/s, and parents pushed the table to children that were only resting. Change: of what a watch brings only the newest is decoded; when it brings more than one, the object is read by itself until it stays the same for a rest. A parent pushes after three beats (from five quarters of one).

--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -41,8 +41,9 @@
 
 // patienceBeats is how long a child that reads the platform by itself may be
 // behind before its parent sends it the configuration, in quarters of a beat:
-// its own next heartbeat tells within five.
-const patienceBeats = 5
+// longer than the longest rest between two reads and a beat, so that only those
+// get it that the platform turns away.
+const patienceBeats = 12
 
 // watches tells whether this node reads the configuration from the platform.
 func (n *Node) watches() bool {
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -133,6 +133,11 @@
 		}
 		s.settle()
 		s.from = max(s.from, next)
+		if len(objs) > 1 {
+			if err := s.storm(ctx); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
@@ -199,19 +204,44 @@
 		}
 		objs = []Object{o}
 	}
-	size := 0
+	var newest Object // which tells all that the others do
 	for _, o := range objs {
-		if o.Name == s.config.Place.Name && !o.Deleted {
-			s.deliver(o)
-			size = max(size, len(o.Body))
+		if o.Name == s.config.Place.Name && !o.Deleted && o.Version > newest.Version {
+			newest = o
+		}
+	}
+	if newest.Version > 0 {
+		s.take(ctx, newest)
+	}
+	return nil
+}
+
+// storm reads the object until it has stayed the same for a rest. A watch
+// tells of each change with a whole object, also of those in between.
+func (s *Source) storm(ctx context.Context) error {
+	for ctx.Err() == nil {
+		o, err := s.config.Poll.Get(ctx, s.config.Place.Kind, s.config.Place.Name)
+		if err != nil {
+			return errors.Wrap(err, "read configuration that changes often")
 		}
+		if o.Version <= s.from {
+			return nil
+		}
+		s.from = o.Version
+		s.take(ctx, o)
+		s.settle()
 	}
+	return nil
+}
+
+// take hands over an object that was read, and rests.
+func (s *Source) take(ctx context.Context, o Object) {
+	s.deliver(o)
 	rest := sourceRest
 	if s.config.Rest != nil {
-		rest = s.config.Rest(size)
+		rest = s.config.Rest(len(o.Body))
 	}
 	pause(ctx, rest)
-	return nil
 }
 
 func (s *Source) settle() {
--- a/mesh/store/source_test.go
+++ b/mesh/store/source_test.go
@@ -163,6 +163,34 @@
 	})
 }
 
+// TestSourceStorm changes the object much more often than it is worth reading:
+// it is read about once in each rest, the last change is in force within the
+// bound, and the watch goes on afterwards.
+func TestSourceStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollowed(t)
+		f.platform.Set(storetest.Faults{Each: true})
+		f.write(t, "1")
+		time.Sleep(3 * time.Second)
+		before := f.platform.Calls()
+		const changes, gap = 100, 100 * time.Millisecond
+		for n := range changes {
+			f.write(t, strconv.Itoa(2+n))
+			time.Sleep(gap)
+		}
+		after := f.platform.Calls()
+		reads := after["get"] + after["watch"] - before["get"] - before["watch"]
+		require.LessOrEqual(t, reads, uint64(changes*gap/(300*time.Millisecond))+5)
+		require.LessOrEqual(t, after["watch"]-before["watch"], uint64(5), "each watch brings all changes in between")
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, changes+1, f.last())
+		require.IsIncreasing(t, f.got)
+		f.write(t, "500")
+		time.Sleep(time.Second)
+		require.EqualValues(t, 500, f.last())
+	})
+}
+
 // TestSourceOutage calls a store that is away seldom, and is up to date soon
 // after it is back.
 func TestSourceOutage(t *testing.T) {
--- a/mesh/storetest/faults.go
+++ b/mesh/storetest/faults.go
@@ -21,6 +21,7 @@
 	Twice  bool          `json:"twice"`  // writes arrive twice, and the second answer is returned
 	Stale  bool          `json:"stale"`  // reads return the objects as of the moment the switch was set
 	Silent bool          `json:"silent"` // watches hear nothing
+	Each   bool          `json:"each"`   // watches tell of each change, also of those written over since
 	Mixed  bool          `json:"mixed"`  // watches hear old events again and out of order
 }
 
--- a/mesh/storetest/store.go
+++ b/mesh/storetest/store.go
@@ -223,9 +223,13 @@
 	return out, s.now.version, s.changed, nil
 }
 
-// since returns the newest state of each object that changed after a version.
+// since returns the newest state of each object that changed after a version,
+// or every state. The caller holds s.mu.
 func (s *Store) since(kind string, version uint64) []store.Object {
 	newest := map[string]store.Object{}
+	if s.faults.Each {
+		return slices.DeleteFunc(slices.Clone(s.log), func(o store.Object) bool { return o.Kind != kind || o.Version <= version })
+	}
 	for _, o := range s.log {
 		if o.Kind == kind && o.Version > version {
 			newest[o.Name] = o
