Log answers that nobody waited for, and how long each call took

Lines of lost and refused calls did not say after how long. Change: the gate writes gate failed for these too; every line of the entry node has took. A call at its gate is a type of its own.

--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -50,7 +50,7 @@
 	if end.Message == telemetry.CallSlow {
 		out = append(out, slow(end))
 	} else if m, ok := meanings[call.Reason(end.Reason)]; ok {
-		out = append(out, fmt.Sprintf("%s (%s): %s", end.Message, end.Reason, m))
+		out = append(out, fmt.Sprintf("%s (%s) after %d ms: %s", end.Message, end.Reason, end.whole("took"), m))
 	}
 	if o, ok := outcomes[end.Ran]; ok {
 		out = append(out, o)
--- a/carobctl/explain_test.go
+++ b/carobctl/explain_test.go
@@ -51,7 +51,7 @@
 		"slow":          {id: "99aa", log: slowLog, want: []string{"450 ms in the queue of the last node, 150 ms at its server, 100 ms on the way", "nothing changed at a-1, b-2"}},
 		"only the gate": {id: "5480", log: strings.SplitAfter(lostLog, "\n")[0], want: []string{"no line about its end"}},
 		"unknown":       {id: "0000", log: lostLog, want: []string{"no line names call 0000 in 3 lines"}, code: exitRefused},
-		"as JSON":       {id: "5480", log: lostLog, want: []string{`"causes":["call lost (broken)`, `"beliefs":[{`}},
+		"as JSON":       {id: "5480", log: lostLog, want: []string{`"causes":["call lost (broken) after 0 ms`, `"beliefs":[{`}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "log")
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -60,41 +60,76 @@
 		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.backlog(class).Milliseconds(), 10)}
 		return resp
 	}
-	start := time.Now()
-	queued := start.Sub(came)
-	g.metrics.queued.RecordDuration(queued)
+	v := &visit{gate: g, id: id, ctx: ctx, target: target, slot: slot, came: came, start: time.Now(), done: done}
+	g.metrics.queued.RecordDuration(v.start.Sub(came))
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
 		g.leaveFailed(slot, failure)
-		done()
-		g.metrics.failed(failure.reason)
-		g.config.Sinks.Log.Info(telemetry.GateFailed, "call", id, "service", target.Service, "server", target.Server,
-			"reason", string(failure.reason), "ran", failure.outcome.String(), "detail", failure.detail, "queued", queued.Milliseconds(), "took", time.Since(start).Milliseconds())
-		return g.failure(id, failure)
+		return v.failed(failure)
 	}
+	return v.answered(resp, remote)
+}
+
+// visit is a call that holds a slot, or has held one.
+type visit struct {
+	gate   *Gate
+	id     string
+	ctx    context.Context
+	target *Target
+	slot   *call.Waiter
+	came   time.Time // when it came to the gate
+	start  time.Time // when it got the slot
+	done   func()    // ends the call here
+}
+
+// failed answers a call that the backend server has not answered.
+func (v *visit) failed(f *failed) *http.Response {
+	v.done()
+	v.gate.metrics.failed(f.reason)
+	v.log(f)
+	return v.gate.failure(v.id, f)
+}
+
+// log writes one line about a call that was not answered in time, or not at
+// all.
+func (v *visit) log(f *failed) {
+	v.gate.config.Sinks.Log.Info(telemetry.GateFailed, "call", v.id, "service", v.target.Service, "server", v.target.Server,
+		"reason", string(f.reason), "ran", f.outcome.String(), "detail", f.detail,
+		"queued", v.start.Sub(v.came).Milliseconds(), "took", time.Since(v.start).Milliseconds())
+}
+
+// answered prepares the answer of the backend server for whoever waits for it.
+func (v *visit) answered(resp *http.Response, remote bool) *http.Response {
+	g := v.gate
 	call.Strip(resp.Header)
 	empty := resp.Body == http.NoBody
 	resp.Body = hop.OnDone(resp.Body, func(err error) {
 		if empty {
 			err = io.EOF
 		}
-		g.leaveAnswered(slot, resp.StatusCode, err, ctx.Err() != nil)
-		g.metrics.answered(time.Since(start))
+		g.leaveAnswered(v.slot, resp.StatusCode, err, v.ctx.Err() != nil)
+		g.metrics.answered(time.Since(v.start))
 	})
 	turn := time.Duration(0)
 	if remote && g.link != nil {
 		var err error
-		if turn, err = g.turn(ctx, resp, slot.Class); err != nil {
-			defer done()
-			return g.failure(id, g.classify(ctx, err))
+		if turn, err = g.turn(v.ctx, resp, v.slot.Class); err != nil {
+			return v.failed(g.classify(v.ctx, err))
 		}
 	}
-	resp.Body = hop.OnDone(resp.Body, func(error) { done() })
-	g.mark(resp, id)
-	if wait := queued.Milliseconds(); wait > 0 {
+	resp.Body = hop.OnDone(resp.Body, func(error) {
+		if err := v.ctx.Err(); err != nil {
+			f := g.classify(v.ctx, err)
+			f.detail = resp.Status + ", nobody waited for it any more"
+			v.log(f)
+		}
+		v.done()
+	})
+	g.mark(resp, v.id)
+	if wait := v.start.Sub(v.came).Milliseconds(); wait > 0 {
 		resp.Header[call.HeaderQueued] = []string{strconv.FormatInt(wait, 10)}
 	}
-	resp.Header[call.HeaderSpent] = []string{strconv.FormatInt((time.Since(came) + turn).Milliseconds(), 10)}
+	resp.Header[call.HeaderSpent] = []string{strconv.FormatInt((time.Since(v.came) + turn).Milliseconds(), 10)}
 	return resp
 }
 
--- a/mesh/backend/link.go
+++ b/mesh/backend/link.go
@@ -23,9 +23,9 @@
 	pacedPiece = 16 << 10
 )
 
-// turn reads a large answer to another node whole, or one of unknown size, gives it its turn on the
-// link and returns how long it waits for that. It returns an error when the
-// answer broke off.
+// turn reads a large answer to another node whole, or one of unknown size, gives
+// it its turn on the link and returns how long it waits for that. It returns an
+// error when the answer broke off.
 func (g *Gate) turn(ctx context.Context, resp *http.Response, class string) (time.Duration, error) {
 	if resp.ContentLength < 0 { // its size is known only once it was read
 		if err := hop.Whole(resp, heldAnswer); err != nil {
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -114,7 +114,7 @@
 	took := time.Since(start)
 	p.metrics.latency.RecordDuration(took)
 	if o := x.route.Objective; o > 0 && took > o && x.good {
-		x.log(telemetry.CallSlow, "took", ms(took), "spent", ms(x.spentAt), "queued", ms(x.queuedAt), "objective", ms(o))
+		x.log(telemetry.CallSlow, "spent", ms(x.spentAt), "queued", ms(x.queuedAt), "objective", ms(o))
 	}
 }
 
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -91,7 +91,7 @@
 // log writes one line about the call: what is known of it, with the inputs of
 // the decisions that led there.
 func (x *exchange) log(message string, args ...any) {
-	args = append([]any{"call", x.id, "path", x.r.URL.Path, "service", x.target}, args...)
+	args = append([]any{"call", x.id, "path", x.r.URL.Path, "service", x.target, "took", ms(time.Since(x.start))}, args...)
 	if x.directory != nil && x.route != nil {
 		args = append(args, "route", x.route.Name, "table", x.directory.router.Table.Number, "left", ms(time.Until(x.deadline)))
 	}
