--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -87,8 +87,10 @@
 		what string
 		who  func(logLine) string // empty for a line that does not tell of it
 	}{
-		{"leaving or stopping then", leaving}, {"lost then", lost},
-		{"started then", by("started", logLine.instance)}, {"ejected for failures", by("instance ejected", logLine.member)},
+		{"leaving or stopping then", leaving},
+		{"lost then", lost},
+		{"started then", by("started", logLine.instance)},
+		{"ejected for failures", by("instance ejected", logLine.member)},
 	} {
 		var names []string
 		for _, l := range s.Beliefs {
