Count what large answers take of the link as it is sent

Cause: bytes of a large answer were taken out of the rest when its body was closed, so that the windows in between counted them as small answers, and the windows with the end were cut off at zero: the rest was overestimated, and large answers got less of the link than was free. Test: TestTurnIsNoRest, fails without the change.

--- a/mesh/backend/link.go
+++ b/mesh/backend/link.go
@@ -38,7 +38,9 @@
 		sent = g.config.Sent()
 	}
 	g.mu.Lock()
-	g.link.Learn(class, size)
+	if size >= 0 {
+		g.link.Learn(class, size)
+	}
 	g.link.Sent(sent, time.Now())
 	g.mu.Unlock()
 	if size < call.LargeAnswer || size > heldAnswer {
@@ -85,15 +87,17 @@
 	n, err := p.ReadCloser.Read(into)
 	p.sent += int64(n)
 	p.left -= int64(n)
+	p.gate.mu.Lock()
+	p.gate.link.Gone(int64(n))
+	p.gate.mu.Unlock()
 	return n, err
 }
 
 // Close gives back what is left of the turn.
 func (p *paced) Close() error {
 	p.gate.mu.Lock()
-	p.gate.link.Gone(p.sent)
 	p.gate.link.Return(p.left)
 	p.gate.mu.Unlock()
-	p.sent, p.left = 0, 0
+	p.left = 0
 	return p.ReadCloser.Close()
 }
--- a/mesh/backend/link_test.go
+++ b/mesh/backend/link_test.go
@@ -57,3 +57,31 @@
 		require.InDelta(t, 0, g.link.Backlog(time.Now()).Seconds(), 0.03)
 	})
 }
+
+// TestTurnIsNoRest sends one large answer for seconds, and small ones beside
+// it: what the large one takes is not counted as all else, which would slow
+// down those after it.
+func TestTurnIsNoRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, piece = 100_000, 1000
+		sent := int64(0)
+		g := NewGate(GateConfig{Link: rate, Sent: func() int64 { return sent }})
+		_, before := g.link.Reserve(0, time.Now())
+		large := &http.Response{Body: io.NopCloser(bytes.NewReader(make([]byte, 300_000))), ContentLength: 300_000}
+		_, err := g.turn(t.Context(), large, "bulk")
+		require.NoError(t, err)
+		into := make([]byte, 4000)
+		for {
+			n, err := large.Body.Read(into)
+			sent += int64(n)
+			if err == io.EOF {
+				break
+			}
+			require.NoError(t, err)
+			_, err = g.turn(t.Context(), &http.Response{Body: http.NoBody, ContentLength: piece}, "small")
+			require.NoError(t, err)
+		}
+		_, after := g.link.Reserve(0, time.Now())
+		require.InEpsilon(t, before, after, 0.1)
+	})
+}
