Keep one copy of averages, of the newest number heard, and of what is read whole

The link kept averages by class as the admission does; the node kept the newest number that peers name, which the spread keeps for its repair; the largest answer that is read whole stood twice; the rate of the link was worked out twice; an answer of unknown length was copied twice; three fields of a call repeated its last result. Ruled out: taking away the read of the store when a peer is ahead, which the repair by a fetch from that peer overlaps (TestSourceHearsOfPeers asks for it, and behaviour stays). Change: one generic container, State.Behind, hop.MaxWhole, Node.link; comments of GateConfig.Sent and of the time-outs of other ports. No assertion changed.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -43,7 +43,7 @@
 	Dialect Dialect
 	Warmup  time.Duration // of slow start where the policy names none; less than zero means none
 	Link    float64       // rate of the link to other nodes in bytes/s; zero means that it never binds
-	Sent    func() int64  // bytes that the instance has sent over it so far; nil means that only answers are
+	Sent    func() int64  // all bytes that the instance has sent over it so far; nil counts nothing beside large answers
 	Sinks   telemetry.Sinks
 }
 
--- a/mesh/backend/link.go
+++ b/mesh/backend/link.go
@@ -13,22 +13,18 @@
 	"caroblift.dev/mesh/hop"
 )
 
-const (
-	// heldAnswer is the largest answer that is read before it is sent, in bytes.
-	// The backend server is free for the next call meanwhile. Longer ones are
-	// rare, and their callers read them piece by piece.
-	heldAnswer = 1 << 20
-	// pacedPiece is what is sent at once, in bytes: small answers wait for one
-	// at most, 25 ms on a link of 5 Mbit/s.
-	pacedPiece = 16 << 10
-)
+// pacedPiece is what is sent at once, in bytes: small answers wait for one at
+// most, 25 ms on a link of 5 Mbit/s.
+const pacedPiece = 16 << 10
 
 // turn reads a large answer to another node whole, or one of unknown size, gives
-// it its turn on the link and returns how long it waits for that. It returns an
-// error when the answer broke off.
+// it its turn on the link and returns how long it waits for that; the backend
+// server is free for the next call meanwhile. Answers beyond hop.MaxWhole pass
+// at once. It returns an error when the answer broke off.
 func (g *Gate) turn(ctx context.Context, resp *http.Response, class string) (time.Duration, error) {
-	if resp.ContentLength < 0 { // its size is known only once it was read
-		if err := hop.Whole(resp, heldAnswer); err != nil {
+	unknown := resp.ContentLength < 0
+	if unknown { // its size is known only once it was read
+		if err := hop.Whole(resp, hop.MaxWhole); err != nil {
 			return 0, err
 		}
 	}
@@ -43,11 +39,13 @@
 	}
 	g.link.Sent(sent, time.Now())
 	g.mu.Unlock()
-	if size < call.LargeAnswer || size > heldAnswer {
+	if size < call.LargeAnswer || size > hop.MaxWhole {
 		return 0, nil
 	}
-	if err := hop.Whole(resp, heldAnswer); err != nil {
-		return 0, err
+	if !unknown {
+		if err := hop.Whole(resp, hop.MaxWhole); err != nil {
+			return 0, err
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -59,7 +59,7 @@
 	closed   bool
 	cold     time.Time // start of the slow start; zero when warm
 	work     time.Duration
-	classes  works
+	classes  averages[time.Duration] // work
 	failing  fading
 	link     *Link
 }
@@ -197,7 +197,7 @@
 	}
 	a.failing.add(end == Bad, now)
 	took := now.Sub(w.start)
-	a.classes.add(w.Class, took)
+	a.classes.add(w.Class, took, workShare)
 	return a.Leave(took, now)
 }
 
--- a/mesh/call/link.go
+++ b/mesh/call/link.go
@@ -7,10 +7,7 @@
 // the link, and calls whose answer would wait too long are refused before they
 // run.
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// LargeAnswer is the size from which an answer waits for its turn, in bytes:
@@ -38,10 +35,9 @@
 	large int64   // bytes of large answers so far
 	sent  int64   // bytes of everything at the time below
 	taken time.Time
-	free  time.Time // when those let through so far have been sent
-	ahead float64   // bytes that calls in progress are expected to add
-	names []string  // classes with an average size, in bytes
-	sizes []float64
+	free  time.Time         // when those let through so far have been sent
+	ahead float64           // bytes that calls in progress are expected to add
+	sizes averages[float64] // bytes of answers by class
 }
 
 // NewLink returns a link of a rate in bytes a second; nil when it is not known.
@@ -77,26 +73,17 @@
 // size returns the bytes that an answer of a class is expected to have, or 0
 // when it is not expected to be large.
 func (l *Link) size(class string) float64 {
-	if i := slices.Index(l.names, class); i >= 0 && l.sizes[i] >= LargeAnswer {
-		return l.sizes[i]
+	if size := l.sizes.of(class, 0); size >= LargeAnswer {
+		return size
 	}
 	return 0
 }
 
 // Learn takes the size of an answer.
 func (l *Link) Learn(class string, bytes int64) {
-	if l == nil || class == "" {
-		return
-	}
-	i := slices.Index(l.names, class)
-	if i < 0 {
-		if len(l.names) == maxClasses {
-			l.names, l.sizes = nil, nil
-		}
-		l.names, l.sizes = append(l.names, class), append(l.sizes, float64(bytes))
-		return
+	if l != nil {
+		l.sizes.add(class, float64(bytes), sizeShare)
 	}
-	l.sizes[i] += sizeShare * (float64(bytes) - l.sizes[i])
 }
 
 // Backlog returns how long a large answer that is ready now would wait, those
--- a/mesh/call/link_test.go
+++ b/mesh/call/link_test.go
@@ -83,7 +83,7 @@
 	for range 10 {
 		link.Learn("bulk", size)
 		link.Learn("small", 1000)
-		a.classes.add("bulk", work)
+		a.classes.add("bulk", work, workShare)
 	}
 	type running struct {
 		w    *Waiter
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -194,35 +194,39 @@
 	return best
 }
 
-// maxClasses bounds the classes whose work is known by itself.
+// maxClasses bounds the classes whose averages are known by themselves.
 const maxClasses = 64
 
-// works holds the average duration of calls by class.
-type works struct {
-	names []string
-	work  []time.Duration
+// averages holds one average for each class of calls. The zero averages hold
+// none.
+type averages[T ~int64 | ~float64] struct {
+	names  []string
+	values []T
 }
 
-func (s *works) of(class string, otherwise time.Duration) time.Duration {
+// of returns the average of a class, or another value while none is known.
+func (s *averages[T]) of(class string, otherwise T) T {
 	if i := slices.Index(s.names, class); i >= 0 {
-		return s.work[i]
+		return s.values[i]
 	}
 	return otherwise
 }
 
-func (s *works) add(class string, took time.Duration) {
+// add takes a value of a class, which gets a share of the average. Calls without
+// a class are not told apart.
+func (s *averages[T]) add(class string, v T, share float64) {
 	if class == "" {
 		return
 	}
 	i := slices.Index(s.names, class)
 	if i < 0 {
 		if len(s.names) == maxClasses {
-			s.names, s.work = nil, nil
+			s.names, s.values = nil, nil
 		}
-		s.names, s.work = append(s.names, class), append(s.work, took)
+		s.names, s.values = append(s.names, class), append(s.values, v)
 		return
 	}
-	s.work[i] += time.Duration(workShare * float64(took-s.work[i]))
+	s.values[i] += T(share * float64(v-s.values[i]))
 }
 
 const (
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -48,11 +48,9 @@
 	looks    int           // gates asked for a slot at once
 	backlog  time.Duration // that the last gate named
 	attempts int
-	arrivals int           // attempts that may have reached a backend server
-	waits    int           // gates asked to let the call wait
-	good     bool          // the answer was a backend server's
-	spentAt  time.Duration // the node that answered it
-	queuedAt time.Duration
+	arrivals int     // attempts that may have reached a backend server
+	waits    int     // gates asked to let the call wait
+	answer   *result // a backend server's own, once it is known to be the last; else nil
 }
 
 // result is what became of an attempt.
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -113,8 +113,8 @@
 	x.serve()
 	took := time.Since(start)
 	p.metrics.latency.RecordDuration(took)
-	if o := x.route.Objective; o > 0 && took > o && x.good {
-		x.log(telemetry.CallSlow, "spent", ms(x.spentAt), "queued", ms(x.queuedAt), "objective", ms(o))
+	if o := x.route.Objective; o > 0 && took > o && x.answer != nil {
+		x.log(telemetry.CallSlow, "spent", ms(x.answer.spent), "queued", ms(x.answer.queued), "objective", ms(o))
 	}
 }
 
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -78,7 +78,7 @@
 func (x *exchange) logEnd(last *result) {
 	switch {
 	case last.reason == "":
-		x.good, x.spentAt, x.queuedAt = true, last.spent, last.queued
+		x.answer = last
 	case x.r.Context().Err() != nil:
 		x.log(telemetry.CallGone, "reason", string(last.reason), "ran", last.outcome.String())
 	case last.outcome == call.NotRun:
--- a/mesh/hop/whole.go
+++ b/mesh/hop/whole.go
@@ -9,6 +9,11 @@
 	"net/http"
 )
 
+// MaxWhole bounds the answers that are read whole, in bytes: larger than the
+// largest usual download, and small against the memory of a node with a few of
+// them in progress.
+const MaxWhole = 1 << 20
+
 // Whole reads the body of an answer up to a limit in bytes. An answer that is
 // longer keeps the rest of its body as a stream. An error means that the answer
 // broke off.
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -66,7 +66,6 @@
 	servers   []*http.Server
 	stopping  atomic.Bool
 	wasReady  atomic.Bool
-	newest    atomic.Uint64 // configuration that a peer holds
 	news      chan struct{} // tells that a peer holds a newer one
 }
 
@@ -187,7 +186,7 @@
 func (c carrier) Number() uint64 { return c.node.Spread.Number() }
 func (c carrier) Heard(name string, number uint64) {
 	c.node.Spread.Heard(name, number)
-	c.node.heard(number)
+	c.node.heard()
 }
 
 // head returns the newest revision on the platform after the one given.
@@ -268,6 +267,9 @@
 // bytesPerKbit converts the rate of a link in the settings.
 const bytesPerKbit = 1000 / 8
 
+// link returns the rate of the instance's link in bytes/s; 0 when not known.
+func (n *Node) link() float64 { return float64(n.settings.GetInstance().GetLink()) * bytesPerKbit }
+
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
@@ -276,7 +278,7 @@
 	n.hops.HTTP2.SendPingTimeout = silent / 2 // a lost connection is found after 1.5 times the setting
 	gate := backend.GateConfig{
 		Policy: func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		Silent: silent, Sinks: n.sinks.Sub("backend"), Link: float64(n.settings.GetInstance().GetLink()) * bytesPerKbit, Sent: n.sent,
+		Silent: silent, Sinks: n.sinks.Sub("backend"), Link: n.link(), Sent: n.sent,
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Hop: n.hops,
@@ -361,7 +363,7 @@
 		Handler: h, Protocols: peer.Protocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBuffer},
 		ErrorLog: slog.NewLogLogger(n.sinks.Log.Handler(), slog.LevelDebug),
 	}
-	caller.Bound(server)
+	caller.Bound(server) // nodes and operators are given as long
 	n.servers = append(n.servers, server)
 	n.tomb.Go(func() error {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -11,6 +11,7 @@
 
 	"caroblift.dev/mesh/backend"
 	"caroblift.dev/mesh/caller"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/store"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
@@ -69,7 +70,7 @@
 
 // rest returns the pause after a configuration of some size was read.
 func (n *Node) rest(bytes int) time.Duration {
-	rate := float64(n.settings.GetInstance().GetLink()) * bytesPerKbit
+	rate := n.link()
 	if rate == 0 {
 		return leastRest
 	}
@@ -77,14 +78,9 @@
 	return min(leastRest+restTimes*taken, mostRest)
 }
 
-// heard takes the number of a configuration that a peer holds.
-func (n *Node) heard(number uint64) {
-	for old := n.newest.Load(); number > old; old = n.newest.Load() {
-		if n.newest.CompareAndSwap(old, number) {
-			break
-		}
-	}
-	if !n.behind() {
+// heard takes that a peer has named the number of its configuration.
+func (n *Node) heard() {
+	if !n.Spread.Behind() {
 		return
 	}
 	select {
@@ -93,9 +89,6 @@
 	}
 }
 
-// behind tells whether a peer holds a newer configuration.
-func (n *Node) behind() bool { return n.newest.Load() > n.Holder.Table().Number }
-
 // confirmer is what reads the platform.
 type confirmer interface {
 	Checked() int64 // when the platform last confirmed the head, Unix ms; 0 for never
@@ -109,7 +102,7 @@
 func (n *Node) assembleSource(p *Platform) {
 	s := n.settings.GetPlatform()
 	n.reads = store.NewSource(store.SourceConfig{
-		Store: n.store, Poll: n.poll, Place: p.Place, Active: n.watches, News: n.news, Behind: n.behind, Rest: n.rest,
+		Store: n.store, Poll: n.poll, Place: p.Place, Active: n.watches, News: n.news, Behind: n.Spread.Behind, Rest: n.rest,
 		Wait: func() time.Duration {
 			if n.Spread.Reader() {
 				return ms(s.GetWait())
@@ -120,20 +113,14 @@
 	})
 }
 
-const (
-	// wholeAnswer is the part of an answer that is read before it is handed on,
-	// in bytes: larger than the largest usual download, and small against the
-	// memory of a node with a few of them in progress.
-	wholeAnswer = 1 << 20
-	// ownFlaps is how often a backend server may appear within half a minute
-	// where its node alone sends calls to it and sees at once that it is gone.
-	ownFlaps = 30
-)
+// ownFlaps is how often a backend server may appear within half a minute where
+// its node alone sends calls to it and sees at once that it is gone.
+const ownFlaps = 30
 
 // fit adapts what serves calls to the platform's dialects. No configuration
 // names a warm-up there: backend servers announce that they are cold.
 func (n *Node) fit(gate *backend.GateConfig, proxy *caller.Config, announcer *backend.AnnouncerConfig) {
-	gate.Dialect, proxy.Dialect, proxy.Whole = n.platform.Backend, n.platform.Caller, wholeAnswer
+	gate.Dialect, proxy.Dialect, proxy.Whole = n.platform.Backend, n.platform.Caller, hop.MaxWhole
 	gate.Warmup = -1
 	announcer.Flaps, announcer.Health = ownFlaps, n.health
 }
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -248,6 +248,13 @@
 	return max(s.state.Checked(), s.config.Checked())
 }
 
+// Behind tells whether a peer holds a newer table.
+func (s *Spread) Behind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Behind()
+}
+
 // Reader tells whether the node reads the platform.
 func (s *Spread) Reader() bool {
 	s.mu.Lock()
--- a/mesh/spread/repair.go
+++ b/mesh/spread/repair.go
@@ -42,6 +42,9 @@
 	r.ahead, r.number = name, number
 }
 
+// Behind tells whether a peer holds a newer table.
+func (s *State) Behind() bool { return s.repair.number > s.number() }
+
 // repairTick fetches when the node has been behind for a while, and starts the
 // digest exchange when it is due.
 func (s *State) repairTick(now time.Time) {
@@ -56,7 +59,7 @@
 			delete(s.avoid, name)
 		}
 	}
-	behind := r.number > s.number() && now.Sub(r.since) >= s.config.Beat/2
+	behind := s.Behind() && now.Sub(r.since) >= s.config.Beat/2
 	due := !now.Before(r.exchange)
 	switch {
 	case r.fetching || now.Before(r.next):
