--- a/mesh/call/budget.go
+++ b/mesh/call/budget.go
@@ -42,9 +42,14 @@
 }
 
 // Deposit adds credit for one call: the given percentage of an attempt.
+// The credit doesn't exceed the burst.
 func (b *Budget) Deposit(percent int) {
-	if b.credit.Load() < b.maxCredit.Load() {
-		b.credit.Add(int64(percent))
+	for {
+		credit := b.credit.Load()
+		next := min(credit+int64(percent), b.maxCredit.Load())
+		if next <= credit || b.credit.CompareAndSwap(credit, next) {
+			return
+		}
 	}
 }
 
--- a/mesh/call/link.go
+++ b/mesh/call/link.go
@@ -56,6 +56,9 @@
 // far. The link derives the rate of other traffic from it. Totals within
 // otherRateInterval of the last sample are ignored.
 func (l *Link) RecordSent(total int64, now time.Time) {
+	if l == nil {
+		return
+	}
 	elapsed := now.Sub(l.sampledAt)
 	if elapsed < otherRateInterval {
 		return
@@ -68,7 +71,11 @@
 }
 
 // RecordLargeSent records bytes of a large response that have been sent.
-func (l *Link) RecordLargeSent(bytes int64) { l.largeSent += bytes }
+func (l *Link) RecordLargeSent(bytes int64) {
+	if l != nil {
+		l.largeSent += bytes
+	}
+}
 
 // largeRate returns the bytes/s that large responses may use together.
 func (l *Link) largeRate() float64 {
@@ -135,6 +142,9 @@
 // Reserve schedules a large response that is ready. It returns the time from
 // which the response may be sent and the seconds that each byte takes.
 func (l *Link) Reserve(bytes int64, now time.Time) (start time.Time, secondsPerByte float64) {
+	if l == nil {
+		return now, 0
+	}
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
@@ -144,7 +154,11 @@
 }
 
 // Unreserve cancels the reservation of bytes that were not sent.
-func (l *Link) Unreserve(bytes int64) { l.freeAt = l.freeAt.Add(-l.sendTime(float64(bytes))) }
+func (l *Link) Unreserve(bytes int64) {
+	if l != nil {
+		l.freeAt = l.freeAt.Add(-l.sendTime(float64(bytes)))
+	}
+}
 
 // sendTime returns how long large responses of that many bytes take to be sent.
 func (l *Link) sendTime(bytes float64) time.Duration {
--- a/mesh/call/link_test.go
+++ b/mesh/call/link_test.go
@@ -58,6 +58,12 @@
 	l := NewLink(0)
 	l.RecordSize("bulk", 1<<20)
 	l.End(l.Begin("bulk"))
+	l.RecordSent(1<<20, now)
+	l.RecordLargeSent(1 << 20)
+	start, perByte := l.Reserve(1<<20, now)
+	require.Equal(t, now, start)
+	require.Zero(t, perByte)
+	l.Unreserve(1 << 20)
 	require.Zero(t, l.ExpectedSendTime("bulk", now))
 	require.Zero(t, l.QueueDelay(now))
 }
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -60,6 +60,7 @@
 	ids        *hop.IDGenerator
 	calls      *hop.CallRegistry
 	leaving    atomic.Bool
+	stopAt     atomic.Pointer[time.Time] // see RefuseBeyond; nil while the node isn't stopping
 	closeConns atomic.Bool // answers carry Connection: close
 	policy     atomic.Pointer[call.Policy]
 
@@ -90,6 +91,10 @@
 // callers do not reuse their connections.
 func (p *Proxy) DisableKeepAlives() { p.closeConns.Store(true) }
 
+// RefuseBeyond refuses new calls with a deadline after stopAt, at which calls in
+// progress are cut: they might be among those.
+func (p *Proxy) RefuseBeyond(stopAt time.Time) { p.stopAt.Store(&stopAt) }
+
 // Drain refuses new calls and waits for those in progress. If the context ends
 // first, it returns a *hop.DrainError that names the calls left.
 func (p *Proxy) Drain(ctx context.Context) error {
@@ -177,6 +182,9 @@
 	x.inExtraAttempt = attempt != "" && attempt != "1"
 	x.w.Header()[call.HeaderRevision] = []string{strconv.FormatUint(x.directory.router.Table.Number, 10)}
 	timeout := call.Timeout(route.Timeout, p.config.Timeout, timeLeft)
+	if stopAt := p.stopAt.Load(); stopAt != nil && time.Now().Add(timeout).After(*stopAt) {
+		return call.ReasonLeaving
+	}
 	x.ctx, x.cancel = context.WithTimeout(r.Context(), timeout)
 	x.deadline, _ = x.ctx.Deadline()
 	if route.LatencyObjective > 0 {
--- a/mesh/member/news.go
+++ b/mesh/member/news.go
@@ -27,38 +27,57 @@
 }
 
 // eventQueue holds events until they are sent, once, to all neighbours. A token
-// bucket limits the rate.
+// bucket limits the rate. An event that becomes urgent leaves its key in normal
+// as well, where it no longer counts.
 type eventQueue struct {
-	events     map[eventKey]*wire.Member
+	events     map[eventKey]queuedEvent
 	urgent     []eventKey // events that isUrgent accepts, in the order of arrival
 	normal     []eventKey // all others, in the order of arrival
 	budget     float64    // tokens in bytes
 	refilledAt time.Time
 }
 
+// queuedEvent is an event and whether its key is in urgent.
+type queuedEvent struct {
+	member *wire.Member
+	urgent bool
+}
+
 // add queues an event, or replaces an older one with the same key. When urgent
 // or normal is full, its oldest event is dropped.
 func (q *eventQueue) add(m *wire.Member) {
 	if q.events == nil {
-		q.events = map[eventKey]*wire.Member{}
+		q.events = map[eventKey]queuedEvent{}
 	}
 	k := eventKey{m.GetName(), IsVerdict(m)}
 	old, queued := q.events[k]
-	q.events[k] = m
+	urgent := old.urgent || isUrgent(m)
+	q.events[k] = queuedEvent{m, urgent}
 	switch {
-	case isUrgent(m) && (!queued || !isUrgent(old)):
+	case urgent && !old.urgent:
 		q.urgent = append(q.urgent, k)
 	case !queued:
 		q.normal = append(q.normal, k)
 	}
 	if len(q.normal) > maxQueuedEvents {
-		delete(q.events, q.normal[0])
-		q.normal = q.normal[1:]
+		q.take(&q.normal)
 	}
 	if len(q.urgent) > maxQueuedEvents {
-		delete(q.events, q.urgent[0])
-		q.urgent = q.urgent[1:]
+		q.take(&q.urgent)
+	}
+}
+
+// take removes the oldest key of urgent or normal, and returns the event, or nil
+// if the event has left the queue or has moved to urgent.
+func (q *eventQueue) take(keys *[]eventKey) *wire.Member {
+	k := (*keys)[0]
+	*keys = (*keys)[1:]
+	e, queued := q.events[k]
+	if !queued || e.urgent != (keys == &q.urgent) {
+		return nil
 	}
+	delete(q.events, k)
+	return e.member
 }
 
 // len returns the number of events in the queue.
@@ -82,10 +101,7 @@
 func (q *eventQueue) pop() *wire.Member {
 	for _, keys := range []*[]eventKey{&q.urgent, &q.normal} {
 		for len(*keys) > 0 {
-			k := (*keys)[0]
-			*keys = (*keys)[1:]
-			if m, ok := q.events[k]; ok {
-				delete(q.events, k)
+			if m := q.take(keys); m != nil {
 				return m
 			}
 		}
--- a/mesh/node/stop.go
+++ b/mesh/node/stop.go
@@ -19,7 +19,8 @@
 //     calls, and tells its callers that their connections close.
 //  2. It refuses new calls for its backend server as not run, tells its neighbours
 //     that it is leaving and waits for the server's calls in progress. It still
-//     accepts calls from its callers and from the server.
+//     accepts calls from its callers and from the server, unless their deadline
+//     is after the end of the wait.
 //  3. It refuses those as well, waits for the rest and, after stop.linger, closes.
 //
 // The wait is bounded by the context and by the drain time in the policy of the
@@ -32,6 +33,9 @@
 	n.Proxy.DisableKeepAlives()
 	sleep(ctx, ms(n.settings.GetStop().GetHandover()))
 	n.Gate.StopAdmission()
+	if stopAt, bounded := ctx.Deadline(); bounded {
+		n.Proxy.RefuseBeyond(stopAt)
+	}
 	var leave sync.WaitGroup
 	leave.Go(func() { n.Members.Leave(ctx) })
 	err := mergeCuts(n.Gate.Drain(ctx), n.Proxy.Drain(ctx))
--- a/mesh/revision/document.go
+++ b/mesh/revision/document.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,12 +38,16 @@
 
 // fromDocument returns the table of a snapshot that contains a document. It
 // returns ErrInvalid when the document cannot be decoded, when a service has no
-// name or occurs twice, or when a route is invalid.
+// name or occurs twice, when a limit of callers is out of range, or when a route
+// is invalid.
 func fromDocument(s *wire.Snapshot) (*Table, error) {
 	var d wire.Document
 	if err := proto.Unmarshal(s.GetDocument(), &d); err != nil {
 		return nil, errors.Wrapf(ErrInvalid, "document %d: %s", s.GetNumber(), err)
 	}
+	if l := d.GetLimits(); max(l.GetHeader(), l.GetBody(), l.GetBegin(), l.GetIdle()) > maxLimit {
+		return nil, errors.Wrapf(ErrInvalid, "document %d: a limit of callers is above %d", s.GetNumber(), uint64(maxLimit))
+	}
 	t := &Table{
 		Number: s.GetNumber(), Time: s.GetTime(), Format: 1, document: s.GetDocument(), size: len(s.GetDocument()),
 		Digest:   documentDigest(s.GetNumber(), s.GetDocument()),
@@ -69,8 +74,13 @@
 	return t, nil
 }
 
+// maxLimit bounds the limits of callers, in bytes or ms. In ms it is 34 years, so
+// that the value in ns fits a time.Duration.
+const maxLimit = 1 << 40
+
 // convertRoute converts a route to its hub form. It returns ErrInvalid when a
-// part refers to a service that does not exist or no part has a weight.
+// part refers to a service that does not exist, no part has a weight, or the
+// weights are too large.
 func (t *Table) convertRoute(msg *wire.DocumentRoute) (*record.Route, error) {
 	r := &record.Route{
 		Name: msg.GetName(), Prefix: msg.GetPrefix(), Timeout: milliseconds(uint64(msg.GetTimeout())), Bulk: msg.GetBulk(),
@@ -94,6 +104,9 @@
 	if len(r.WeightedServices) == 0 {
 		return nil, errors.Wrapf(ErrInvalid, "route %q has no service with a weight above 0", msg.GetName())
 	}
+	if weight := totalWeight(r.WeightedServices); weight > maxTotalWeight {
+		return nil, errors.Wrapf(ErrInvalid, "route %q has weights of %d together, which is above %d", msg.GetName(), weight, maxTotalWeight)
+	}
 	r.Service = r.WeightedServices[0].Service
 	if len(r.WeightedServices) == 1 {
 		r.WeightedServices = nil
@@ -101,4 +114,15 @@
 	return r, nil
 }
 
+// maxTotalWeight bounds the sum of the weights of a route, so that it fits an int
+// on every platform.
+const maxTotalWeight = math.MaxInt32
+
+func totalWeight(parts []record.WeightedService) (sum int64) {
+	for _, p := range parts {
+		sum += int64(p.Weight)
+	}
+	return sum
+}
+
 func milliseconds(v uint64) time.Duration { return time.Duration(v) * time.Millisecond }
--- a/mesh/revision/document_test.go
+++ b/mesh/revision/document_test.go
@@ -48,6 +48,12 @@
 	require.ErrorIs(t, apply(19, newDocument([]string{"quotes"})), ErrDiverged)
 	require.ErrorIs(t, apply(20, newDocument([]string{"quotes"}, routeTo("missing"))), ErrInvalid)
 	require.ErrorIs(t, apply(20, newDocument([]string{"quotes", "quotes"})), ErrInvalid)
+	heavy := routeTo("quotes")
+	heavy.Parts = append(heavy.Parts, &wire.Part{Service: "quotes", Weight: 1 << 31})
+	require.ErrorIs(t, apply(20, newDocument([]string{"quotes"}, heavy)), ErrInvalid)
+	unlimited := newDocument([]string{"quotes"})
+	unlimited.Limits.Idle = 1 << 63
+	require.ErrorIs(t, apply(20, unlimited), ErrInvalid)
 	require.Same(t, table, h.Table(), "a rejected document changes nothing")
 }
 
--- a/mesh/store/client.go
+++ b/mesh/store/client.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -20,9 +19,6 @@
 	"caroblift.dev/mesh/telemetry"
 )
 
-// maxResponseBytes bounds the body that is read of a response.
-const maxResponseBytes = 64 << 20
-
 // Values of the tag "kind" in the counter of calls.
 const (
 	callGet    = "get"
@@ -137,7 +133,7 @@
 		return response{}, ClassifyTransportError(in.method, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := ReadResponse(resp.Body)
 	if err != nil {
 		c.useNextAddress()
 		return response{}, ClassifyTransportError(in.method, err)
--- a/mesh/store/outcome.go
+++ b/mesh/store/outcome.go
@@ -3,6 +3,7 @@
 // This file maps failed HTTP calls to the errors of a store.
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,21 @@
 	maxRetryAfter = time.Minute
 )
 
+// maxResponseBytes bounds the body of a response. The largest is a page of objects.
+const maxResponseBytes = 64 << 20
+
+// ReadResponse reads the body of a response. It returns an error if the body is
+// longer than 64 MiB, since a part of it must not be taken for the whole.
+func ReadResponse(body io.Reader) ([]byte, error) { return readLimited(body, maxResponseBytes) }
+
+func readLimited(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, errors.Errorf("response is longer than %d bytes", limit)
+	}
+	return data, err
+}
+
 // ClassifyTransportError returns the error for a call that received no
 // response. It is ErrOutcomeUnknown for a write, which may have taken effect,
 // and ErrUnavailable for a read or when no connection was established.
