Find the own backend server when a node starts

Ruled out: reading the configuration, membership (both within 0.1 s). Change: a node asks the health path of the address in its settings; a server that accepts calls is in force with 8 slots until it announces itself, for a quarter of the lease at most.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	goji "goji.io"
 	"goji.io/pat"
+	"gopkg.in/tomb.v2"
 
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
@@ -34,7 +35,12 @@
 	// first announcement takes effect. With nil, announcements take effect
 	// unchecked.
 	CheckHealth func(context.Context, *Announcement) Health
-	FlapLimit   int // appearances of a server within 30 s that take effect at once; zero means 3
+	// Discover asks the address where a backend server is expected whether one
+	// accepts calls there, and returns its service, address and name, or nil. Run
+	// calls it until the server is found or announces itself. With nil, a server
+	// is known from its first announcement.
+	Discover  func(context.Context) *Announcement
+	FlapLimit int // appearances of a server within 30 s that take effect at once; zero means 3
 }
 
 // Announcer receives the announcements of the backend server and lets them lapse
@@ -150,9 +156,22 @@
 		"slots", next.Slots, "epoch", next.Epoch, "seq", next.Seq, "cold", next.Cold, "leaving", next.Leaving)
 }
 
-// Run checks the lease until the context ends, so that an announcement lapses
-// when it is not renewed. It always returns nil.
+// Run looks for the backend server, then checks the lease until the context ends,
+// so that an announcement lapses when it is not renewed. It always returns nil.
 func (a *Announcer) Run(ctx context.Context) error {
+	if a.config.Discover == nil {
+		return a.watchLease(ctx)
+	}
+	t, ctx := tomb.WithContext(ctx)
+	t.Go(func() error {
+		t.Go(func() error { return a.discover(ctx) })
+		return a.watchLease(ctx)
+	})
+	return t.Wait()
+}
+
+// watchLease evaluates the lease at regular intervals.
+func (a *Announcer) watchLease(ctx context.Context) error {
 	ticker := time.NewTicker(max(a.config.Lease/16, time.Millisecond))
 	defer ticker.Stop()
 	for {
--- a/mesh/backend/lease.go
+++ b/mesh/backend/lease.go
@@ -31,6 +31,8 @@
 	Epoch   uint64 `json:"epoch"` // increases with each restart of the server
 	Name    string `json:"name"`  // of the server's current incarnation; may be empty
 	Seq     uint64 `json:"seq"`   // increases with each announcement of a named incarnation
+
+	found bool // the node found the server, which has not announced itself yet
 }
 
 // sameIncarnation reports whether two announcements come from the same
@@ -151,7 +153,11 @@
 // evaluate drops an announcement that has lapsed and returns the one in force
 // from now on, nil for none, and whether that is a change.
 func (l *lease) evaluate(now time.Time) (*Announcement, bool) {
-	if l.newest != nil && now.Sub(l.renewedAt) > l.duration {
+	duration := l.duration
+	if l.newest != nil && l.newest.found {
+		duration /= discoveredLeaseDivisor
+	}
+	if l.newest != nil && now.Sub(l.renewedAt) > duration {
 		if l.newest.Leaving && l.newest.Name != "" {
 			l.endIncarnation(l.newest.Name, l.newest.Epoch) // a delayed announcement must not bring it back
 		}
--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -128,26 +128,36 @@
 // returns the result, which is unclear when path, the service's health path, is
 // empty or the gate's dialect can't tell which incarnation answered.
 func (g *Gate) CheckHealth(ctx context.Context, in *Announcement, path string) Health {
+	health, incarnation := g.RequestHealth(ctx, in.Address, path)
+	if health != HealthUnclear && incarnation != in.Name {
+		return OtherIncarnation
+	}
+	return health
+}
+
+// RequestHealth sends a health request to a backend server. It returns Healthy or
+// Unhealthy and the name of the incarnation that answered, or HealthUnclear and ""
+// in the cases that CheckHealth names and when there is no answer.
+func (g *Gate) RequestHealth(ctx context.Context, address, path string) (health Health, incarnation string) {
 	dialect, ok := g.config.Dialect.(HealthDialect)
 	if !ok || path == "" {
-		return HealthUnclear
+		return HealthUnclear, ""
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+in.Address+path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return HealthUnclear
+		return HealthUnclear, ""
 	}
 	resp, err := g.unpooled.RoundTrip(req)
 	if err != nil {
-		return HealthUnclear
+		return HealthUnclear, ""
 	}
 	defer resp.Body.Close()
 	switch incarnation, taken := dialect.Life(resp); {
-	case !taken:
-		return HealthUnclear
-	case incarnation != in.Name:
-		return OtherIncarnation
+	case !taken || incarnation == "":
+		return HealthUnclear, ""
 	case resp.StatusCode == http.StatusOK:
-		return Healthy
+		return Healthy, incarnation
+	default:
+		return Unhealthy, incarnation
 	}
-	return Unhealthy
 }
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -61,7 +61,7 @@
 	calls      *hop.CallRegistry
 	leaving    atomic.Bool
 	stopAt     atomic.Pointer[time.Time] // see RefuseBeyond; nil while the node isn't stopping
-	closeConns atomic.Bool // answers carry Connection: close
+	closeConns atomic.Bool               // answers carry Connection: close
 	policy     atomic.Pointer[call.Policy]
 
 	directory atomic.Pointer[directory]
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -128,6 +128,26 @@
 	gate.Dialect, proxy.Dialect, proxy.BufferLimit = n.platform.BackendDialect, n.platform.CallerDialect, hop.MaxBufferedResponse
 	gate.Warmup = -1
 	announcer.FlapLimit, announcer.CheckHealth = platformFlapLimit, n.checkHealth
+	if n.settings.GetBackend().GetAddress() != "" {
+		announcer.Discover = n.discoverServer
+	}
+}
+
+// discoverServer returns the backend server that accepts calls at the address in
+// the settings, or nil if there is none or the table in force does not have its
+// service.
+func (n *Node) discoverServer(ctx context.Context) *backend.Announcement {
+	in := &backend.Announcement{Service: n.settings.GetBackend().GetService(), Address: n.settings.GetBackend().GetAddress()}
+	service := n.Holder.Table().Services[in.Service]
+	if service == nil {
+		return nil
+	}
+	health, incarnation := n.Gate.RequestHealth(ctx, in.Address, service.HealthPath)
+	if health != backend.Healthy {
+		return nil
+	}
+	in.Name = incarnation
+	return in
 }
 
 // checkHealth asks the backend server whether it accepts calls. The result is
