Give nested calls the next free slots

Cause: two of three calls make calls of their own while they hold a slot. Change: a gate recognizes the classes that servers call by where their calls enter (never beside a server of the called service). Their calls get the next free slot and may wait until their deadline, not their objective. The estimate of the wait of other calls leaves out the slots that they hold. TestNestedCallsFirst plays the loss of servers.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -41,9 +41,10 @@
 	// headers. With a dialect the gate sends each call at most once: whether it
 	// is sent again is decided by the node where it entered.
 	Dialect   Dialect
-	Warmup    time.Duration // duration of slow start where the policy sets none; negative means no slow start
-	LinkRate  float64       // rate of the link to other nodes in bytes/s; zero means unlimited
-	SentBytes func() int64  // returns all bytes that the instance has sent over the link so far; with nil only large answers count
+	Warmup    time.Duration                // duration of slow start where the policy sets none; negative means no slow start
+	LinkRate  float64                      // rate of the link to other nodes in bytes/s; zero means unlimited
+	OwnShare  func(service string) float64 // returns the share of instances that run a service; nil means unknown
+	SentBytes func() int64                 // returns all bytes that the instance has sent over the link so far; with nil only large answers count
 	Sinks     telemetry.Sinks
 }
 
@@ -164,7 +165,8 @@
 	if t == nil || t.Service != header.Get(call.HeaderService) {
 		return nil, nil, call.ReasonNoServer
 	}
-	w := &call.Waiter{}
+	caller := header.Get(call.HeaderCaller)
+	w := &call.Waiter{Outside: caller != "" && caller != t.Service}
 	if remote {
 		w.MarkRemote()
 	}
@@ -184,10 +186,14 @@
 // requestSlot applies the current limits and asks for a slot. When the call must
 // wait, w.Ready is closed once it is decided.
 func (g *Gate) requestSlot(w *call.Waiter, t *Target) call.WaiterState {
-	limits := g.limits(t)
+	limits, ownShare := g.limits(t), 0.0
+	if g.config.OwnShare != nil {
+		ownShare = g.config.OwnShare(t.Service)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.admission.SetOwnShare(ownShare)
 	g.wake(g.admission.SetLimits(limits, now))
 	verdict := g.admission.Enter(w, now)
 	if verdict == call.Waiting {
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -26,12 +26,18 @@
 // durations.
 const durationWeight = 0.1
 
+// nestedSlotsWeight is the weight of a new sample in the average of the slots that
+// nested calls hold. There is a sample for each call that enters.
+const nestedSlotsWeight = 0.05
+
 // Waiter is a call that requests a slot.
 type Waiter struct {
 	Deadline time.Time     // zero for none
 	Ready    chan struct{} // closed by the owner of the Admission once the waiter is admitted or rejected
 	Demand                 // the zero Demand waits first in, first out, within the Limits
+	Outside  bool          // the call entered the mesh at an instance of another service
 
+	nested        bool      // a backend server makes the call while it runs another
 	remote        bool      // the response is sent to another instance
 	expectedBytes float64   // response size that the link was told to expect
 	admittedAt    time.Time // time of admission
@@ -63,8 +69,16 @@
 	classDurations classAverages[time.Duration] // moving average by class
 	failureRate    decayingRate
 	link           *Link
+	origins        origins
+	ownShare       float64 // share of instances that run the service
+	nestedSlots    float64 // moving average of the slots that nested calls hold
+	nestedProgress int     // nested calls that hold a slot
 }
 
+// SetOwnShare sets the share of all instances that run the gate's service, by which
+// nested calls are recognized. Zero means unknown: none is recognized.
+func (a *Admission) SetOwnShare(share float64) { a.ownShare = share }
+
 // SetLink sets the network link that responses are sent over; nil means a link
 // of unlimited rate.
 func (a *Admission) SetLink(l *Link) { a.link = l }
@@ -115,6 +129,8 @@
 // Enter requests a slot for a waiter. It returns Admitted, Rejected, or Waiting
 // when the waiter was queued.
 func (a *Admission) Enter(w *Waiter, now time.Time) WaiterState {
+	w.nested = a.origins.observe(w.Class, w.Outside, a.ownShare)
+	a.nestedSlots += nestedSlotsWeight * (float64(a.nestedProgress) - a.nestedSlots)
 	switch {
 	case a.closed:
 		w.reject(ReasonLeaving)
@@ -126,6 +142,8 @@
 		a.grantSlot(w, now)
 	case w.NoWait:
 		w.reject(ReasonBusy)
+	case w.nested && !w.Deadline.IsZero():
+		a.enqueueNested(w, now)
 	case !w.Objective.IsZero():
 		a.enqueueByObjective(w, now)
 	default:
@@ -137,6 +155,9 @@
 // grantSlot gives a slot to a waiter.
 func (a *Admission) grantSlot(w *Waiter, now time.Time) {
 	a.inProgress++
+	if w.nested {
+		a.nestedProgress++
+	}
 	w.state, w.admittedAt = Admitted, now
 	if w.remote {
 		w.expectedBytes = a.link.Begin(w.Class)
@@ -199,6 +220,9 @@
 // the waiters that are admitted or rejected as a result.
 func (a *Admission) Finish(w *Waiter, result Result, now time.Time) []*Waiter {
 	a.link.End(w.expectedBytes)
+	if w.nested {
+		a.nestedProgress--
+	}
 	if result == ResultInconclusive {
 		a.inProgress--
 		return a.admitWaiting(now)
@@ -216,7 +240,7 @@
 	var decided []*Waiter
 	rejectLate := a.onTimeFillSlots(now)
 	a.queue = slices.DeleteFunc(a.queue, func(w *Waiter) bool {
-		if now.Before(w.abandonAt) && !(rejectLate && a.missesObjective(w, now)) {
+		if now.Before(w.abandonAt) && !(rejectLate && !w.nested && a.missesObjective(w, now)) {
 			return false
 		}
 		w.reject(a.expiryReason(w, now))
--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,20 +35,31 @@
 	return last
 }
 
-// sim is a discrete-event simulation of calls from one entry node to the backend
-// servers of a service.
+// sim is a discrete-event simulation of calls to the backend servers of some
+// services. Callers' calls enter at one node, which runs no server. The calls of
+// servers enter at the server's own node.
 type sim struct {
 	now      time.Duration
 	events   events
 	rand     *rand.Rand
+	services map[string]*simService
+	stats    map[string]*callerStats
+}
+
+// simService is the backend servers of one service.
+type simService struct {
+	name     string
 	gates    []*gate
 	balancer *call.Balancer
-	stats    map[string]*callerStats
 }
 
-// callerStats counts the results of the calls of a class. heldRefused counts
-// those that were refused after their objective.
-type callerStats struct{ asked, inTime, late, refused, heldRefused int }
+// callerStats counts the results of the calls of a class. failed counts those that
+// were run in vain, since a nested call was refused; heldRefused counts those that
+// were refused after their objective.
+type callerStats struct{ asked, inTime, late, refused, failed, heldRefused int }
+
+// served returns the share of the calls that were answered.
+func (s *callerStats) served() float64 { return float64(s.inTime+s.late) / float64(max(1, s.asked)) }
 
 // gate is a backend server with its admission control.
 type gate struct {
@@ -58,25 +70,50 @@
 	waiting   map[*call.Waiter]func() // continuations of queued calls
 }
 
-// class describes calls that have the same priority, mean duration and limits.
+// class describes calls that have the same priority, mean duration and limits. A
+// class may make nested calls, at the same time, when its own work is done.
 type class struct {
 	name      string
 	priority  int
 	work      time.Duration
 	objective time.Duration
 	deadline  time.Duration
+	service   string // empty in simulations of one service
+
+	nested      *class
+	nestedCalls int
 }
 
 // newSim returns a simulation with one gate for each speed.
 func newSim(slots int, speeds ...float64) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, balancer: &call.Balancer{}}
+	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, services: map[string]*simService{}}
+	s.addService("", slots, speeds...)
+	return s
+}
+
+// addService adds a service with one gate for each speed.
+func (s *sim) addService(name string, slots int, speeds ...float64) {
+	service := &simService{name: name, balancer: &call.Balancer{}}
 	for i, speed := range speeds {
 		g := &gate{slots: slots, speed: speed, instance: call.NewInstance(string(rune('a'+i)), slots), waiting: map[*call.Waiter]func(){}}
 		g.admission.SetLimits(call.Limits{Slots: slots, Warmup: -1}, s.time())
-		s.gates = append(s.gates, g)
-		s.balancer.Near = append(s.balancer.Near, g.instance)
+		service.gates = append(service.gates, g)
+		service.balancer.Near = append(service.balancer.Near, g.instance)
+	}
+	s.services[name] = service
+}
+
+// shareInstances tells each gate which share of all instances runs its service.
+func (s *sim) shareInstances() {
+	all := 0
+	for _, service := range s.services {
+		all += len(service.gates)
+	}
+	for _, service := range s.services {
+		for _, g := range service.gates {
+			g.admission.SetOwnShare(float64(len(service.gates)) / float64(all))
+		}
 	}
-	return s
 }
 
 func (s *sim) time() time.Time { return time.Unix(1000, 0).Add(s.now) }
@@ -94,43 +131,56 @@
 
 // offer starts calls of a class at random intervals with a mean rate.
 func (s *sim) offer(c class, perSecond float64, from, until time.Duration) {
-	if s.stats[c.name] == nil {
-		s.stats[c.name] = &callerStats{}
-	}
 	var next func()
 	next = func() {
 		if s.now >= until {
 			return
 		}
-		s.call(c)
+		s.call(&c, "", nil, func(bool) {})
 		s.schedule(time.Duration(s.rand.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	s.schedule(from, next)
 }
 
+// simCall is one call in progress.
+type simCall struct {
+	*class
+	start time.Duration
+	done  func(answered bool)
+}
+
 // call places one call as an entry node does: it tries up to three instances for
-// a free slot, then queues at the best one.
-func (s *sim) call(c class) {
-	stats, start := s.stats[c.name], s.now
+// a free slot, then queues at the best one. The call enters at the node of parent,
+// the gate of the server that makes it, or at a node of one of the services if
+// parent is nil. It calls done when the call has ended.
+func (s *sim) call(c *class, caller string, parent *gate, done func(answered bool)) {
+	if s.stats[c.name] == nil {
+		s.stats[c.name] = &callerStats{}
+	}
+	stats, service := s.stats[c.name], s.services[c.service]
+	x := &simCall{class: c, start: s.now, done: done}
 	stats.asked++
+	if parent == nil {
+		caller = s.randomCaller()
+	}
 	var tried []*call.Instance
 	for attempt := 0; ; attempt++ {
-		wait := attempt == 3 || len(tried) == len(s.gates)
+		wait := attempt == 3 || len(tried) == len(service.gates)
 		if wait {
 			tried = nil
 		}
-		i, _ := s.balancer.PickLowestCost(false, c.objective, tried, s.time(), s.rand.IntN)
-		g := s.gates[i.Name[0]-'a']
-		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{})}
+		i, _ := service.balancer.PickLowestCost(false, c.objective, tried, s.time(), s.rand.IntN)
+		g := service.gates[i.Name[0]-'a']
+		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{}), Outside: caller != c.service}
 		w.Demand = call.Demand{Class: c.name, Priority: c.priority, Objective: s.time().Add(c.objective), NoWait: !wait}
 		verdict := g.admission.Enter(w, s.time())
 		i.RecordLoad(g.admission.Report(s.time()), s.time())
 		switch verdict {
 		case call.Admitted:
-			s.hold(g, w, c, start)
+			s.hold(g, w, x)
 			return
 		case call.Waiting:
-			g.waiting[w] = func() { s.afterWait(g, w, c, start) }
+			g.waiting[w] = func() { s.afterWait(g, w, x) }
 			s.schedule(w.AbandonAt().Sub(s.time()), func() {
 				if g.waiting[w] != nil {
 					g.admission.Abandon(w, s.time())
@@ -140,13 +190,36 @@
 			return
 		}
 		if wait {
-			stats.refused++
+			s.refuse(x)
 			return
 		}
 		tried = append(tried, i)
 	}
 }
 
+// randomCaller returns the service of a random instance, where a caller's call
+// enters.
+func (s *sim) randomCaller() string {
+	var names []string
+	for name, service := range s.services {
+		for range service.gates {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names[s.rand.IntN(len(names))]
+}
+
+// refuse ends a call that was refused.
+func (s *sim) refuse(x *simCall) {
+	stats := s.stats[x.name]
+	stats.refused++
+	if s.now-x.start > x.objective {
+		stats.heldRefused++
+	}
+	x.done(false)
+}
+
 // resume continues queued calls that were admitted or rejected.
 func (s *sim) resume(g *gate, decided []*call.Waiter) {
 	for _, w := range decided {
@@ -157,37 +230,58 @@
 }
 
 // afterWait handles a queued call that was admitted or rejected.
-func (s *sim) afterWait(g *gate, w *call.Waiter, c class, start time.Duration) {
+func (s *sim) afterWait(g *gate, w *call.Waiter, x *simCall) {
 	if w.State() == call.Admitted {
-		s.hold(g, w, c, start)
+		s.hold(g, w, x)
 		return
 	}
-	s.stats[c.name].refused++
-	if s.now-start > c.objective {
-		s.stats[c.name].heldRefused++
-	}
+	s.refuse(x)
 }
 
-// hold holds a slot for a random, log-normally distributed duration.
-func (s *sim) hold(g *gate, w *call.Waiter, c class, start time.Duration) {
-	duration := time.Duration(float64(c.work) * g.speed * math.Exp(0.5*s.rand.NormFloat64()-0.125))
+// hold holds a slot for a random, log-normally distributed duration, and then until
+// the nested calls have ended.
+func (s *sim) hold(g *gate, w *call.Waiter, x *simCall) {
+	duration := time.Duration(float64(x.work) * g.speed * math.Exp(0.5*s.rand.NormFloat64()-0.125))
 	s.schedule(duration, func() {
-		stats := s.stats[c.name]
-		if s.now-start <= c.objective {
-			stats.inTime++
-		} else {
-			stats.late++
+		left, failed := x.nestedCalls, false
+		if left == 0 {
+			s.finish(g, w, x, true)
+			return
+		}
+		for range x.nestedCalls {
+			s.call(x.nested, x.service, g, func(answered bool) {
+				left--
+				failed = failed || !answered
+				if left == 0 {
+					s.finish(g, w, x, !failed)
+				}
+			})
 		}
-		decided := g.admission.Finish(w, call.ResultSuccess, s.time())
-		g.instance.RecordLoad(g.admission.Report(s.time()), s.time())
-		s.resume(g, decided)
 	})
 }
 
+// finish ends a call that held a slot.
+func (s *sim) finish(g *gate, w *call.Waiter, x *simCall, answered bool) {
+	stats, result := s.stats[x.name], call.ResultSuccess
+	switch {
+	case !answered:
+		stats.failed++
+		result = call.ResultFailure
+	case s.now-x.start <= x.objective:
+		stats.inTime++
+	default:
+		stats.late++
+	}
+	decided := g.admission.Finish(w, result, s.time())
+	g.instance.RecordLoad(g.admission.Report(s.time()), s.time())
+	s.resume(g, decided)
+	x.done(answered)
+}
+
 // Classes of calls: a lookup, and a booking that is more urgent.
 var (
-	lookup  = class{"lookup", 2, 90 * time.Millisecond, 300 * time.Millisecond, 1200 * time.Millisecond}
-	booking = class{"booking", 1, 120 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond}
+	lookup  = class{name: "lookup", priority: 2, work: 90 * time.Millisecond, objective: 300 * time.Millisecond, deadline: 1200 * time.Millisecond}
+	booking = class{name: "booking", priority: 1, work: 120 * time.Millisecond, objective: 400 * time.Millisecond, deadline: 1500 * time.Millisecond}
 )
 
 // TestBurst offers twice the capacity for five seconds. The backend servers must
--- /dev/null
+++ b/mesh/call/nested_test.go
@@ -0,0 +1,40 @@
+package call_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newChain returns a simulation of two services. Quotes run at the first and make two
+// checks at the second, which also runs bookings. Callers enter at all instances.
+func newChain(servers int) (s *sim, quote, book class) {
+	s = newSim(1)
+	delete(s.services, "")
+	s.addService("quotes", 12, 0.7, 0.7, 1, 1.6)
+	s.addService("dispatch", 12, []float64{0.7, 1, 1.6}[:servers]...)
+	s.shareInstances()
+	check := class{name: "check", priority: 1, work: 55 * time.Millisecond, objective: 200 * time.Millisecond, deadline: 600 * time.Millisecond, service: "dispatch"}
+	quote = class{
+		name: "quote", priority: 2, work: 220 * time.Millisecond, objective: 600 * time.Millisecond, deadline: 1200 * time.Millisecond, service: "quotes",
+		nested: &check, nestedCalls: 2,
+	}
+	book = class{name: "book", priority: 1, work: 290 * time.Millisecond, objective: 800 * time.Millisecond, deadline: 1500 * time.Millisecond, service: "dispatch"}
+	return s, quote, book
+}
+
+// TestNestedCallsFirst plays a loss of backend servers at a service that bookings and
+// the checks of quotes share. Quotes that have begun must be answered, since their
+// work is done; the bookings that find no room must be refused without being held.
+func TestNestedCallsFirst(t *testing.T) {
+	s, quote, book := newChain(1)
+	s.offer(quote, 100, 0, 10*time.Second)
+	s.offer(book, 60, 0, 10*time.Second)
+	s.advance(15 * time.Second)
+	quotes, books, checks := s.stats["quote"], s.stats["book"], s.stats["check"]
+	require.Less(t, quotes.failed, quotes.asked/20, "run in vain: %+v %+v %+v", quotes, books, checks)
+	require.Less(t, checks.refused, checks.asked/20)
+	require.Less(t, books.heldRefused, books.asked/20)
+	require.Positive(t, books.refused)
+}
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// enqueueNested queues a nested call unless it can't get a slot in time for its
+// deadline. It may wait beyond its objective: a refusal would waste the work of the
+// call that it belongs to.
+func (a *Admission) enqueueNested(w *Waiter, now time.Time) {
+	w.abandonAt = w.Deadline.Add(-a.classDurations.get(w.Class, a.meanDuration))
+	if !now.Add(a.expectedWaitOf(w, now)).Before(w.abandonAt) {
+		w.reject(ReasonLate)
+		return
+	}
+	a.queue = append(a.queue, w)
+}
+
 // allowedWait returns how long a call of the given duration may wait for a slot:
 // until it would miss its objective, plus a grace period if it has a deadline.
 func (a *Admission) allowedWait(w *Waiter, now time.Time, duration time.Duration) time.Duration {
@@ -140,7 +152,8 @@
 	return a.link.QueueDelay(now) > expected/2
 }
 
-// expectedWaitOf returns how long a new waiter would wait for a slot.
+// expectedWaitOf returns how long a new waiter would wait for a slot. The slots that
+// nested calls hold on average are not there for others.
 func (a *Admission) expectedWaitOf(w *Waiter, now time.Time) time.Duration {
 	ahead := 0
 	for _, other := range a.queue {
@@ -148,7 +161,11 @@
 			ahead++
 		}
 	}
-	return a.meanDuration * time.Duration(ahead+1) / time.Duration(max(1, a.Slots(now)))
+	slots := float64(a.Slots(now))
+	if !w.nested {
+		slots -= a.nestedSlots
+	}
+	return time.Duration(float64(a.meanDuration) * float64(ahead+1) / max(1, slots))
 }
 
 // ExpectedWait returns how long a new call would wait for a slot if all queued
@@ -158,9 +175,12 @@
 }
 
 // precedes reports whether a waiter gets a slot before one that arrived earlier:
-// only it can still meet its objective, or both are equal in this and it is more
-// urgent.
+// only it is a nested call, or both are equal in this and only it can still meet its
+// objective, or both are equal in this too and it is more urgent.
 func (a *Admission) precedes(w, earlier *Waiter, now time.Time) bool {
+	if w.nested != earlier.nested {
+		return w.nested
+	}
 	if late := a.missesObjective(w, now); late != a.missesObjective(earlier, now) {
 		return !late
 	}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -287,6 +287,7 @@
 	gate := backend.GateConfig{
 		Policy:         func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
+		OwnShare: n.ownShare,
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Remote: n.hopTransport,
@@ -309,6 +310,12 @@
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
+// ownShare returns the share of the known instances that run a service.
+func (n *Node) ownShare(service string) float64 {
+	v := n.Members.View()
+	return float64(len(v.Offers(service))) / float64(max(1, len(v.Names)))
+}
+
 // sentBytes returns the bytes of calls and control messages sent to other nodes
 // so far.
 func (n *Node) sentBytes() int64 {
