Queue a call only while it can meet its objective

Hypothesis: the grace beyond the objective (a sixth of the time to the deadline, and up to the deadline once queued) fills slots with calls that are answered late while others become late behind them. Change: a call is queued only if it is expected to start in time for its objective, and leaves the queue with a refusal when it no longer can. Free slots still take calls that will be late. graceDivisor and allowedWait go.

--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -66,11 +66,6 @@
 	// last call would wait for more than four others in a row, which exceeds
 	// every objective in use.
 	queuePerSlot = 4
-	// graceDivisor limits the wait beyond what the objective allows to
-	// 1/graceDivisor of the time between objective and deadline. A response after
-	// the objective has a third of its value, which justifies a short wait but not
-	// one up to the deadline.
-	graceDivisor = 6
 	// durationMargin is multiplied with the average duration of a class to
 	// predict whether a call meets its objective. Durations vary, and a call that
 	// starts with only the average left misses its objective half of the time.
@@ -90,18 +85,14 @@
 func (a *Admission) enqueueByObjective(w *Waiter, now time.Time) {
 	slots := max(1, a.Slots(now))
 	expected, duration := a.expectedWaitOf(w, now), a.likelyDuration(w)
-	allowed := a.allowedWait(w, now, duration)
-	until := now.Add(2 * allowed)
-	if !w.Deadline.IsZero() {
-		until = w.Deadline.Add(-duration)
-	}
+	latest := w.Objective.Add(-duration)
 	switch {
-	case !now.Add(expected).Before(until):
+	case !w.Deadline.IsZero() && !now.Add(expected+duration).Before(w.Deadline):
 		w.reject(ReasonLate)
-	case len(a.queue) >= queuePerSlot*slots || expected > allowed:
+	case len(a.queue) >= queuePerSlot*slots || now.Add(expected).After(latest):
 		w.reject(ReasonBusy)
 	default:
-		w.abandonAt = until
+		w.abandonAt = latest
 		a.queue = append(a.queue, w)
 	}
 }
@@ -118,20 +109,6 @@
 	a.queue = append(a.queue, w)
 }
 
-// allowedWait returns how long a call of the given duration may wait for a slot:
-// until it would miss its objective, plus a grace period if it has a deadline.
-func (a *Admission) allowedWait(w *Waiter, now time.Time, duration time.Duration) time.Duration {
-	allowed := max(0, w.Objective.Sub(now)-duration)
-	if !w.Deadline.IsZero() {
-		latest := w.Objective
-		if latest.Before(now) {
-			latest = now
-		}
-		allowed += max(0, w.Deadline.Sub(latest)) / graceDivisor
-	}
-	return allowed
-}
-
 // linkTooSlow reports whether the link would send the response to a call too
 // late. There is no grace period beyond the objective: downloads that exceed the
 // capacity of the link keep its queue at the permitted maximum, so with a grace
