--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -20,7 +20,10 @@
 	seedRoundsBeforeDiscovery = 2 // rounds over the seeds before the platform is asked for meeting points
 	roundsBeforeAlone         = 4 // rounds without an answer after which a node goes on alone
 	maxReferrals              = 4 // other members that a busy node refers a joining node to
-	joinHedgeHeartbeats       = 2 // heartbeats without an answer after which the next address is asked too
+	// joinHedgeDivisor divides the heartbeat interval to give the time without an
+	// answer after which the next address is asked too. A join takes a round trip
+	// and a few ms, while the address of a lost instance never answers.
+	joinHedgeDivisor = 4
 )
 
 // joinSearch decides which address a joining node asks next, and when.
@@ -50,7 +53,7 @@
 // next returns the address to ask now, if any, or whether to ask the platform for
 // its meeting points.
 func (j *joinSearch) next(now time.Time) (addr string, discover bool) {
-	if j.joined || now.Before(j.nextAttempt) || j.awaitingAnswer && now.Sub(j.askedAt) < joinHedgeHeartbeats*j.heartbeatInterval {
+	if j.joined || now.Before(j.nextAttempt) || j.awaitingAnswer && now.Sub(j.askedAt) < j.heartbeatInterval/joinHedgeDivisor {
 		return "", false
 	}
 	j.askedAt = now
@@ -263,7 +266,8 @@
 }
 
 // DiscoverDone handles the outcome of reading the platform's meeting points:
-// members are those that they name.
+// members are those that they name. All nodes ask them in the same order, since nodes
+// that start together and join through different ones could form separate fleets.
 func (a *Agent) DiscoverDone(now time.Time, members []*wire.Member) {
 	a.detectPause(now)
 	a.joinSearch.awaitingAnswer = false
--- a/mesh/member/member_test.go
+++ b/mesh/member/member_test.go
@@ -151,20 +151,23 @@
 }
 
 // TestMeetingPointsReplaceSeeds checks that a node without seeds joins through the
-// platform's meeting points, although one of them names a node that is gone and
-// one the node itself, and that it does not wait long for the one that is gone.
+// platform's meeting points, although most of them name nodes that are gone and one
+// the node itself, and that it asks the live one within a heartbeat interval.
 func TestMeetingPointsReplaceSeeds(t *testing.T) {
 	now := time.UnixMilli(1_000_000)
 	self := &wire.Member{Name: "a", Peer: "a", Domain: "x", Incarnation: 1, State: wire.State_STATE_ALIVE}
 	a := New(Config{Heartbeat: testHeartbeat, SuspicionTimeout: 3 * testHeartbeat, HasMeetingPoints: true, Rand: rand.New(rand.NewPCG(1, 2))}, self, now)
 	require.False(t, a.Joined(), "a node without seeds that has a meeting place is not alone")
-	points := []*wire.Member{{Name: "gone", Peer: "gone"}, {Name: "a", Peer: "a"}, {Name: "b", Peer: "b"}}
-	asked := map[string]time.Time{}
+	points := []*wire.Member{
+		{Name: "gone-1", Peer: "gone-1"}, {Name: "gone-2", Peer: "gone-2"}, {Name: "gone-3", Peer: "gone-3"}, {Name: "a", Peer: "a"}, {Name: "b", Peer: "b"},
+	}
+	asked, discovered := map[string]time.Time{}, time.Time{}
 	for range 200 {
 		now = now.Add(testHeartbeat / beatTicks)
 		for _, act := range a.Tick(now) {
 			switch act.Kind {
 			case Discover:
+				discovered = now
 				a.DiscoverDone(now, points)
 			case Join:
 				asked[act.Addr] = now
@@ -172,7 +175,7 @@
 					a.JoinDone(now, act, &wire.JoinResponse{Members: []*wire.Member{
 						{Name: "b", Peer: "b", Domain: "x", Incarnation: 1, State: wire.State_STATE_ALIVE},
 					}})
-				} // the other address never answers
+				} // the other addresses never answer
 			}
 		}
 		if a.table.Len() == 2 {
@@ -181,7 +184,7 @@
 	}
 	require.Equal(t, 2, a.table.Len())
 	require.NotContains(t, asked, "a")
-	require.LessOrEqual(t, asked["b"].Sub(asked["gone"]), (joinHedgeHeartbeats+1)*testHeartbeat, "it does not wait for the point that is gone")
+	require.LessOrEqual(t, asked["b"].Sub(discovered), testHeartbeat, "it does not wait for the points that are gone")
 }
 
 // TestOthersFindARestartedNode restarts a node without seeds while the platform,
