Share a shortage that starves more urgent calls with the callers of the service

Change: a gate reports in the answers to nested calls which share of more urgent calls it has refused lastingly (10 s) and recently (1 s); a service that calls it refuses that share, less a tolerance, of its less urgent calls before they run, with the reason overload. TestShortageIsShared plays the load with and without it.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -159,14 +159,15 @@
 
 // admit takes a slot for a call, waiting in the queue if all are in use. remote
 // means that the answer goes to another node. It returns the backend server and
-// the slot, or a nil server and the reason why the call was not admitted.
+// the waiter that holds the slot, or the reason why the call was not admitted. The
+// waiter is nil if the gate has no backend server of the service.
 func (g *Gate) admit(ctx context.Context, header http.Header, remote bool) (*Target, *call.Waiter, call.Reason) {
 	t := g.target.Load()
 	if t == nil || t.Service != header.Get(call.HeaderService) {
 		return nil, nil, call.ReasonNoServer
 	}
 	caller := header.Get(call.HeaderCaller)
-	w := &call.Waiter{Outside: caller != "" && caller != t.Service}
+	w := &call.Waiter{Outside: caller != "" && caller != t.Service, Repeated: header[call.HeaderAttempt] != nil}
 	if remote {
 		w.MarkRemote()
 	}
@@ -180,7 +181,7 @@
 	if w.State() == call.Admitted {
 		return t, w, ""
 	}
-	return nil, nil, w.Reason()
+	return nil, w, w.Reason()
 }
 
 // requestSlot applies the current limits and asks for a slot. When the call must
@@ -245,6 +246,14 @@
 	time.AfterFunc(g.config.AbortGrace, func() { g.releaseSlot(w, result) })
 }
 
+// RecordShortages records the shortages that a service reported to a call of the
+// backend server.
+func (g *Gate) RecordShortages(service string, shortages []call.Shortage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.RecordShortages(service, shortages, time.Now())
+}
+
 // recordResult records whether the backend server answered a call whose duration
 // must not count.
 func (g *Gate) recordResult(good bool) {
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -36,6 +36,7 @@
 	Ready    chan struct{} // closed by the owner of the Admission once the waiter is admitted or rejected
 	Demand                 // the zero Demand waits first in, first out, within the Limits
 	Outside  bool          // the call entered the mesh at an instance of another service
+	Repeated bool          // another gate has refused the call before
 
 	nested        bool      // a backend server makes the call while it runs another
 	remote        bool      // the response is sent to another instance
@@ -73,6 +74,29 @@
 	ownShare       float64 // share of instances that run the service
 	nestedSlots    float64 // moving average of the slots that nested calls hold
 	nestedProgress int     // nested calls that hold a slot
+	decisions      decisions
+	called         called
+}
+
+// RecordShortages records the shortages that a service reported to a nested call of
+// the backend server.
+func (a *Admission) RecordShortages(service string, shortages []Shortage, now time.Time) {
+	a.called.record(service, shortages, now)
+}
+
+// Shortages returns the shortages to report to nested calls; nil if there are none.
+func (a *Admission) Shortages(now time.Time) []Shortage { return a.decisions.shortages(now) }
+
+// Nested reports whether a backend server makes the call while it runs another. It is
+// valid once the waiter has entered.
+func (w *Waiter) Nested() bool { return w.nested }
+
+// refuse rejects a waiter for want of slots.
+func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
+	w.reject(reason)
+	if !w.nested && !w.Objective.IsZero() {
+		a.decisions.add(w.Priority, true, now)
+	}
 }
 
 // SetOwnShare sets the share of all instances that run the gate's service, by which
@@ -136,6 +160,8 @@
 		w.reject(ReasonLeaving)
 	case !w.Deadline.IsZero() && !now.Before(w.Deadline):
 		w.reject(ReasonLate)
+	case !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now):
+		a.refuse(w, ReasonOverload, now)
 	case a.linkTooSlow(w, now):
 		w.reject(ReasonBusy)
 	case len(a.queue) == 0 && a.inProgress < a.Slots(now):
@@ -159,6 +185,9 @@
 		a.nestedProgress++
 	}
 	w.state, w.admittedAt = Admitted, now
+	if !w.nested && !w.Objective.IsZero() {
+		a.decisions.add(w.Priority, false, now)
+	}
 	if w.remote {
 		w.expectedBytes = a.link.Begin(w.Class)
 	}
@@ -243,7 +272,7 @@
 		if now.Before(w.abandonAt) && !(rejectLate && !w.nested && a.missesObjective(w, now)) {
 			return false
 		}
-		w.reject(a.expiryReason(w, now))
+		a.refuse(w, a.expiryReason(w, now), now)
 		decided = append(decided, w)
 		return true
 	})
@@ -272,7 +301,7 @@
 func (a *Admission) Abandon(w *Waiter, now time.Time) WaiterState {
 	if i := slices.Index(a.queue, w); i >= 0 {
 		a.queue = slices.Delete(a.queue, i, i+1)
-		w.reject(a.expiryReason(w, now))
+		a.refuse(w, a.expiryReason(w, now), now)
 	}
 	return w.state
 }
--- a/mesh/call/nested_test.go
+++ b/mesh/call/nested_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/call"
 )
 
 // newChain returns a simulation of two services. Quotes run at the first and make two
@@ -38,3 +40,33 @@
 	require.Less(t, books.heldRefused, books.asked/20)
 	require.Positive(t, books.refused)
 }
+
+// TestShortageIsShared plays the same loss for a minute, with less urgent quotes at the
+// load of a busy day. The bookings are the more urgent calls, so that quotes must be
+// refused, before they run, while most bookings are. Without it, the nested calls of
+// the quotes starve the bookings.
+func TestShortageIsShared(t *testing.T) {
+	play := func(ignoreShortages bool) (quotes, books *callerStats) {
+		s, quote, book := newChain(1)
+		s.ignoreShortages = ignoreShortages
+		s.offer(quote, 140, 0, time.Minute)
+		s.offer(book, 70, 0, time.Minute)
+		s.advance(65 * time.Second)
+		return s.stats["quote"], s.stats["book"]
+	}
+	_, starved := play(true)
+	quotes, books := play(false)
+	require.Less(t, starved.served(), 0.2)
+	require.Greater(t, books.served(), 0.3, "%+v %+v", quotes, books)
+	require.Greater(t, quotes.served(), books.served())
+	require.Less(t, quotes.failed, quotes.asked/20, "run in vain: %+v %+v", quotes, books)
+}
+
+// TestShortagesFormat checks that ParseShortages reverses FormatShortages and skips
+// what it can't read.
+func TestShortagesFormat(t *testing.T) {
+	shortages := []call.Shortage{{Priority: 1, Refused: 0.39}, {Priority: 0, Refused: 0.05}}
+	require.Equal(t, shortages, call.ParseShortages(call.FormatShortages(shortages)))
+	require.Equal(t, shortages[:1], call.ParseShortages("x:1,1:39,2,3:-4"))
+	require.Empty(t, call.ParseShortages(""))
+}
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -63,6 +63,7 @@
 	ReasonNoRoute    Reason = "no-route"    // no route matches
 	ReasonNoServer   Reason = "no-server"   // no backend server offers the service
 	ReasonBusy       Reason = "busy"        // all slots are in use and the call can't be queued
+	ReasonOverload   Reason = "overload"    // a service that the backend server calls lacks slots for more urgent calls
 	ReasonLate       Reason = "late"        // the call could not start before its deadline
 	ReasonLeaving    Reason = "leaving"     // the node or the backend server is stopping
 	ReasonDial       Reason = "dial"        // no connection could be established
@@ -113,7 +114,7 @@
 	switch r {
 	case ReasonNotReady, ReasonNoServer:
 		return retryAfterStart
-	case ReasonBusy, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
+	case ReasonBusy, ReasonOverload, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
 		return retryAfterBusy
 	}
 	return 0
@@ -123,7 +124,7 @@
 // have reached the backend server. An attempt that a gate refused has not.
 func (r Reason) MayHaveArrived() bool {
 	switch r {
-	case ReasonBusy, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
+	case ReasonBusy, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
 		return false
 	}
 	return true
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -88,9 +88,9 @@
 	latest := w.Objective.Add(-duration)
 	switch {
 	case !w.Deadline.IsZero() && !now.Add(expected+duration).Before(w.Deadline):
-		w.reject(ReasonLate)
+		a.refuse(w, ReasonLate, now)
 	case len(a.queue) >= queuePerSlot*slots || now.Add(expected).After(latest):
-		w.reject(ReasonBusy)
+		a.refuse(w, ReasonBusy, now)
 	default:
 		w.abandonAt = latest
 		a.queue = append(a.queue, w)
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -138,6 +138,8 @@
 	switch {
 	case x.ctx.Err() != nil, x.arrivals >= maxAttempts, len(x.tried) >= maxAttempts+maxRejections, x.body.Streamed():
 		return false
+	case last.reason == call.ReasonOverload: // other instances call the same service
+		return false
 	case !call.CanRetry(last.outcome, x.idempotent, x.inExtraAttempt):
 		return false
 	}
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -90,6 +90,7 @@
 		call.ReasonNoRoute:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.URL.Path = "/none" }),
 		call.ReasonNoServer: refusedByGate(refuseWith(call.ReasonNoServer, call.OutcomeNotRun)),
 		call.ReasonBusy:     refusedByGate(refuseWith(call.ReasonBusy, call.OutcomeNotRun)),
+		call.ReasonOverload: refusedByGate(refuseWith(call.ReasonOverload, call.OutcomeNotRun)),
 		call.ReasonLate:     refusedByGate(refuseWith(call.ReasonLate, call.OutcomeNotRun)),
 		call.ReasonLeaving:  refusedByEntry(func(p *Proxy, _ *http.Request) { p.leaving.Store(true) }),
 		call.ReasonDial:     refusedByGate(failWith(dial)),
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -142,6 +142,9 @@
 		wait, _ := call.ParseTimeLeft(resp.Header.Get(call.HeaderLink))
 		i.RecordLinkWait(wait, now)
 	}
+	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
+		report(x.target, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
+	}
 	if reason := resp.Header.Get(call.HeaderReason); reason != "" {
 		x.backlog = parseBacklog(resp.Header)
 		_ = resp.Body.Close()
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -305,7 +305,7 @@
 		n.adaptToPlatform(&gate, &proxy, &announcer)
 	}
 	n.Gate = backend.NewGate(gate)
-	proxy.Local = n.Gate
+	proxy.Local, proxy.ReportShortages = n.Gate, n.Gate.RecordShortages
 	n.Proxy = caller.New(proxy)
 	n.announcer = backend.NewAnnouncer(announcer)
 }
