Far penalty back to a quarter of the objective

Conclusion: reverted; a penalty that follows the bytes of a call instead of its objective was not tried. TestFar is as it was.

--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -17,7 +17,7 @@
 	// reduce the traffic between failure domains: a call accepts a wait in its own
 	// failure domain that leaves most of the objective, and one with a large
 	// response avoids only a wait that would miss the objective.
-	farPenalty      = 0.50
+	farPenalty      = 0.25
 	largeFarPenalty = 0.80
 	// failureCost is the cost of a failed attempt, in seconds: a typical time to
 	// detect the failure and make another attempt.
