Bound the wait beyond the objective again by a sixth; try a crashing server once

Change: a queued call may again wait for a sixth of the time between objective and deadline, but now leaves the queue at that moment instead of near its deadline. Change: with a dialect no request is replayable.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -274,9 +274,10 @@
 )
 
 // newOutboundCall builds the request for the backend server from header, which it
-// changes. The request of a call that must run at most once is formed so that
-// net/http never resends it: it has no combination of method, body and headers
-// that net/http treats as replayable.
+// changes. The request of a call that must run at most once, or whose repeats only the
+// entry node decides (with a dialect), is formed so that net/http never resends it: it
+// has no combination of method, body and headers that net/http treats as replayable.
+// Otherwise net/http would try a failing server on one idle connection after the other.
 func newOutboundCall(ctx context.Context, r *http.Request, header http.Header, t *Target, dialect Dialect) *outboundCall {
 	o := &outboundCall{repeatable: header.Get(call.HeaderRepeat) == call.Yes}
 	empty := r.ContentLength == 0 || header.Get(call.HeaderEmpty) == call.Yes
@@ -299,7 +300,7 @@
 	if empty {
 		out.ContentLength, out.Body = 0, http.NoBody
 	}
-	if !o.repeatable {
+	if !o.repeatable || dialect != nil {
 		call.HideIdempotencyKeys(header)
 		if empty && usuallyLacksBody(r.Method) {
 			out.Body = hop.EmptyBody{}
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -66,6 +66,11 @@
 	// last call would wait for more than four others in a row, which exceeds
 	// every objective in use.
 	queuePerSlot = 4
+	// graceDivisor limits the wait beyond what the objective allows to
+	// 1/graceDivisor of the time between objective and deadline. An answer after the
+	// objective still has some value, which justifies a short wait but not one up to
+	// the deadline.
+	graceDivisor = 6
 	// durationMargin is multiplied with the average duration of a class to
 	// predict whether a call meets its objective. Durations vary, and a call that
 	// starts with only the average left misses its objective half of the time.
@@ -85,7 +90,7 @@
 func (a *Admission) enqueueByObjective(w *Waiter, now time.Time) {
 	slots := max(1, a.Slots(now))
 	expected, duration := a.expectedWaitOf(w, now), a.likelyDuration(w)
-	latest := w.Objective.Add(-duration)
+	latest := latestStart(w, now, duration)
 	switch {
 	case !w.Deadline.IsZero() && !now.Add(expected+duration).Before(w.Deadline):
 		a.refuse(w, ReasonLate, now)
@@ -97,6 +102,23 @@
 	}
 }
 
+// latestStart returns until when a call of the given duration may wait for a slot:
+// until it would miss its objective, plus a grace period if it has a deadline.
+func latestStart(w *Waiter, now time.Time, duration time.Duration) time.Time {
+	latest := later(w.Objective.Add(-duration), now)
+	if w.Deadline.IsZero() {
+		return latest
+	}
+	return latest.Add(max(0, w.Deadline.Sub(later(w.Objective, now))) / graceDivisor)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // enqueueNested queues a nested call unless it can't get a slot in time for its
 // deadline. It may wait beyond its objective: a refusal would waste the work of the
 // call that it belongs to.
