--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -160,7 +160,7 @@
 		w.reject(ReasonLeaving)
 	case !w.Deadline.IsZero() && !now.Before(w.Deadline):
 		w.reject(ReasonLate)
-	case !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now):
+	case a.yields(w, now):
 		a.refuse(w, ReasonOverload, now)
 	case a.linkTooSlow(w, now):
 		w.reject(ReasonBusy)
@@ -168,6 +168,21 @@
 		a.grantSlot(w, now)
 	case w.NoWait:
 		w.reject(ReasonBusy)
+	default:
+		a.enqueue(w, now)
+	}
+	return w.state
+}
+
+// yields reports whether a call must make room for more urgent ones at a service that
+// the backend server calls. Only the first gate that is asked decides it.
+func (a *Admission) yields(w *Waiter, now time.Time) bool {
+	return !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now)
+}
+
+// enqueue queues a waiter, or rejects it.
+func (a *Admission) enqueue(w *Waiter, now time.Time) {
+	switch {
 	case w.nested && !w.Deadline.IsZero():
 		a.enqueueNested(w, now)
 	case !w.Objective.IsZero():
@@ -175,7 +190,6 @@
 	default:
 		a.enqueueInOrder(w, now)
 	}
-	return w.state
 }
 
 // grantSlot gives a slot to a waiter.
