Name the types of shortages for what they do; keep the verdict of nameless health

Cause: a read of the whole change as a newcomer: decisions and called said little, the file was called pressure; a health answer without a name had become unclear where it was that of another incarnation. Change: shortageMeter and shortageLimiter in shortage.go, comments; the log line of a backend server says whether it was found; CheckHealth decides as before.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -153,7 +153,7 @@
 		return
 	}
 	a.config.Log.Info("backend server", "service", next.Service, "server", next.Name, "address", next.Address,
-		"slots", next.Slots, "epoch", next.Epoch, "seq", next.Seq, "cold", next.Cold, "leaving", next.Leaving)
+		"slots", next.Slots, "epoch", next.Epoch, "seq", next.Seq, "cold", next.Cold, "leaving", next.Leaving, "found", next.found)
 }
 
 // Run looks for the backend server, then checks the lease until the context ends,
--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -153,7 +153,7 @@
 	}
 	defer resp.Body.Close()
 	switch incarnation, taken := dialect.Life(resp); {
-	case !taken || incarnation == "":
+	case !taken:
 		return HealthUnclear, ""
 	case resp.StatusCode == http.StatusOK:
 		return Healthy, incarnation
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -74,8 +74,8 @@
 	ownShare       float64 // share of instances that run the service
 	nestedSlots    float64 // moving average of the slots that nested calls hold
 	nestedProgress int     // nested calls that hold a slot
-	decisions      decisions
-	called         called
+	shortages      shortageMeter   // of this service
+	called         shortageLimiter // by the shortages of the services that the server calls
 }
 
 // RecordShortages records the shortages that a service reported to a nested call of
@@ -85,7 +85,7 @@
 }
 
 // Shortages returns the shortages to report to nested calls; nil if there are none.
-func (a *Admission) Shortages(now time.Time) []Shortage { return a.decisions.shortages(now) }
+func (a *Admission) Shortages(now time.Time) []Shortage { return a.shortages.current(now) }
 
 // Nested reports whether a backend server makes the call while it runs another. It is
 // valid once the waiter has entered.
@@ -95,7 +95,7 @@
 func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
 	w.reject(reason)
 	if !w.nested && !w.Objective.IsZero() {
-		a.decisions.add(w.Priority, true, now)
+		a.shortages.add(w.Priority, true, now)
 	}
 }
 
@@ -200,7 +200,7 @@
 	}
 	w.state, w.admittedAt = Admitted, now
 	if !w.nested && !w.Objective.IsZero() {
-		a.decisions.add(w.Priority, false, now)
+		a.shortages.add(w.Priority, false, now)
 	}
 	if w.remote {
 		w.expectedBytes = a.link.Begin(w.Class)
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -121,7 +121,7 @@
 
 // enqueueNested queues a nested call unless it can't get a slot in time for its
 // deadline. It may wait beyond its objective: a refusal would waste the work of the
-// call that it belongs to.
+// call that it belongs to. The slots of the calling servers bound how many wait.
 func (a *Admission) enqueueNested(w *Waiter, now time.Time) {
 	w.abandonAt = w.Deadline.Add(-a.classDurations.get(w.Class, a.meanDuration))
 	if !now.Add(a.expectedWaitOf(w, now)).Before(w.abandonAt) {
--- a/mesh/call/pressure.go
+++ b/mesh/call/shortage.go
@@ -3,8 +3,8 @@
 // This file passes overload of a service on to the services that call it. It handles
 // a service whose slots are needed by both callers' calls and nested ones. Since
 // nested calls go first there, less urgent calls elsewhere could take all its slots
-// from more urgent ones. So a service refuses, before they run, the share of its less
-// urgent calls that the called service refuses of its more urgent ones.
+// from more urgent ones. So while most of those are refused, a service that calls it
+// refuses, before they run, nearly the same share of its own less urgent calls.
 
 import (
 	"slices"
@@ -69,8 +69,9 @@
 	shortageLifetime = time.Second
 )
 
-// decisions tracks the shares of calls that were refused, by priority.
-type decisions struct{ shares []refusedShare }
+// shortageMeter measures the shares of calls that are refused, by priority. The zero
+// value is ready for use.
+type shortageMeter struct{ shares []refusedShare }
 
 // refusedShare holds moving averages over the calls of one priority.
 type refusedShare struct {
@@ -80,16 +81,16 @@
 }
 
 // add records the decision about a call.
-func (d *decisions) add(priority int, refused bool, now time.Time) {
-	i := slices.IndexFunc(d.shares, func(s refusedShare) bool { return s.priority == priority })
+func (m *shortageMeter) add(priority int, refused bool, now time.Time) {
+	i := slices.IndexFunc(m.shares, func(s refusedShare) bool { return s.priority == priority })
 	if i < 0 {
-		if len(d.shares) == maxPriorities {
+		if len(m.shares) == maxPriorities {
 			return
 		}
-		i = len(d.shares)
-		d.shares = append(d.shares, refusedShare{priority: priority})
+		i = len(m.shares)
+		m.shares = append(m.shares, refusedShare{priority: priority})
 	}
-	s, result := &d.shares[i], 0.0
+	s, result := &m.shares[i], 0.0
 	if refused {
 		result = 1
 	}
@@ -98,11 +99,11 @@
 	s.updated = now
 }
 
-// shortages returns the priorities of which a share worth reporting was refused for
+// current returns the priorities of which a share worth reporting was refused for
 // some time and still is.
-func (d *decisions) shortages(now time.Time) []Shortage {
+func (m *shortageMeter) current(now time.Time) []Shortage {
 	var out []Shortage
-	for _, s := range d.shares {
+	for _, s := range m.shares {
 		if min(s.recent, s.lasting) >= starvedShare && now.Sub(s.updated) <= shortageLifetime {
 			out = append(out, Shortage{s.priority, min(s.recent, s.lasting) - shortageTolerance})
 		}
@@ -110,31 +111,32 @@
 	return out
 }
 
-// called holds the shortages that the services report to which the backend server's
-// nested calls go. It is bounded by the services that the server calls.
-type called struct {
-	reports map[string]calledReport
-	carry   map[int]float64 // by priority: sum of the shares since the last refusal
+// shortageLimiter refuses calls by the shortages of the services to which the backend
+// server's nested calls go. The zero value refuses none. Its size is bounded by the
+// services that the server calls.
+type shortageLimiter struct {
+	reports map[string]shortageReport // by service
+	carry   map[int]float64           // by priority: sum of the shares since the last refusal
 }
 
-type calledReport struct {
+type shortageReport struct {
 	shortages []Shortage
 	at        time.Time
 }
 
 // record stores the newest report of a service.
-func (c *called) record(service string, shortages []Shortage, now time.Time) {
-	if c.reports == nil {
-		c.reports = map[string]calledReport{}
+func (l *shortageLimiter) record(service string, shortages []Shortage, now time.Time) {
+	if l.reports == nil {
+		l.reports = map[string]shortageReport{}
 	}
-	c.reports[service] = calledReport{shortages, now}
+	l.reports[service] = shortageReport{shortages, now}
 }
 
 // share returns the share of the calls of a priority to refuse: the largest share
 // that any called service refuses of more urgent ones.
-func (c *called) share(priority int, now time.Time) float64 {
+func (l *shortageLimiter) share(priority int, now time.Time) float64 {
 	share := 0.0
-	for _, r := range c.reports {
+	for _, r := range l.reports {
 		if now.Sub(r.at) > shortageLifetime {
 			continue
 		}
@@ -149,18 +151,18 @@
 
 // refuses decides whether to refuse the next call of a priority. It spreads the
 // refusals evenly over the calls.
-func (c *called) refuses(priority int, now time.Time) bool {
+func (l *shortageLimiter) refuses(priority int, now time.Time) bool {
 	share := c.share(priority, now)
 	if share == 0 {
 		return false
 	}
-	if c.carry == nil || len(c.carry) > maxPriorities {
-		c.carry = map[int]float64{}
+	if l.carry == nil || len(l.carry) > maxPriorities {
+		l.carry = map[int]float64{}
 	}
-	c.carry[priority] += share
-	if c.carry[priority] < 1 {
+	l.carry[priority] += share
+	if l.carry[priority] < 1 {
 		return false
 	}
-	c.carry[priority]--
+	l.carry[priority]--
 	return true
 }
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -23,8 +23,8 @@
 	"caroblift.dev/mesh/telemetry"
 )
 
-// Config configures a Proxy. The fields up to Timeout are required, except
-// Local.
+// Config configures a Proxy. The fields up to Timeout are required, except Local
+// and ReportShortages.
 type Config struct {
 	Table              func() *revision.Table
 	Ready              func() bool // whether the table may be used for calls
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -143,7 +143,7 @@
 		return nil
 	}
 	health, incarnation := n.Gate.RequestHealth(ctx, in.Address, service.HealthPath)
-	if health != backend.Healthy {
+	if health != backend.Healthy || incarnation == "" {
 		return nil
 	}
 	in.Name = incarnation
