--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -71,9 +71,9 @@
 	failureRate    decayingRate
 	link           *Link
 	origins        origins
-	ownShare       float64 // share of instances that run the service
-	nestedSlots    float64 // moving average of the slots that nested calls hold
-	nestedProgress int     // nested calls that hold a slot
+	ownShare       float64         // share of instances that run the service
+	nestedSlots    float64         // moving average of the slots that nested calls hold
+	nestedProgress int             // nested calls that hold a slot
 	shortages      shortageMeter   // of this service
 	called         shortageLimiter // by the shortages of the services that the server calls
 }
--- a/mesh/call/shortage.go
+++ b/mesh/call/shortage.go
@@ -152,7 +152,7 @@
 // refuses decides whether to refuse the next call of a priority. It spreads the
 // refusals evenly over the calls.
 func (l *shortageLimiter) refuses(priority int, now time.Time) bool {
-	share := c.share(priority, now)
+	share := l.share(priority, now)
 	if share == 0 {
 		return false
 	}
