--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -78,31 +78,6 @@
 	called         shortageLimiter // by the shortages of the services that the server calls
 }
 
-// RecordShortages records the shortages that a service reported to a nested call of
-// the backend server.
-func (a *Admission) RecordShortages(service string, shortages []Shortage, now time.Time) {
-	a.called.record(service, shortages, now)
-}
-
-// Shortages returns the shortages to report to nested calls; nil if there are none.
-func (a *Admission) Shortages(now time.Time) []Shortage { return a.shortages.current(now) }
-
-// Nested reports whether a backend server makes the call while it runs another. It is
-// valid once the waiter has entered.
-func (w *Waiter) Nested() bool { return w.nested }
-
-// refuse rejects a waiter for want of slots.
-func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
-	w.reject(reason)
-	if !w.nested && !w.Objective.IsZero() {
-		a.shortages.add(w.Priority, true, now)
-	}
-}
-
-// SetOwnShare sets the share of all instances that run the gate's service, by which
-// nested calls are recognized. Zero means unknown: none is recognized.
-func (a *Admission) SetOwnShare(share float64) { a.ownShare = share }
-
 // SetLink sets the network link that responses are sent over; nil means a link
 // of unlimited rate.
 func (a *Admission) SetLink(l *Link) { a.link = l }
@@ -174,12 +149,6 @@
 	return w.state
 }
 
-// yields reports whether a call must make room for more urgent ones at a service that
-// the backend server calls. Only the first gate that is asked decides it.
-func (a *Admission) yields(w *Waiter, now time.Time) bool {
-	return !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now)
-}
-
 // enqueue queues a waiter, or rejects it.
 func (a *Admission) enqueue(w *Waiter, now time.Time) {
 	switch {
--- a/mesh/call/origin.go
+++ b/mesh/call/origin.go
@@ -40,3 +40,11 @@
 	}
 	return float64(o.outside[class]) > nestedEvidence/-math.Log1p(-ownShare)
 }
+
+// SetOwnShare sets the share of all instances that run the gate's service, by which
+// nested calls are recognized. Zero means unknown: none is recognized.
+func (a *Admission) SetOwnShare(share float64) { a.ownShare = share }
+
+// Nested reports whether a backend server makes the call while it runs another. It is
+// valid once the waiter has entered.
+func (w *Waiter) Nested() bool { return w.nested }
--- a/mesh/call/shortage.go
+++ b/mesh/call/shortage.go
@@ -166,3 +166,27 @@
 	l.carry[priority]--
 	return true
 }
+
+// RecordShortages records the shortages that a service reported to a nested call of
+// the backend server.
+func (a *Admission) RecordShortages(service string, shortages []Shortage, now time.Time) {
+	a.called.record(service, shortages, now)
+}
+
+// Shortages returns the shortages to report to nested calls; nil if there are none.
+func (a *Admission) Shortages(now time.Time) []Shortage { return a.shortages.current(now) }
+
+// refuse rejects a waiter for want of slots, here or at a service that the backend
+// server calls.
+func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
+	w.reject(reason)
+	if !w.nested && !w.Objective.IsZero() {
+		a.shortages.add(w.Priority, true, now)
+	}
+}
+
+// yields reports whether a call must make room for more urgent ones at a service that
+// the backend server calls. Only the first gate that is asked decides it.
+func (a *Admission) yields(w *Waiter, now time.Time) bool {
+	return !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now)
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -271,65 +271,6 @@
 	n.store, n.pollStore = client, client.Clone()
 }
 
-// bytesPerKbit converts the link rate in the settings, which is in kbit/s.
-const bytesPerKbit = 1000 / 8
-
-// linkRate returns the rate of the instance's network link in bytes/s, or 0 if it
-// is not known.
-func (n *Node) linkRate() float64 { return float64(n.settings.GetInstance().GetLink()) * bytesPerKbit }
-
-func (n *Node) assembleCalls() {
-	s := n.settings.GetCalls()
-	silent := ms(s.GetSilent())
-	n.hopTransport = peer.NewTransport(silent, &n.callBytes)
-	n.hopTransport.HTTP2.MaxReceiveBufferPerStream = maxStreamBuffer
-	n.hopTransport.HTTP2.SendPingTimeout = silent / 2 // detects a lost connection after 1.5 times calls.silent
-	gate := backend.GateConfig{
-		Policy:         func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
-		OwnShare: n.ownShare,
-	}
-	proxy := caller.Config{
-		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Remote: n.hopTransport,
-		ReportReachability: n.Members.RecordCallResult, Timeout: ms(s.GetTimeout()), Sinks: n.sinks.ForPart("caller"),
-		Service: n.settings.GetBackend().GetService(),
-	}
-	if shared := n.settings.GetShared(); shared.GetOn() {
-		proxy.ExtraAttempts = caller.ExtraAttempts{Percent: int(shared.GetPercent()), Burst: int(shared.GetSlack())}
-	}
-	announcer := backend.AnnouncerConfig{
-		Log:   n.sinks.ForPart("backend").Log,
-		Lease: ms(s.GetLease()), OnChange: n.onAnnouncement, IsLocal: backend.HostMatcher(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
-	}
-	if n.platform != nil {
-		n.adaptToPlatform(&gate, &proxy, &announcer)
-	}
-	n.Gate = backend.NewGate(gate)
-	proxy.Local, proxy.ReportShortages = n.Gate, n.Gate.RecordShortages
-	n.Proxy = caller.New(proxy)
-	n.announcer = backend.NewAnnouncer(announcer)
-}
-
-// ownShare returns the share of the known instances that run a service.
-func (n *Node) ownShare(service string) float64 {
-	v := n.Members.View()
-	return float64(len(v.Offers(service))) / float64(max(1, len(v.Names)))
-}
-
-// sentBytes returns the bytes of calls and control messages sent to other nodes
-// so far.
-func (n *Node) sentBytes() int64 {
-	_, control := n.controlBytes()
-	return n.callBytes.Out.Load() + control
-}
-
-// onAnnouncement applies a change of the backend server to the gate and to the
-// member table.
-func (n *Node) onAnnouncement(a *backend.Announcement) {
-	n.Gate.SetTarget(a.Target())
-	n.Members.Announce(a.WireServers())
-}
-
 // Start serves the node's ports and starts its background loops.
 func (n *Node) Start() {
 	path, rpc := peer.NewHandler(&peer.Handler{Distributor: n.Distributor, Members: n.Members}, n.pool.MessageCounters)
