Return nil from Announcer.Run when its context ends

Cause: TestDiscover failed beside load on: the tomb's death by its context raced with the loops' nil, so that Run returned context canceled although it promises nil. Change: Run waits for the tomb's end only, as Reader.Run does.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -167,7 +167,8 @@
 		t.Go(func() error { return a.discover(ctx) })
 		return a.watchLease(ctx)
 	})
-	return t.Wait()
+	<-t.Dead()
+	return nil
 }
 
 // watchLease evaluates the lease at regular intervals.
