Log the answer and connection that a failed call's verdict rests on

Users saw calls refused as not run that had run, and the log lines could not tell which answer a refusal rested on. "gate failed" now carries the status of the answer, the ID that it names, the connection and how many answers that had carried; a server's own answer of 400 or above, which left no line, gets "server error". No decision changes.

--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -25,6 +25,9 @@
 	// RewriteHeader rewrites the header of a call for the server. It removes
 	// whatever the caller has set under the names that the dialect reserves.
 	RewriteHeader(header http.Header, a Attempt)
+	// CallID returns the ID of the call that the header of a call or of an
+	// answer names, or "" when it names none.
+	CallID(header http.Header) string
 	// ClassifyAnswer classifies an answer to the header that was sent. It
 	// returns an empty reason and call.OutcomeAnswered for the server's own
 	// answer, and otherwise the reason for which the attempt has failed and
--- /dev/null
+++ b/mesh/backend/evidence.go
@@ -0,0 +1,82 @@
+package backend
+
+// This file records what is known of the answer to an attempt: the connection that
+// it came on and the call that it names.
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// serverConn is a connection to the backend server.
+type serverConn struct {
+	net.Conn
+	number  uint64        // from 1, in the order in which the gate opened them
+	answers atomic.Uint64 // read from it so far
+}
+
+// dialServer wraps a dial function for connections to the backend server.
+func (g *Gate) dialServer(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &serverConn{Conn: conn, number: g.connections.Add(1)}, nil
+	}
+}
+
+// evidence is what an attempt leaves behind for the log.
+type evidence struct {
+	conn    atomic.Pointer[serverConn] // that the call was last sent on; nil if none
+	carried uint64                     // answers that the connection had carried before this one
+	status  int                        // of the answer; 0 if there is none
+	answer  string                     // ID of the call that the answer names; empty if it names none
+}
+
+// evidenceKey is the context key of an attempt's evidence.
+type evidenceKey struct{}
+
+// withEvidence returns a context whose attempts record evidence.
+func withEvidence(ctx context.Context) (context.Context, *evidence) {
+	e := &evidence{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*serverConn); ok {
+			e.conn.Store(c)
+		}
+	}})
+	return context.WithValue(ctx, evidenceKey{}, e), e
+}
+
+// recordAnswer records an answer in the evidence of its attempt.
+func (g *Gate) recordAnswer(ctx context.Context, resp *http.Response) {
+	e, ok := ctx.Value(evidenceKey{}).(*evidence)
+	if !ok {
+		return
+	}
+	e.status = resp.StatusCode
+	if d := g.config.Dialect; d != nil {
+		e.answer = d.CallID(resp.Header)
+	}
+	if c := e.conn.Load(); c != nil {
+		e.carried = c.answers.Add(1) - 1
+	}
+}
+
+// attributes returns the evidence for a log line.
+func (e *evidence) attributes() []any {
+	if e == nil {
+		return nil
+	}
+	var args []any
+	if c := e.conn.Load(); c != nil {
+		args = append(args, "conn", c.number, "carried", e.carried)
+	}
+	if e.status != 0 {
+		args = append(args, "status", e.status, "answer", e.answer)
+	}
+	return args
+}
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -63,11 +63,14 @@
 	}
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
+	ctx, attempt := withEvidence(ctx)
 	resp, failure := g.forward(ctx, r, header, target)
 	if failure != nil {
+		failure.evidence = attempt
 		g.releaseAfterFailure(slot, failure)
 		resp = c.fail(failure)
 	} else {
+		c.logServerError(resp.StatusCode, attempt)
 		resp = c.prepareAnswer(resp, remote)
 	}
 	g.addShortages(resp, slot)
@@ -111,9 +114,22 @@
 
 // logFailure logs a call that was answered too late or not at all.
 func (c *admittedCall) logFailure(f *callFailure) {
-	c.gate.config.Sinks.Log.Info(telemetry.GateFailed, "call", c.id, "service", c.target.Service, "server", c.target.Server,
+	args := []any{
+		"call", c.id, "service", c.target.Service, "server", c.target.Server,
 		"reason", string(f.reason), "ran", f.outcome.String(), "detail", f.detail,
-		"queued", c.admittedAt.Sub(c.arrivedAt).Milliseconds(), "took", time.Since(c.admittedAt).Milliseconds())
+		"queued", c.admittedAt.Sub(c.arrivedAt).Milliseconds(), "took", time.Since(c.admittedAt).Milliseconds(),
+	}
+	c.gate.config.Sinks.Log.Info(telemetry.GateFailed, append(args, f.evidence.attributes()...)...)
+}
+
+// logServerError logs an answer of the backend server that is passed on although
+// it reports a failure, with the evidence that it is the answer to this call.
+func (c *admittedCall) logServerError(status int, e *evidence) {
+	if status < http.StatusBadRequest {
+		return
+	}
+	args := []any{"call", c.id, "service", c.target.Service, "server", c.target.Server, "took", time.Since(c.admittedAt).Milliseconds()}
+	c.gate.config.Sinks.Log.Info(telemetry.ServerError, append(args, e.attributes()...)...)
 }
 
 // prepareAnswer adds the node's headers to the answer of the backend server and
@@ -197,9 +213,10 @@
 
 // callFailure is the reason why a call was not answered.
 type callFailure struct {
-	reason  call.Reason
-	outcome call.Outcome // whether the call may have run
-	detail  string       // for the log
+	reason   call.Reason
+	outcome  call.Outcome // whether the call may have run
+	detail   string       // for the log
+	evidence *evidence    // nil if the call was not sent
 }
 
 // refusalAnswer returns the answer to a call that was refused and not run.
@@ -240,7 +257,7 @@
 	}
 	if resp != nil { // it arrived as the watch canceled the call, so its body is canceled too
 		_ = resp.Body.Close()
-		failure = &callFailure{call.ReasonBroken, call.OutcomeUnknown, "silent connection"}
+		failure = &callFailure{reason: call.ReasonBroken, outcome: call.OutcomeUnknown, detail: "silent connection"}
 	}
 	g.pooled.CloseIdleConnections() // other idle connections may be silent too
 	g.metrics.countSilent()
@@ -365,12 +382,13 @@
 	if err != nil {
 		return nil, g.classify(ctx, err)
 	}
+	g.recordAnswer(ctx, resp)
 	if g.config.Dialect == nil {
 		return resp, nil
 	}
 	if reason, outcome := g.config.Dialect.ClassifyAnswer(out.Header, resp); reason != "" {
 		_ = resp.Body.Close()
-		return nil, &callFailure{reason, outcome, resp.Status}
+		return nil, &callFailure{reason: reason, outcome: outcome, detail: resp.Status}
 	}
 	return resp, nil
 }
@@ -382,11 +400,11 @@
 	dialFailed := isDialError(err, &op)
 	switch {
 	case dialFailed:
-		return &callFailure{call.ReasonDial, call.OutcomeNotRun, err.Error()}
+		return &callFailure{reason: call.ReasonDial, outcome: call.OutcomeNotRun, detail: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &callFailure{call.ReasonDeadline, call.OutcomeUnknown, ""}
+		return &callFailure{reason: call.ReasonDeadline, outcome: call.OutcomeUnknown}
 	case ctx.Err() != nil:
-		return &callFailure{call.ReasonCanceled, call.OutcomeUnknown, ""}
+		return &callFailure{reason: call.ReasonCanceled, outcome: call.OutcomeUnknown}
 	}
-	return &callFailure{call.ReasonBroken, call.OutcomeUnknown, err.Error()}
+	return &callFailure{reason: call.ReasonBroken, outcome: call.OutcomeUnknown, detail: err.Error()}
 }
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -58,6 +58,8 @@
 	calls    *hop.CallRegistry
 	metrics  *metrics
 
+	connections atomic.Uint64 // opened to backend servers so far
+
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
 	link      *call.Link
@@ -88,7 +90,7 @@
 	g := &Gate{config: config, calls: hop.NewCallRegistry(), metrics: newMetrics(config.Sinks.Scope), link: call.NewLink(config.LinkRate)}
 	g.admission.SetLink(g.link)
 	g.pooled = &http.Transport{
-		DialContext: hop.NewDialer(config.SilenceTimeout).DialContext, DisableCompression: true,
+		DialContext: g.dialServer(hop.NewDialer(config.SilenceTimeout).DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: maxServerConns, MaxConnsPerHost: maxServerConns, IdleConnTimeout: idleConnTimeout,
 	}
 	g.unpooled = g.pooled.Clone()
--- a/mesh/backend/resend_test.go
+++ b/mesh/backend/resend_test.go
@@ -20,6 +20,8 @@
 
 func (plainDialect) RewriteHeader(http.Header, backend.Attempt) {}
 
+func (plainDialect) CallID(header http.Header) string { return header.Get(call.HeaderID) }
+
 func (plainDialect) ClassifyAnswer(http.Header, *http.Response) (call.Reason, call.Outcome) {
 	return "", call.OutcomeAnswered
 }
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -22,6 +22,7 @@
 	CallGone    = "call gone"    // the caller disconnected
 	CallRetried = "call retried" // an attempt failed and another one follows
 	GateFailed  = "gate failed"  // the backend server did not answer an admitted call
+	ServerError = "server error" // the backend server answered an admitted call with status 400 or above
 )
 
 // maxCallLines bounds the lines of each of these messages in an interval of ten
@@ -32,7 +33,7 @@
 // different call or member.
 var messageBursts = map[string]int{
 	CallRefused: maxCallLines, CallLost: maxCallLines, CallSlow: maxCallLines / 5, CallGone: maxCallLines / 5,
-	CallRetried: maxCallLines / 5, GateFailed: maxCallLines,
+	CallRetried: maxCallLines / 5, GateFailed: maxCallLines, ServerError: maxCallLines / 5,
 	"member found": maxCallLines / 5, "member changed": maxCallLines / 5, "member lost": maxCallLines / 5,
 }
 
