Derive the status of a failed call from what is proved, not from its reason

Callers take 503, 429, 408 and 421 for a promise that a call has not run. An answer whose body breaks off is no longer classified as an error before the answer.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -206,9 +205,3 @@
 	}
 	return &Target{Service: in.Service, Server: in.Name, Address: in.Address, Slots: in.Slots, Cold: in.Cold, Leaving: in.Leaving}
 }
-
-// isDialError reports whether a call failed before a connection was established,
-// and sets op to the error found.
-func isDialError(err error, op **net.OpError) bool {
-	return errors.As(err, op) && (*op).Op == "dial"
-}
--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -28,9 +28,7 @@
 	// CallID returns the ID of the call that the header of a call or of an
 	// answer names, or "" when it names none.
 	CallID(header http.Header) string
-	// ClassifyAnswer classifies an answer to the header that was sent. It
-	// returns an empty reason and call.OutcomeAnswered for the server's own
-	// answer, and otherwise the reason for which the attempt has failed and
-	// whether it may have run.
-	ClassifyAnswer(sent http.Header, answer *http.Response) (call.Reason, call.Outcome)
+	// ClassifyAnswer returns the verdict on an answer to the header that was
+	// sent; its reason is empty for the server's own answer.
+	ClassifyAnswer(sent http.Header, answer *http.Response) call.Verdict
 }
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -107,16 +106,16 @@
 // the answer that reports the failure.
 func (c *admittedCall) fail(f *callFailure) *http.Response {
 	c.finish()
-	c.gate.metrics.countFailure(f.reason)
+	c.gate.metrics.countFailure(f.verdict.Reason())
 	c.logFailure(f)
-	return c.gate.failureAnswer(c.id, f)
+	return c.gate.failureAnswer(c.id, f.verdict)
 }
 
 // logFailure logs a call that was answered too late or not at all.
 func (c *admittedCall) logFailure(f *callFailure) {
 	args := []any{
 		"call", c.id, "service", c.target.Service, "server", c.target.Server,
-		"reason", string(f.reason), "ran", f.outcome.String(), "detail", f.detail,
+		"reason", string(f.verdict.Reason()), "ran", f.verdict.Outcome().String(), "proof", string(f.verdict.Proof()), "detail", f.detail,
 		"queued", c.admittedAt.Sub(c.arrivedAt).Milliseconds(), "took", time.Since(c.admittedAt).Milliseconds(),
 	}
 	c.gate.config.Sinks.Log.Info(telemetry.GateFailed, append(args, f.evidence.attributes()...)...)
@@ -174,9 +173,9 @@
 // for the abort grace.
 func (g *Gate) releaseAfterFailure(slot *call.Waiter, f *callFailure) {
 	switch {
-	case f.reason == call.ReasonCanceled || f.reason == call.ReasonMoved:
+	case f.verdict.Reason() == call.ReasonCanceled || f.verdict.Reason() == call.ReasonMoved:
 		g.releaseSlotLater(slot, call.ResultInconclusive)
-	case f.outcome == call.OutcomeNotRun:
+	case f.verdict.Outcome() == call.OutcomeNotRun:
 		g.releaseSlot(slot, call.ResultInconclusive)
 		g.recordResult(false)
 	default:
@@ -213,30 +212,23 @@
 
 // callFailure is the reason why a call was not answered.
 type callFailure struct {
-	reason   call.Reason
-	outcome  call.Outcome // whether the call may have run
-	detail   string       // for the log
-	evidence *evidence    // nil if the call was not sent
+	verdict  call.Verdict
+	detail   string    // for the log
+	evidence *evidence // nil if the call was not sent
 }
 
-// refusalAnswer returns the answer to a call that was refused and not run.
+// refusalAnswer returns the answer to a call that was refused before it was sent.
 func (g *Gate) refusalAnswer(id string, reason call.Reason) *http.Response {
-	return g.failureAnswer(id, &callFailure{reason: reason, outcome: call.OutcomeNotRun})
+	return g.failureAnswer(id, call.NotRun(reason, call.ProofNotSent))
 }
 
 // failureAnswer returns the answer to a call that has failed.
-func (g *Gate) failureAnswer(id string, f *callFailure) *http.Response {
+func (g *Gate) failureAnswer(id string, v call.Verdict) *http.Response {
 	resp := &http.Response{
-		StatusCode: f.reason.Status(), ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
-		Header: http.Header{
-			call.HeaderReason: {string(f.reason)},
-			call.HeaderRan:    {f.outcome.String()},
-			"Content-Length":  {"0"},
-		},
-	}
-	if f.outcome == call.OutcomeNotRun {
-		resp.Header[call.HeaderRefused] = []string{string(f.reason)}
+		StatusCode: v.Status(), ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+		Header: http.Header{"Content-Length": {"0"}},
 	}
+	v.SetHeaders(resp.Header)
 	g.setAnswerHeaders(resp, id)
 	return resp
 }
@@ -257,7 +249,7 @@
 	}
 	if resp != nil { // it arrived as the watch canceled the call, so its body is canceled too
 		_ = resp.Body.Close()
-		failure = &callFailure{reason: call.ReasonBroken, outcome: call.OutcomeUnknown, detail: "silent connection"}
+		failure = &callFailure{verdict: call.MayHaveRun(call.ReasonBroken), detail: "silent connection"}
 	}
 	g.pooled.CloseIdleConnections() // other idle connections may be silent too
 	g.metrics.countSilent()
@@ -386,25 +378,24 @@
 	if g.config.Dialect == nil {
 		return resp, nil
 	}
-	if reason, outcome := g.config.Dialect.ClassifyAnswer(out.Header, resp); reason != "" {
-		_ = resp.Body.Close()
-		return nil, &callFailure{reason: reason, outcome: outcome, detail: resp.Status}
+	verdict := g.config.Dialect.ClassifyAnswer(out.Header, resp)
+	if verdict.Reason() == "" {
+		return resp, nil
 	}
-	return resp, nil
+	_ = resp.Body.Close()
+	return nil, &callFailure{verdict: verdict, detail: resp.Status}
 }
 
 // classify returns the failure that an error of a transport or of an answer's body
 // stands for.
 func (g *Gate) classify(ctx context.Context, err error) *callFailure {
-	var op *net.OpError
-	dialFailed := isDialError(err, &op)
 	switch {
-	case dialFailed:
-		return &callFailure{reason: call.ReasonDial, outcome: call.OutcomeNotRun, detail: err.Error()}
+	case hop.IsDialError(err):
+		return &callFailure{verdict: call.NotRun(call.ReasonDial, call.ProofNotSent), detail: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &callFailure{reason: call.ReasonDeadline, outcome: call.OutcomeUnknown}
+		return &callFailure{verdict: call.MayHaveRun(call.ReasonDeadline)}
 	case ctx.Err() != nil:
-		return &callFailure{reason: call.ReasonCanceled, outcome: call.OutcomeUnknown}
+		return &callFailure{verdict: call.MayHaveRun(call.ReasonCanceled)}
 	}
-	return &callFailure{reason: call.ReasonBroken, outcome: call.OutcomeUnknown, detail: err.Error()}
+	return &callFailure{verdict: call.MayHaveRun(call.ReasonBroken), detail: err.Error()}
 }
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -20,6 +20,7 @@
 	HeaderRepeat   = "Caroblift-Repeat"   // Yes when the call may run more than once
 	HeaderEmpty    = "Caroblift-Empty"    // Yes when the call has no body
 	HeaderRefused  = "Caroblift-Refused"  // the Reason for which the call was not run
+	HeaderProof    = "Caroblift-Proof"    // the Proof that the call was not run; between nodes only
 	HeaderReason   = "Caroblift-Reason"   // the Reason of a failure
 	HeaderRan      = "Caroblift-Ran"      // the Outcome: yes, no or unknown
 	HeaderLoad     = "Caroblift-Load"     // load report of the backend server
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -80,8 +80,9 @@
 	ReasonUpgrade    Reason = "upgrade"     // protocol upgrades are not forwarded
 )
 
-// Status returns the HTTP status code of a response that reports the reason.
-func (r Reason) Status() int {
+// status returns the HTTP status code that suits the reason, whether or not the
+// call has run. Verdict.Status is the one for an answer.
+func (r Reason) status() int {
 	switch r {
 	case ReasonNoRoute:
 		return http.StatusNotFound
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -57,8 +57,7 @@
 type result struct {
 	instance *call.Instance
 	resp     *http.Response // the backend server's answer, which may be its own refusal; else nil
-	reason   call.Reason    // empty when the attempt succeeded
-	outcome  call.Outcome
+	verdict  call.Verdict
 
 	hasTimes   bool          // the backend server's node reported the times below
 	remoteTime time.Duration // from the call's arrival at that node to the start of the answer
@@ -75,7 +74,7 @@
 // answers the caller.
 func (x *exchange) serve() {
 	x.service.retryBudget.Deposit(x.service.budgetPercent(x.proxy.config.ExtraAttempts, x.service.policy.Retry))
-	last := &result{reason: call.ReasonNoServer, outcome: call.OutcomeNotRun}
+	last := &result{verdict: call.NotRun(call.ReasonNoServer, call.ProofNotSent)}
 	for {
 		instance := x.pick()
 		if instance == nil {
@@ -83,21 +82,20 @@
 		}
 		next := x.attempt(instance)
 		last.close()
-		if next.reason == "" || next.reason.MayHaveArrived() {
+		reason := next.verdict.Reason()
+		if reason == "" || reason.MayHaveArrived() {
 			x.arrivals++
 		}
-		if next.reason != "" {
-			next.outcome = next.outcome.Combine(last.outcome)
+		if reason != "" {
+			next.verdict = next.verdict.Combine(last.verdict)
+			x.excludeFailed(next)
 		}
 		last = next
-		if last.reason != "" {
-			x.excludeFailed(last)
-		}
-		if last.reason == "" || !x.mayRetry(last) {
+		if reason == "" || !x.mayRetry(last.verdict) {
 			break
 		}
-		if last.reason.MayHaveArrived() {
-			x.log(telemetry.CallRetried, "reason", string(last.reason), "ran", last.outcome.String())
+		if reason.MayHaveArrived() {
+			x.log(telemetry.CallRetried, verdictAttributes(last.verdict)...)
 		}
 		x.proxy.metrics.retries.Inc(1)
 	}
@@ -127,7 +125,7 @@
 
 // mayRetry reports whether another attempt may follow a failed one. It takes
 // from the retry budget unless the retry is free.
-func (x *exchange) mayRetry(last *result) bool {
+func (x *exchange) mayRetry(last call.Verdict) bool {
 	maxAttempts := x.route.MaxAttempts
 	if maxAttempts == 0 {
 		maxAttempts = x.service.policy.Retry.MaxAttempts
@@ -138,13 +136,13 @@
 	switch {
 	case x.ctx.Err() != nil, x.arrivals >= maxAttempts, len(x.tried) >= maxAttempts+maxRejections, x.body.Streamed():
 		return false
-	case last.reason == call.ReasonOverload: // other instances call the same service
+	case last.Reason() == call.ReasonOverload: // other instances call the same service
 		return false
-	case !call.CanRetry(last.outcome, x.idempotent, x.inExtraAttempt):
+	case !call.CanRetry(last.Outcome(), x.idempotent, x.inExtraAttempt):
 		return false
 	}
-	rejected := x.route.LatencyObjective > 0 && !last.reason.MayHaveArrived()
-	return rejected || last.reason.ExemptFromBudget() || x.service.retryBudget.Withdraw()
+	rejected := x.route.LatencyObjective > 0 && !last.Reason().MayHaveArrived()
+	return rejected || last.Reason().ExemptFromBudget() || x.service.retryBudget.Withdraw()
 }
 
 // maxRejections is the number of instances that a call may try beyond its
@@ -155,18 +153,18 @@
 func (x *exchange) finish(last *result) {
 	x.report(last)
 	if last.resp == nil {
-		reason := last.reason
-		if x.ctx.Err() != nil && last.outcome != call.OutcomeNotRun {
-			reason = call.ReasonDeadline
+		verdict := last.verdict
+		if x.ctx.Err() != nil && verdict.Outcome() != call.OutcomeNotRun {
+			verdict = call.MayHaveRun(call.ReasonDeadline)
 		}
-		x.fail(reason, last.outcome)
+		x.fail(verdict)
 		return
 	}
 	defer last.resp.Body.Close()
 	call.StripMeshHeaders(last.resp.Header)
-	if last.reason != "" {
-		x.w.Header()[call.HeaderReason] = []string{string(last.reason)}
-		x.w.Header()[call.HeaderRan] = []string{last.outcome.String()}
+	if reason := last.verdict.Reason(); reason != "" {
+		x.w.Header()[call.HeaderReason] = []string{string(reason)}
+		x.w.Header()[call.HeaderRan] = []string{last.verdict.Outcome().String()}
 	}
 	hop.CopyResponse(x.w, last.resp)
 }
--- a/mesh/caller/hedge.go
+++ b/mesh/caller/hedge.go
@@ -26,22 +26,22 @@
 	r.start(i)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	worst := call.OutcomeNotRun
+	worst := call.NotRun("", call.ProofNotSent) // no attempt has ended yet
 	for {
 		select {
 		case <-timer.C:
 			r.startHedge()
 		case res := <-r.results:
 			r.running--
-			if res.reason == "" {
+			if res.verdict.Reason() == "" {
 				r.cancelOthers(res)
 				return res
 			}
-			res.outcome = res.outcome.Combine(worst)
+			res.verdict = res.verdict.Combine(worst)
 			if r.running == 0 {
 				return res
 			}
-			worst = res.outcome
+			worst = res.verdict
 			res.close()
 		}
 	}
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -57,7 +57,7 @@
 // excludeFailed excludes the instance of a failed attempt from further attempts.
 // A gate that only had no free slot may still queue the call.
 func (x *exchange) excludeFailed(res *result) {
-	if res.reason == call.ReasonBusy && x.demand.NoWait {
+	if res.verdict.Reason() == call.ReasonBusy && x.demand.NoWait {
 		return
 	}
 	x.excluded = append(x.excluded, res.instance)
--- a/mesh/caller/place_test.go
+++ b/mesh/caller/place_test.go
@@ -36,7 +36,7 @@
 			break
 		}
 		steps = append(steps, step{i.Name, x.demand.NoWait})
-		x.excludeFailed(&result{instance: i, reason: call.ReasonBusy})
+		x.excludeFailed(&result{instance: i, verdict: call.NotRun(call.ReasonBusy, call.ProofNotSent)})
 	}
 	require.Equal(t, []step{{"near", true}, {"near", false}}, steps[:2])
 	require.ElementsMatch(t, []step{{"far", true}, {"farther", true}}, steps[2:])
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -226,26 +226,28 @@
 	return ""
 }
 
-// refuse counts, logs and answers a call that was not run.
+// refuse counts, logs and answers a call that was not sent.
 func (x *exchange) refuse(reason call.Reason) {
+	verdict := call.NotRun(reason, call.ProofNotSent)
 	x.proxy.metrics.countRefusal(reason)
-	x.log(telemetry.CallRefused, "reason", string(reason), "ran", call.OutcomeNotRun.String())
-	x.fail(reason, call.OutcomeNotRun)
+	x.log(telemetry.CallRefused, verdictAttributes(verdict)...)
+	x.fail(verdict)
 }
 
 // fail answers the call with a failure that this node generates.
-func (x *exchange) fail(reason call.Reason, outcome call.Outcome) {
+func (x *exchange) fail(verdict call.Verdict) {
+	reason := verdict.Reason()
 	if d := x.proxy.config.Dialect; d != nil {
 		after := time.Duration(0)
-		if outcome == call.OutcomeNotRun {
+		if verdict.Outcome() == call.OutcomeNotRun {
 			after = retryAfter(reason, x.backlog, x.remaining(), rand.Float64())
 		}
-		hop.SetFailureHeaders(x.w.Header(), reason, outcome, after)
+		hop.SetFailureHeaders(x.w.Header(), verdict, after)
 		d.WriteRetryAfter(x.w.Header(), after)
-		x.w.WriteHeader(reason.Status())
+		x.w.WriteHeader(verdict.Status())
 		return
 	}
-	hop.WriteFailure(x.w, reason, outcome, reason.RetryAfter())
+	hop.WriteFailure(x.w, verdict, reason.RetryAfter())
 }
 
 // remaining returns how long the caller will still wait: the time that it stated,
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/net/http2"
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/member"
@@ -33,22 +34,20 @@
 
 func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
-// respondWith returns a transport that answers with a status, and with a reason
-// and outcome unless the reason is empty.
-func respondWith(status int, reason call.Reason, outcome call.Outcome) roundTripFunc {
+// respondWith returns a transport that answers with a status as a backend server.
+func respondWith(status int) roundTripFunc {
 	return func(r *http.Request) (*http.Response, error) {
-		header := http.Header{call.HeaderID: r.Header[call.HeaderID]}
-		if reason != "" {
-			header.Set(call.HeaderReason, string(reason))
-			header.Set(call.HeaderRan, outcome.String())
-		}
-		return &http.Response{StatusCode: status, Header: header, Body: http.NoBody}, nil
+		return &http.Response{StatusCode: status, Header: http.Header{call.HeaderID: r.Header[call.HeaderID]}, Body: http.NoBody}, nil
 	}
 }
 
 // refuseWith returns a transport that answers as a gate that refuses a call.
-func refuseWith(reason call.Reason, outcome call.Outcome) roundTripFunc {
-	return respondWith(reason.Status(), reason, outcome)
+func refuseWith(v call.Verdict) roundTripFunc {
+	return func(r *http.Request) (*http.Response, error) {
+		header := http.Header{call.HeaderID: r.Header[call.HeaderID]}
+		v.SetHeaders(header)
+		return &http.Response{StatusCode: v.Status(), Header: header, Body: http.NoBody}, nil
+	}
 }
 
 // failWith returns a transport that fails with an error.
@@ -88,13 +87,13 @@
 	cases := map[call.Reason]scenario{
 		call.ReasonNotReady: refusedByEntry(func(p *Proxy, _ *http.Request) { p.config.Ready = func() bool { return false } }),
 		call.ReasonNoRoute:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.URL.Path = "/none" }),
-		call.ReasonNoServer: refusedByGate(refuseWith(call.ReasonNoServer, call.OutcomeNotRun)),
-		call.ReasonBusy:     refusedByGate(refuseWith(call.ReasonBusy, call.OutcomeNotRun)),
-		call.ReasonOverload: refusedByGate(refuseWith(call.ReasonOverload, call.OutcomeNotRun)),
-		call.ReasonLate:     refusedByGate(refuseWith(call.ReasonLate, call.OutcomeNotRun)),
+		call.ReasonNoServer: refusedByGate(refuseWith(call.NotRun(call.ReasonNoServer, call.ProofNotSent))),
+		call.ReasonBusy:     refusedByGate(refuseWith(call.NotRun(call.ReasonBusy, call.ProofNotSent))),
+		call.ReasonOverload: refusedByGate(refuseWith(call.NotRun(call.ReasonOverload, call.ProofNotSent))),
+		call.ReasonLate:     refusedByGate(refuseWith(call.NotRun(call.ReasonLate, call.ProofNotSent))),
 		call.ReasonLeaving:  refusedByEntry(func(p *Proxy, _ *http.Request) { p.leaving.Store(true) }),
 		call.ReasonDial:     refusedByGate(failWith(dial)),
-		call.ReasonRefused:  refusedByGate(failWith(errors.New("stream error: REFUSED_STREAM"))),
+		call.ReasonRefused:  refusedByGate(failWith(http2.StreamError{Code: http2.ErrCodeRefusedStream, Cause: errors.New("received from peer")})),
 		call.ReasonBroken:   failed(failWith(errors.New("reset"))),
 		call.ReasonCrossed: failed(func(*http.Request) (*http.Response, error) {
 			return &http.Response{StatusCode: http.StatusOK, Header: http.Header{call.HeaderID: {"another"}}, Body: http.NoBody}, nil
@@ -105,8 +104,8 @@
 			cancel()
 			*r = *r.WithContext(ctx)
 		}},
-		call.ReasonShed:       {hop: respondWith(http.StatusServiceUnavailable, "", call.OutcomeAnswered), message: telemetry.CallLost, counter: failures},
-		call.ReasonMoved:      refusedByGate(refuseWith(call.ReasonMoved, call.OutcomeNotRun)),
+		call.ReasonShed:       {hop: respondWith(http.StatusServiceUnavailable), message: telemetry.CallLost, counter: failures},
+		call.ReasonMoved:      refusedByGate(refuseWith(call.NotRun(call.ReasonMoved, call.ProofRejected))),
 		call.ReasonShortBody:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("1")), 2 }),
 		call.ReasonLongHeader: refusedByEntry(func(_ *Proxy, r *http.Request) { r.Header.Set("Long", strings.Repeat("a", 2000)) }),
 		call.ReasonLongBody:   refusedByEntry(func(_ *Proxy, r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("1")), 2000 }),
@@ -173,16 +172,23 @@
 }
 
 // reasonsView returns a view with one instance of the service.
-func reasonsView(t *testing.T) func() *member.View {
+func reasonsView(t *testing.T) func() *member.View { return viewOf(t, "quotes-0") }
+
+// viewOf returns a view with instances of the service that have the given names.
+func viewOf(t *testing.T, names ...string) func() *member.View {
 	now := time.Now()
 	self := &wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}
 	agent := member.New(member.Config{Heartbeat: time.Second, SuspicionTimeout: time.Second}, self, now)
-	agent.HandleProbe(now, &wire.ProbeRequest{Events: []*wire.Member{{
-		Name: "quotes-0", Peer: "127.0.0.1:1", Hop: "127.0.0.1:2", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
-		Servers: []*wire.Server{{Service: "quotes", Slots: 3}},
-	}}})
+	var members []*wire.Member
+	for _, name := range names {
+		members = append(members, &wire.Member{
+			Name: name, Peer: "127.0.0.1:1", Hop: "127.0.0.1:2", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
+			Servers: []*wire.Server{{Service: "quotes", Slots: 3}},
+		})
+	}
+	agent.HandleProbe(now, &wire.ProbeRequest{Events: members})
 	agent.Tick(now.Add(time.Second / 2))
-	require.Len(t, agent.View().Offers("quotes"), 1)
+	require.Len(t, agent.View().Offers("quotes"), len(names))
 	return agent.View
 }
 
@@ -205,7 +211,7 @@
 		log := slog.New(slog.NewJSONHandler(logWriter, nil)) // without limits, so that the queue fills
 		p := New(Config{
 			Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true },
-			View: reasonsView(t), Remote: refuseWith(call.ReasonBusy, call.OutcomeNotRun), ReportReachability: func(string, bool) {}, Timeout: time.Second,
+			View: reasonsView(t), Remote: refuseWith(call.NotRun(call.ReasonBusy, call.ProofNotSent)), ReportReachability: func(string, bool) {}, Timeout: time.Second,
 			Sinks: telemetry.Sinks{Log: log},
 		})
 		start := time.Now()
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -56,38 +56,49 @@
 // report records the final result of a call in metrics, the log and the span.
 func (x *exchange) report(last *result) {
 	m := x.proxy.metrics
+	reason, outcome := last.verdict.Reason(), last.verdict.Outcome()
 	switch {
-	case last.reason == "":
-		m.outcomes[last.outcome].Inc(1)
-	case last.outcome == call.OutcomeNotRun:
-		m.countRefusal(last.reason)
+	case reason == "":
+		m.outcomes[outcome].Inc(1)
+	case outcome == call.OutcomeNotRun:
+		m.countRefusal(reason)
 	default:
-		m.countFailure(last.reason, last.outcome)
+		m.countFailure(reason, outcome)
 	}
 	x.logResult(last)
 	if !x.span.IsRecording() {
 		return
 	}
-	x.span.SetAttributes(attribute.Int("attempts", x.attempts), attribute.String("ran", last.outcome.String()))
-	if last.reason != "" {
-		x.span.SetStatus(codes.Error, string(last.reason))
+	x.span.SetAttributes(attribute.Int("attempts", x.attempts), attribute.String("ran", outcome.String()))
+	if reason != "" {
+		x.span.SetStatus(codes.Error, string(reason))
 	}
 }
 
 // logResult logs a failed call, and sets x.answer for a successful one.
 func (x *exchange) logResult(last *result) {
+	attributes := verdictAttributes(last.verdict)
 	switch {
-	case last.reason == "":
+	case last.verdict.Reason() == "":
 		x.answer = last
 	case x.r.Context().Err() != nil:
-		x.log(telemetry.CallGone, "reason", string(last.reason), "ran", last.outcome.String())
-	case last.outcome == call.OutcomeNotRun:
-		x.log(telemetry.CallRefused, "reason", string(last.reason), "ran", last.outcome.String())
+		x.log(telemetry.CallGone, attributes...)
+	case last.verdict.Outcome() == call.OutcomeNotRun:
+		x.log(telemetry.CallRefused, attributes...)
 	default:
-		x.log(telemetry.CallLost, "reason", string(last.reason), "ran", last.outcome.String())
+		x.log(telemetry.CallLost, attributes...)
 	}
 }
 
+// verdictAttributes returns a verdict for a log line.
+func verdictAttributes(v call.Verdict) []any {
+	args := []any{"reason", string(v.Reason()), "ran", v.Outcome().String()}
+	if v.Proof() != "" {
+		args = append(args, "proof", string(v.Proof()))
+	}
+	return args
+}
+
 // log writes one line about the call with its routing, the instances tried and
 // the time left, on which decisions about it depend.
 func (x *exchange) log(message string, args ...any) {
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -52,8 +51,8 @@
 	now := time.Now()
 	if err != nil {
 		a.instance.End()
-		res := a.handleError(a.req.Context(), a.instance, err, a.reused.Load())
-		if res.reason == call.ReasonDeadline || res.reason == call.ReasonBroken {
+		res := a.handleError(err)
+		if reason := res.verdict.Reason(); reason == call.ReasonDeadline || reason == call.ReasonBroken {
 			a.addPathTime(min(now.Sub(start), a.route.LatencyObjective/2)) // the backend server may account for most of the time
 		}
 		return res
@@ -66,8 +65,7 @@
 	resp.Body = hop.OnDone(resp.Body, func(err error) { a.bodyDone(res, err) })
 	if limit := a.proxy.config.BufferLimit; limit > 0 {
 		if err := hop.BufferResponse(resp, limit); err != nil {
-			broken := &result{instance: a.instance}
-			broken.reason, broken.outcome = classify(a.req.Context(), err)
+			broken := &result{instance: a.instance, verdict: call.MayHaveRun(brokenReason(a.req.Context()))}
 			a.addPathTime(time.Since(start))
 			return broken
 		}
@@ -135,7 +133,7 @@
 	if got := resp.Header.Get(call.HeaderID); got != x.id {
 		_ = resp.Body.Close()
 		x.proxy.config.Sinks.Log.Error("crossed answer", "call", x.id, "answer", got, "member", i.Name)
-		return &result{instance: i, reason: call.ReasonCrossed, outcome: call.OutcomeUnknown}
+		return &result{instance: i, verdict: call.MayHaveRun(call.ReasonCrossed)}
 	}
 	if load, ok := call.ParseLoadReport(resp.Header.Get(call.HeaderLoad)); ok {
 		i.RecordLoad(load, now)
@@ -145,10 +143,10 @@
 	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
 		report(x.target, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
 	}
-	if reason := resp.Header.Get(call.HeaderReason); reason != "" {
+	if resp.Header.Get(call.HeaderReason) != "" {
 		x.backlog = parseBacklog(resp.Header)
 		_ = resp.Body.Close()
-		res := &result{instance: i, reason: call.Reason(reason), outcome: call.ParseOutcome(resp.Header.Get(call.HeaderRan))}
+		res := &result{instance: i, verdict: call.ParseVerdict(resp.Header)}
 		x.recordFailure(res, now)
 		return res
 	}
@@ -156,11 +154,11 @@
 		i.RecordLatency(took, now)
 		x.service.latencies.Observe(took)
 	}
-	res := &result{instance: i, resp: resp, outcome: call.OutcomeAnswered}
+	res := &result{instance: i, resp: resp, verdict: call.Success()}
 	res.remoteTime, res.hasTimes = call.ParseTimeLeft(resp.Header.Get(call.HeaderSpent))
 	res.queueTime, _ = call.ParseTimeLeft(resp.Header.Get(call.HeaderQueued))
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		res.reason = call.ReasonShed
+		res.verdict = call.Answered(call.ReasonShed)
 	}
 	return res
 }
@@ -169,7 +167,7 @@
 // takes no calls is only avoided for a moment, and one that is busy or late is
 // not at fault.
 func (x *exchange) recordFailure(res *result, now time.Time) {
-	switch res.reason {
+	switch res.verdict.Reason() {
 	case call.ReasonLeaving, call.ReasonNoServer:
 		res.instance.Avoid(now)
 	case call.ReasonDial:
@@ -185,43 +183,50 @@
 func (x *exchange) recordResult(res *result, good bool, now time.Time) {
 	if x.service.balancer.RecordResult(res.instance, good, now) {
 		x.proxy.metrics.ejections.Inc(1)
-		x.proxy.config.Sinks.Log.Warn("instance ejected", "member", res.instance.Name, "reason", string(res.reason))
+		x.proxy.config.Sinks.Log.Warn("instance ejected", "member", res.instance.Name, "reason", string(res.verdict.Reason()))
 	}
 }
 
 // handleError classifies an attempt that got no answer. A broken connection that
 // had carried earlier calls is no failure of the instance, but calls avoid the
 // instance for a moment, in which membership probes it on a new connection.
-func (x *exchange) handleError(ctx context.Context, i *call.Instance, err error, reused bool) *result {
-	res := &result{instance: i}
-	res.reason, res.outcome = classify(ctx, err)
-	if res.reason == call.ReasonCanceled {
+func (a *attemptRequest) handleError(err error) *result {
+	res := &result{instance: a.instance, verdict: classify(a.req.Context(), err)}
+	reason := res.verdict.Reason()
+	if reason == call.ReasonCanceled {
 		return res
 	}
-	if res.reason != call.ReasonDeadline && res.reason != call.ReasonRefused {
-		i.Avoid(time.Now())
-		x.proxy.config.ReportReachability(i.Name, false)
+	if reason != call.ReasonDeadline && reason != call.ReasonRefused {
+		a.instance.Avoid(time.Now())
+		a.proxy.config.ReportReachability(a.instance.Name, false)
 	}
-	if !reused || res.reason == call.ReasonDeadline {
-		x.recordFailure(res, time.Now())
+	if !a.reused.Load() || reason == call.ReasonDeadline {
+		a.recordFailure(res, time.Now())
 	}
 	return res
 }
 
-// classify returns the reason and outcome of a call whose transport failed.
-func classify(ctx context.Context, err error) (call.Reason, call.Outcome) {
-	var op *net.OpError
+// classify returns the verdict on a call that got no answer.
+func classify(ctx context.Context, err error) call.Verdict {
 	switch {
-	case errors.As(err, &op) && op.Op == "dial":
-		return call.ReasonDial, call.OutcomeNotRun
+	case hop.IsDialError(err):
+		return call.NotRun(call.ReasonDial, call.ProofNotSent)
 	case notProcessed(err):
-		return call.ReasonRefused, call.OutcomeNotRun
+		return call.NotRun(call.ReasonRefused, call.ProofStream)
+	}
+	return call.MayHaveRun(brokenReason(ctx))
+}
+
+// brokenReason returns the reason of a call that was sent and got no complete
+// answer.
+func brokenReason(ctx context.Context) call.Reason {
+	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return call.ReasonDeadline, call.OutcomeUnknown
+		return call.ReasonDeadline
 	case ctx.Err() != nil:
-		return call.ReasonCanceled, call.OutcomeUnknown
+		return call.ReasonCanceled
 	}
-	return call.ReasonBroken, call.OutcomeUnknown
+	return call.ReasonBroken
 }
 
 // notProcessed reports whether HTTP/2 guarantees that the other node did not
--- a/mesh/caller/stop_test.go
+++ b/mesh/caller/stop_test.go
@@ -21,7 +21,7 @@
 		Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true }, View: reasonsView(t),
 		Remote: roundTripFunc(func(r *http.Request) (*http.Response, error) {
 			sent++
-			return respondWith(http.StatusOK, "", call.OutcomeAnswered)(r)
+			return respondWith(http.StatusOK)(r)
 		}),
 		ReportReachability: func(string, bool) {}, Timeout: time.Second,
 	})
--- a/mesh/hop/answer.go
+++ b/mesh/hop/answer.go
@@ -91,18 +91,18 @@
 
 // WriteFailure writes the response to a failed call: the reason, whether the
 // call ran, and the delay after which to retry if it didn't run.
-func WriteFailure(w http.ResponseWriter, reason call.Reason, outcome call.Outcome, after time.Duration) {
-	SetFailureHeaders(w.Header(), reason, outcome, after)
-	w.WriteHeader(reason.Status())
+func WriteFailure(w http.ResponseWriter, v call.Verdict, after time.Duration) {
+	SetFailureHeaders(w.Header(), v, after)
+	w.WriteHeader(v.Status())
 }
 
 // SetFailureHeaders sets the headers of a response that reports a failure and
 // has no body. The headers with the retry delay are set only if the delay is
 // positive and the call didn't run.
-func SetFailureHeaders(h http.Header, reason call.Reason, outcome call.Outcome, after time.Duration) {
-	h[call.HeaderReason] = []string{string(reason)}
-	h[call.HeaderRan] = []string{outcome.String()}
-	if after > 0 && outcome == call.OutcomeNotRun {
+func SetFailureHeaders(h http.Header, v call.Verdict, after time.Duration) {
+	h[call.HeaderReason] = []string{string(v.Reason())}
+	h[call.HeaderRan] = []string{v.Outcome().String()}
+	if after > 0 && v.Outcome() == call.OutcomeNotRun {
 		h[call.HeaderAfter] = []string{strconv.FormatInt(after.Milliseconds(), 10)}
 		h["Retry-After"] = []string{strconv.Itoa(int((after + time.Second - 1) / time.Second))}
 	}
--- a/mesh/hop/dial.go
+++ b/mesh/hop/dial.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // NewDialer returns a dialer whose connections fail when sent data stays
@@ -20,3 +22,10 @@
 		},
 	}
 }
+
+// IsDialError reports whether err says that no connection was established. It does
+// not exclude that a transport has sent the request on another connection before.
+func IsDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
