--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -18,8 +18,8 @@
 	HasDeadline bool          // whether there is a deadline
 }
 
-// Dialect maps a call to the headers that a backend server expects, and the
-// server's answer to an outcome. A gate without a dialect uses the Caroblift-*
+// Dialect maps a call to the headers that a backend server expects, and reads the
+// headers of its answers. A gate without a dialect uses the Caroblift-*
 // headers.
 type Dialect interface {
 	// RewriteHeader rewrites the header of a call for the server. It removes
@@ -28,7 +28,38 @@
 	// CallID returns the ID of the call that the header of a call or of an
 	// answer names, or "" when it names none.
 	CallID(header http.Header) string
-	// ClassifyAnswer returns the verdict on an answer to the header that was
-	// sent; its reason is empty for the server's own answer.
-	ClassifyAnswer(sent http.Header, answer *http.Response) call.Verdict
+	// Answer returns what the status and header of an answer state.
+	Answer(answer *http.Response) Answer
+}
+
+// Answer is what an answer of a backend server states about itself, whichever call
+// it belongs to.
+type Answer struct {
+	NotExecuted bool // the server states that it did not execute the call
+	Invalid     bool // the server has not produced the answer itself, or it states that it both ran the call and did not
+}
+
+// Judge returns the verdict on an answer to a call whose header was sent; its reason
+// is empty for the server's own answer, which is to be passed on. A connection may
+// deliver an answer to another call, so only an answer that names this call says
+// anything about it.
+func Judge(d Dialect, sent http.Header, answer *http.Response) call.Verdict {
+	id := d.CallID(sent)
+	if d.CallID(answer.Header) != id {
+		return call.MayHaveRun(call.ReasonCrossed)
+	}
+	a := d.Answer(answer)
+	switch {
+	case a.Invalid:
+		return call.MayHaveRun(call.ReasonCrossed)
+	case a.NotExecuted && answer.StatusCode == http.StatusBadRequest:
+		return call.Success()
+	case a.NotExecuted && id == "":
+		return call.MayHaveRun(call.ReasonUnproven)
+	case a.NotExecuted && answer.StatusCode == http.StatusMisdirectedRequest:
+		return call.NotRun(call.ReasonMoved, call.ProofRejected)
+	case a.NotExecuted:
+		return call.NotRun(call.ReasonShed, call.ProofRejected)
+	}
+	return call.Success()
 }
--- a/mesh/backend/evidence.go
+++ b/mesh/backend/evidence.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// closeConn closes the connection of the last attempt. One that delivered an answer
+// to another call has the answer to this call still to come, and net/http keeps it
+// for other calls if the answer had no body.
+func closeConn(ctx context.Context) {
+	if e, ok := ctx.Value(evidenceKey{}).(*evidence); ok {
+		if c := e.conn.Load(); c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
 // attributes returns the evidence for a log line.
 func (e *evidence) attributes() []any {
 	if e == nil {
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -378,11 +378,14 @@
 	if g.config.Dialect == nil {
 		return resp, nil
 	}
-	verdict := g.config.Dialect.ClassifyAnswer(out.Header, resp)
+	verdict := Judge(g.config.Dialect, out.Header, resp)
 	if verdict.Reason() == "" {
 		return resp, nil
 	}
 	_ = resp.Body.Close()
+	if verdict.Outcome() == call.OutcomeUnknown {
+		closeConn(ctx)
+	}
 	return nil, &callFailure{verdict: verdict, detail: resp.Status}
 }
 
--- a/mesh/backend/resend_test.go
+++ b/mesh/backend/resend_test.go
@@ -22,7 +22,7 @@
 
 func (plainDialect) CallID(header http.Header) string { return header.Get(call.HeaderID) }
 
-func (plainDialect) ClassifyAnswer(http.Header, *http.Response) call.Verdict { return call.Success() }
+func (plainDialect) Answer(*http.Response) backend.Answer { return backend.Answer{} }
 
 // TestCrashIsTriedOnce plays a backend server that crashes in every call while the gate
 // holds idle connections to it. Only the entry node, which counts them, may send a
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -105,6 +105,7 @@
 			*r = *r.WithContext(ctx)
 		}},
 		call.ReasonShed:       {hop: respondWith(http.StatusServiceUnavailable), message: telemetry.CallLost, counter: failures},
+		call.ReasonUnproven:   failed(refuseWith(call.MayHaveRun(call.ReasonUnproven))),
 		call.ReasonMoved:      refusedByGate(refuseWith(call.NotRun(call.ReasonMoved, call.ProofRejected))),
 		call.ReasonShortBody:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("1")), 2 }),
 		call.ReasonLongHeader: refusedByEntry(func(_ *Proxy, r *http.Request) { r.Header.Set("Long", strings.Repeat("a", 2000)) }),
