--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -26,7 +26,7 @@
 	call.ReasonDeadline:   "its deadline passed without an answer",
 	call.ReasonCanceled:   "its caller or its entry node canceled it",
 	call.ReasonShed:       "the backend server itself refused it",
-	call.ReasonUnproven:   "the backend server rejected a call without naming it",
+	call.ReasonUnproven:   "the backend server's answer promises that it was not run, but does not state it of this call",
 	call.ReasonMoved:      "a different backend server now has the address",
 	call.ReasonShortBody:  "its body ended early",
 	call.ReasonLongHeader: "its header is longer than the configuration allows",
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -73,7 +73,7 @@
 	ReasonDeadline   Reason = "deadline"    // the deadline passed
 	ReasonCanceled   Reason = "canceled"    // the caller canceled the call or disconnected
 	ReasonShed       Reason = "shed"        // the backend server itself refused with 503
-	ReasonUnproven   Reason = "unproven"    // the backend server says that it did not run a call, but not which
+	ReasonUnproven   Reason = "unproven"    // the backend server's answer promises that it did not run a call, but does not state it of this one
 	ReasonMoved      Reason = "moved"       // the address belongs to another backend server than expected
 	ReasonShortBody  Reason = "short-body"  // the caller's body ended early
 	ReasonLongHeader Reason = "long-header" // the header is longer than the configuration allows
--- a/mesh/caller/dialect.go
+++ b/mesh/caller/dialect.go
@@ -9,7 +9,9 @@
 )
 
 // Dialect translates between the headers that the callers of a deployment use
-// and the proxy. A proxy without a Dialect uses the Caroblift headers.
+// and the proxy. A proxy without a Dialect uses the Caroblift headers. Callers with a
+// Dialect take the statuses of call.Promises for a promise that a call has not run;
+// those of a proxy without one read it from call.HeaderRan.
 type Dialect interface {
 	// ID returns the ID that the caller gave the call, or "" when it gave none.
 	ID(header http.Header) string
--- a/mesh/caller/promise_test.go
+++ b/mesh/caller/promise_test.go
@@ -39,3 +39,43 @@
 	require.Equal(t, "unknown", w.Header().Get(call.HeaderRan))
 	require.Equal(t, http.StatusBadGateway, w.Code)
 }
+
+// bareDialect is the dialect of callers that send no headers of their own.
+type bareDialect struct{}
+
+func (bareDialect) ID(http.Header) string { return "" }
+
+func (bareDialect) TimeLeft(http.Header) (time.Duration, bool) { return 0, false }
+
+func (bareDialect) WriteRetryAfter(http.Header, time.Duration) {}
+
+// TestOwnPromiseOfServerIsNotPassedOn guards against passing on a backend server's
+// status that callers take for a promise, for a call that the server may have run.
+func TestOwnPromiseOfServerIsNotPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		status  int
+		dialect Dialect
+		want    int
+		reason  call.Reason
+	}{
+		"timeout":                  {http.StatusRequestTimeout, bareDialect{}, http.StatusBadGateway, call.ReasonUnproven},
+		"misdirected":              {http.StatusMisdirectedRequest, bareDialect{}, http.StatusBadGateway, call.ReasonUnproven},
+		"too many":                 {http.StatusTooManyRequests, bareDialect{}, http.StatusBadGateway, call.ReasonUnproven},
+		"unavailable":              {http.StatusServiceUnavailable, bareDialect{}, http.StatusBadGateway, call.ReasonUnproven},
+		"failure":                  {http.StatusInternalServerError, bareDialect{}, http.StatusInternalServerError, ""},
+		"not found":                {http.StatusNotFound, bareDialect{}, http.StatusNotFound, ""},
+		"unavailable, own headers": {http.StatusServiceUnavailable, nil, http.StatusServiceUnavailable, call.ReasonShed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(Config{
+				Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true }, View: reasonsView(t),
+				ReportReachability: func(string, bool) {}, Timeout: time.Second, Dialect: c.dialect, Remote: respondWith(c.status),
+			})
+			w := httptest.NewRecorder()
+			p.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/book", http.NoBody))
+			require.Equal(t, c.want, w.Code)
+			require.Equal(t, string(c.reason), w.Header().Get(call.HeaderReason))
+			require.Empty(t, w.Header().Get("Retry-After"))
+		})
+	}
+}
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -150,6 +150,12 @@
 		x.recordFailure(res, now)
 		return res
 	}
+	if x.proxy.config.Dialect != nil && call.Promises(resp.StatusCode) {
+		_ = resp.Body.Close()
+		res := &result{instance: i, verdict: call.Answered(call.ReasonUnproven)}
+		x.recordFailure(res, now)
+		return res
+	}
 	if resp.StatusCode < http.StatusInternalServerError { // errors are fast and would lower the latency estimates
 		i.RecordLatency(took, now)
 		x.service.latencies.Observe(took)
@@ -173,7 +179,7 @@
 	case call.ReasonDial:
 		res.instance.Avoid(now)
 		x.recordResult(res, false, now)
-	case call.ReasonBroken, call.ReasonCrossed, call.ReasonDeadline:
+	case call.ReasonBroken, call.ReasonCrossed, call.ReasonDeadline, call.ReasonUnproven:
 		x.recordResult(res, false, now)
 	}
 }
