Test that a promising status needs the outcome "no"

Cause: Reason.Status gives 503 to every reason that it does not list, and proxy and gate write it whatever the outcome is: a node's answer with reason "canceled" and outcome unknown is passed to the caller as 503. Change: a property test over any reason, outcome and status of the other node's answer, with and without a dialect of callers. Our own gates were not brought to send such an answer to an entry node that still waits.

--- /dev/null
+++ b/mesh/caller/promise_test.go
@@ -0,0 +1,73 @@
+package caller
+
+// This file checks that a call is answered as not run only with a proof: which answers
+// and errors of other nodes count as one, and which statuses promise it.
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/telemetry"
+)
+
+// secondsDialect states neither IDs nor times, and writes retry delays in seconds.
+type secondsDialect struct{}
+
+func (secondsDialect) ID(http.Header) string                      { return "" }
+func (secondsDialect) TimeLeft(http.Header) (time.Duration, bool) { return 0, false }
+func (secondsDialect) WriteRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", d.String())
+}
+
+// promiseProxy returns a proxy with one instance, whose calls must run once.
+func promiseProxy(t *testing.T, remote http.RoundTripper, dialect Dialect, log io.Writer) *Proxy {
+	return New(Config{
+		Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true }, View: reasonsView(t),
+		Remote: remote, ReportReachability: func(string, bool) {}, Timeout: time.Second, Dialect: dialect, BufferLimit: 1 << 10,
+		Sinks: telemetry.Sinks{Log: slog.New(slog.NewJSONHandler(log, nil))},
+	})
+}
+
+// isPromise reports whether a status promises that the call has not run and will not.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// TestStatusPromisesOnlyWhatIsProven guards against a status that promises that a call was
+// not run although its outcome is another, for any reason that a node may give.
+func TestStatusPromisesOnlyWhatIsProven(t *testing.T) {
+	known := reasons(t)
+	for name, dialect := range map[string]Dialect{"own headers": nil, "dialect": secondsDialect{}} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(r *rapid.T) {
+				reason := call.Reason(rapid.OneOf(rapid.StringMatching(`[a-z-]{1,12}`), rapid.Map(rapid.SampledFrom(known), func(k call.Reason) string { return string(k) })).Draw(r, "reason"))
+				ran := rapid.SampledFrom([]string{"yes", "unknown", "", "No", "no"}).Draw(r, "ran")
+				status := rapid.SampledFrom([]int{200, 429, 502, 503}).Draw(r, "status")
+				hop := roundTripFunc(func(req *http.Request) (*http.Response, error) {
+					return &http.Response{StatusCode: status, Body: http.NoBody, Header: http.Header{
+						call.HeaderID: req.Header[call.HeaderID], call.HeaderReason: {string(reason)}, call.HeaderRan: {ran},
+					}}, nil
+				})
+				w := httptest.NewRecorder()
+				promiseProxy(t, hop, dialect, io.Discard).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/book", http.NoBody))
+				if isPromise(w.Code) {
+					require.Equal(r, "no", ran, "status %d for reason %q", w.Code, reason)
+					require.Equal(r, "no", w.Header().Get(call.HeaderRan))
+				}
+			})
+		})
+	}
+}
