Test that an answer that breaks off is never taken for a refusal

Cause: an error while an answer's body is buffered is classified like an error of the attempt, although the answer has begun and the call ran.

--- a/mesh/caller/promise_test.go
+++ b/mesh/caller/promise_test.go
@@ -6,12 +6,16 @@
 import (
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 	"pgregory.net/rapid"
 
 	"caroblift.dev/mesh/call"
@@ -71,3 +75,30 @@
 		})
 	}
 }
+
+// TestAnswerThatBreaksOffIsNoPromise guards against taking an error for a proof after the
+// answer has begun, which shows that the call ran.
+func TestAnswerThatBreaksOffIsNoPromise(t *testing.T) {
+	for name, broken := range map[string]error{
+		"stream refused": http2.StreamError{StreamID: 1, Code: http2.ErrCodeRefusedStream},
+		"goaway":         errors.New("http2: Transport received Server's graceful shutdown GOAWAY"),
+		"dial":           &net.OpError{Op: "dial", Err: errors.New("refused")},
+		"reset":          &net.OpError{Op: "read", Err: errors.New("reset")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hop := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+				body := io.NopCloser(io.MultiReader(strings.NewReader("part"), errorReader{broken}))
+				return &http.Response{StatusCode: http.StatusOK, ContentLength: 9, Body: body, Header: http.Header{call.HeaderID: r.Header[call.HeaderID]}}, nil
+			})
+			w := httptest.NewRecorder()
+			promiseProxy(t, hop, nil, io.Discard).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/book", http.NoBody))
+			require.NotEqual(t, "no", w.Header().Get(call.HeaderRan))
+			require.False(t, isPromise(w.Code), "status %d", w.Code)
+		})
+	}
+}
+
+// errorReader is a reader that fails.
+type errorReader struct{ err error }
+
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
