Test that words in an error are no proof that a call was not run

Cause: notProcessed looks for two phrases anywhere in an error's text. The text can quote bytes of the other end (malformed response, debug data of a GOAWAY) and carries errors of the caller's own body. Result: on all three cases are "refused", ran "no".

--- a/mesh/caller/promise_test.go
+++ b/mesh/caller/promise_test.go
@@ -4,6 +4,8 @@
 // and errors of other nodes count as one, and which statuses promise it.
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -102,3 +104,31 @@
 type errorReader struct{ err error }
 
 func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
+// TestErrorTextIsNoProof guards against taking words of a caller or of a server for what
+// the HTTP/2 connection to the other node states about the call.
+func TestErrorTextIsNoProof(t *testing.T) {
+	for name, err := range map[string]error{
+		"reset by the caller": http2.StreamError{StreamID: 1, Code: http2.ErrCodeRefusedStream},
+		"bytes of the peer":   errors.Errorf("malformed HTTP response %q", "REFUSED_STREAM"),
+		"debug data":          fmt.Errorf("http2: server sent GOAWAY and closed the connection; LastStreamID=1, ErrCode=NO_ERROR, debug=%q", "Server's graceful shutdown GOAWAY"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			hop := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+				if _, readErr := io.Copy(io.Discard, r.Body); readErr != nil {
+					return nil, readErr // as net/http does when the body fails while it is sent
+				}
+				return nil, err
+			})
+			r := httptest.NewRequest(http.MethodPost, "/book", http.NoBody)
+			if name == "reset by the caller" {
+				r.Body, r.ContentLength = io.NopCloser(io.MultiReader(strings.NewReader("part"), errorReader{err})), -1
+			}
+			var out bytes.Buffer
+			w := httptest.NewRecorder()
+			promiseProxy(t, hop, nil, &out).ServeHTTP(w, r)
+			require.NotContains(t, out.String(), `"ran":"no"`)
+			require.False(t, isPromise(w.Code), "status %d", w.Code)
+		})
+	}
+}
