Test a failed dial after net/http has sent a call again

Cause: a failed dial counts as not run. For a call that may be repeated, net/http sends again by itself: over HTTP/1 when a reused connection breaks, over HTTP/2 after PROTOCOL_ERROR. If the second connection can't be made, the error says "dial", although the first one carried the call. Result: on both cases (to a node; to a server without a dialect) are 503 "dial", ran "no", and the server ran the call once. Calls that must run once, and all calls to a server with a dialect, are formed so that net/http does not resend them.

--- a/mesh/caller/once_test.go
+++ b/mesh/caller/once_test.go
@@ -193,3 +193,45 @@
 		require.Equal(t, []any{http.StatusBadGateway, string(call.ReasonCrossed), "unknown", ""}, []any{a.status, a.reason, a.ran, a.body})
 	}
 }
+
+// lastListener accepts one connection and then stops listening.
+type lastListener struct {
+	net.Listener
+	once sync.Once
+}
+
+func (l *lastListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.once.Do(func() { _ = l.Close() })
+	return conn, err
+}
+
+// TestDialAfterResendIsNoPromise guards against taking a failed dial for a proof when
+// net/http sent the call before, on a connection that broke after the call had run.
+func TestDialAfterResendIsNoPromise(t *testing.T) {
+	t.Run("to a node", func(t *testing.T) {
+		r, s, l := &resettingNode{code: http2.ErrCodeProtocol}, newStack(t, 1), listen(t)
+		defer l.Close()
+		go r.serve(&lastListener{Listener: l})
+		s.redirect(l.Addr().String())
+		a := s.do(t.Context(), http.MethodGet, "/book", "k", nil)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		require.Equal(t, 1, r.runs)
+		require.NotEqual(t, "no", a.ran, "status %d, reason %q", a.status, a.reason)
+	})
+	t.Run("to a server", func(t *testing.T) {
+		s, l := newStack(t, 1), listen(t)
+		defer l.Close()
+		b := &closingServer{runs: map[string]int{}}
+		go b.serve(&lastListener{Listener: l})
+		s.instances[0].target.Address = l.Addr().String()
+		s.instances[0].gate.SetTarget(&s.instances[0].target)
+		require.Equal(t, http.StatusOK, s.do(t.Context(), http.MethodGet, "/book", "first", nil).status)
+		a := s.do(t.Context(), http.MethodGet, "/book", "second", nil)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		require.Equal(t, 1, b.runs["second"])
+		require.NotEqual(t, "no", a.ran, "status %d, reason %q", a.status, a.reason)
+	})
+}
