--- /dev/null
+++ b/mesh/caller/attempts_test.go
@@ -0,0 +1,98 @@
+package caller
+
+// This file checks which servers a call is sent to after which answers.
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/wire"
+)
+
+// TestOneServerGetsACallOnce guards against sending a call that must run once again after an
+// attempt that may have run, and against sending it twice to a server that has had it.
+func TestOneServerGetsACallOnce(t *testing.T) {
+	const instances = 4
+	now := time.Now()
+	agent := member.New(member.Config{Heartbeat: time.Second, SuspicionTimeout: time.Second}, &wire.Member{Name: "entry", Domain: "d", State: wire.State_STATE_ALIVE}, now)
+	var members []*wire.Member
+	for n := range instances {
+		members = append(members, &wire.Member{
+			Name: fmt.Sprint("quotes-", n), Peer: "127.0.0.1:1", Hop: fmt.Sprintf("127.0.0.1:%d", n+2), Domain: "d", State: wire.State_STATE_ALIVE, Incarnation: 1,
+			Servers: []*wire.Server{{Service: "quotes", Slots: 3}},
+		})
+	}
+	agent.HandleProbe(now, &wire.ProbeRequest{Events: members})
+	agent.Tick(now.Add(time.Second / 2))
+	view := agent.View()
+	require.Len(t, view.Offers("quotes"), instances)
+	type step struct {
+		reason  call.Reason
+		outcome call.Outcome
+	}
+	steps := []step{
+		{"", call.OutcomeAnswered},
+		{call.ReasonBusy, call.OutcomeNotRun},
+		{call.ReasonLate, call.OutcomeNotRun},
+		{call.ReasonLeaving, call.OutcomeNotRun},
+		{call.ReasonNoServer, call.OutcomeNotRun},
+		{call.ReasonDial, call.OutcomeNotRun},
+		{call.ReasonShed, call.OutcomeNotRun},
+		{call.ReasonMoved, call.OutcomeNotRun},
+		{call.ReasonShed, call.OutcomeAnswered},
+		{call.ReasonBroken, call.OutcomeUnknown},
+		{call.ReasonCrossed, call.OutcomeUnknown},
+		{call.ReasonCanceled, call.OutcomeUnknown},
+	}
+	for name, objective := range map[string]time.Duration{"objective": time.Second, "no objective": 0} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(r *rapid.T) {
+				table := &revision.Table{
+					Number: 7, Services: map[string]*record.Service{"quotes": {Name: "quotes"}}, Policies: map[string]*record.Policy{},
+					Routes: []*record.Route{{
+						Name: "book", Prefix: "/book", Service: "quotes", Timeout: time.Minute, Repeat: record.RepeatNever,
+						MaxAttempts: rapid.IntRange(1, 4).Draw(r, "attempts"), LatencyObjective: objective,
+					}},
+				}
+				arrived, sent, mayHaveRun := map[string]bool{}, 0, false
+				hop := roundTripFunc(func(req *http.Request) (*http.Response, error) {
+					sent++
+					require.False(r, mayHaveRun, "sent again after an attempt that may have run")
+					require.False(r, arrived[req.URL.Host], "sent to %s again, whose server has had it", req.URL.Host)
+					s := rapid.SampledFrom(steps).Draw(r, "answer")
+					mayHaveRun = s.outcome != call.OutcomeNotRun
+					arrived[req.URL.Host] = s.reason == "" || s.reason.MayHaveArrived()
+					switch s.reason {
+					case "":
+						return respondWith(http.StatusOK, "", s.outcome)(req)
+					case call.ReasonDial:
+						return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+					}
+					return refuseWith(s.reason, s.outcome)(req)
+				})
+				p := New(Config{
+					Table: func() *revision.Table { return table }, Ready: func() bool { return true }, View: func() *member.View { return view },
+					Remote: hop, ReportReachability: func(string, bool) {}, Timeout: time.Second, ExtraAttempts: ExtraAttempts{Percent: 100, Burst: 100},
+				})
+				w := httptest.NewRecorder()
+				p.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/book", http.NoBody))
+				require.Positive(r, sent)
+				if w.Header().Get(call.HeaderRan) == "no" {
+					require.False(r, mayHaveRun)
+				}
+			})
+		})
+	}
+}
