Take a failed dial for a proof only if nothing had a connection before

A call that may repeat was answered 503 (not run) after it had run: net/http sent it, the connection broke, net/http sent it again by itself and could not connect, and the error of the second try counted as not sent. An attempt that was given a connection is no longer not run by a dial error.

--- a/mesh/backend/evidence.go
+++ b/mesh/backend/evidence.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// gotConn reports whether an attempt of the context was given a connection to send
+// the call on.
+func gotConn(ctx context.Context) bool {
+	e, ok := ctx.Value(evidenceKey{}).(*evidence)
+	return ok && e.conn.Load() != nil
+}
+
 // closeConn closes the connection of the last attempt. One that delivered an answer
 // to another call has the answer to this call still to come, and net/http keeps it
 // for other calls if the answer had no body.
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -393,7 +393,7 @@
 // stands for.
 func (g *Gate) classify(ctx context.Context, err error) *callFailure {
 	switch {
-	case hop.IsDialError(err):
+	case hop.IsDialError(err) && !gotConn(ctx):
 		return &callFailure{verdict: call.NotRun(call.ReasonDial, call.ProofNotSent), detail: err.Error()}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &callFailure{verdict: call.MayHaveRun(call.ReasonDeadline)}
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -23,7 +23,8 @@
 	*exchange
 	instance *call.Instance
 	req      *http.Request
-	reused   atomic.Bool // the connection had carried earlier calls
+	gotConn  atomic.Bool // the transport had a connection to send the call on
+	reused   atomic.Bool // that connection had carried earlier calls
 }
 
 // newAttemptRequest returns an attempt at an instance. Calls to it must not
@@ -34,7 +35,10 @@
 	a := &attemptRequest{exchange: x, instance: i}
 	if x.transport(i) != x.proxy.config.Local {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(info httptrace.GotConnInfo) { a.reused.Store(info.Reused) },
+			GotConn: func(info httptrace.GotConnInfo) {
+				a.gotConn.Store(true)
+				a.reused.Store(info.Reused)
+			},
 		})
 	}
 	a.req = x.newRequest(ctx, i, x.body.ForAttempt(), x.attempts)
@@ -197,7 +201,7 @@
 // had carried earlier calls is no failure of the instance, but calls avoid the
 // instance for a moment, in which membership probes it on a new connection.
 func (a *attemptRequest) handleError(err error) *result {
-	res := &result{instance: a.instance, verdict: classify(a.req.Context(), err)}
+	res := &result{instance: a.instance, verdict: classify(a.req.Context(), err, a.gotConn.Load())}
 	reason := res.verdict.Reason()
 	if reason == call.ReasonCanceled {
 		return res
@@ -212,10 +216,12 @@
 	return res
 }
 
-// classify returns the verdict on a call that got no answer.
-func classify(ctx context.Context, err error) call.Verdict {
+// classify returns the verdict on a call that got no answer. gotConn says whether
+// the transport had a connection to send it on: it may then have been sent, and the
+// error be that of another try.
+func classify(ctx context.Context, err error, gotConn bool) call.Verdict {
 	switch {
-	case hop.IsDialError(err):
+	case hop.IsDialError(err) && !gotConn:
 		return call.NotRun(call.ReasonDial, call.ProofNotSent)
 	case notProcessed(err):
 		return call.NotRun(call.ReasonRefused, call.ProofStream)
