Read refused streams only from texts of the other node's stream

An error counted as "the other node refused the stream" (not run) wherever its text had REFUSED_STREAM or the words of a GOAWAY, also in bytes quoted from a peer or in the reset of the caller's own stream. The whole shape of net/http's texts is matched now, with "received from peer".

--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -241,12 +241,21 @@
 	return call.ReasonBroken
 }
 
+// Texts of the errors that net/http returns for HTTP/2 streams, for which it exports
+// no types. The last one encloses another error's text.
+const (
+	streamErrorText  = "stream error: stream ID "
+	refusedByPeer    = "; REFUSED_STREAM; received from peer"
+	goAwayText       = "http2: Transport received Server's graceful shutdown GOAWAY"
+	notResentByHTTP2 = "http2: Transport: cannot retry err ["
+)
+
 // notProcessed reports whether HTTP/2 guarantees that the other node did not
-// process the stream: the stream was refused, or its ID is above the last one in
-// a GOAWAY frame. It matches texts since net/http exports no types for these
-// errors.
+// process the stream: the other node refused the stream, or its ID is above the
+// last one in a GOAWAY frame. A text with these words at another place may quote the
+// other node or concern the caller's stream.
 func notProcessed(err error) bool {
-	text := err.Error()
-	return strings.Contains(text, "REFUSED_STREAM") ||
-		strings.Contains(text, "Server's graceful shutdown GOAWAY")
+	text := strings.TrimPrefix(err.Error(), notResentByHTTP2)
+	return strings.HasPrefix(text, goAwayText) ||
+		strings.HasPrefix(text, streamErrorText) && strings.Contains(text, refusedByPeer)
 }
