Close the connection of a caller that is answered before its body was read

A panic in a transport's goroutine ends the whole node; seen once. Cause: the body is read by the next hop's transport while the handler may answer (full duplex), and net/http then drains it itself, beside that read; and the limit on bodies of unknown length replaced the request's body, by which net/http tells that one was left unread. Reads now end before the handler returns (streamedBody), an answer before the end of the body announces that the connection closes, and the limit wraps the call's body only.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -37,6 +37,7 @@
 	idempotent     bool
 	inExtraAttempt bool // the call is itself part of a retry or hedge made upstream
 	body           *hop.Body
+	stream         *streamedBody // what body reads from if it is streamed
 	ctx            context.Context
 	cancel         context.CancelFunc
 	deadline       time.Time
@@ -166,5 +167,6 @@
 		x.w.Header()[call.HeaderReason] = []string{string(reason)}
 		x.w.Header()[call.HeaderRan] = []string{last.verdict.Outcome().String()}
 	}
+	x.announceClose()
 	hop.CopyResponse(x.w, last.resp)
 }
--- a/mesh/caller/limit.go
+++ b/mesh/caller/limit.go
@@ -3,14 +3,14 @@
 // This file enforces the size limits that a configuration sets for calls.
 
 import (
+	"io"
 	"net/http"
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/record"
 )
 
-// exceededLimit returns the reason of the limit that a call exceeds, or "". A
-// body of unknown length is cut off at the limit, which makes the call fail.
+// exceededLimit returns the reason of the limit that a call exceeds, or "".
 func exceededLimit(l record.CallerLimits, r *http.Request) call.Reason {
 	switch {
 	case l.MaxHeaderBytes > 0 && headerSize(r) > l.MaxHeaderBytes:
@@ -18,12 +18,18 @@
 	case l.MaxBodyBytes > 0 && r.ContentLength > l.MaxBodyBytes:
 		return call.ReasonLongBody
 	}
-	if l.MaxBodyBytes > 0 && r.ContentLength < 0 {
-		r.Body = http.MaxBytesReader(nil, r.Body, l.MaxBodyBytes)
-	}
 	return ""
 }
 
+// limitBody returns a body that is cut off at the limit if its length is not known,
+// which makes the call fail.
+func limitBody(l record.CallerLimits, length int64, body io.ReadCloser) io.ReadCloser {
+	if l.MaxBodyBytes > 0 && length < 0 {
+		return http.MaxBytesReader(nil, body, l.MaxBodyBytes)
+	}
+	return body
+}
+
 // headerLineOverhead is the size of the colon, the space and the line end of a
 // header line, in bytes.
 const headerLineOverhead = 4
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -121,6 +121,7 @@
 	}
 	defer x.cancel()
 	defer x.span.End()
+	defer x.endStream()
 	x.serve()
 	took := time.Since(start)
 	p.metrics.latency.RecordDuration(took)
@@ -199,7 +200,8 @@
 // prepareRequest reads a small body and sets the headers of the first attempt.
 // On failure it ends the call's context and span.
 func (x *exchange) prepareRequest() call.Reason {
-	body, err := hop.NewBody(x.r)
+	x.stream = newStreamedBody(x.r)
+	body, err := hop.NewBody(limitBody(x.directory.router.Table.Limits, x.r.ContentLength, x.stream), x.r.ContentLength)
 	if err != nil {
 		x.cancel()
 		x.span.End()
@@ -226,6 +228,22 @@
 	return ""
 }
 
+// announceClose adds Connection: close to an answer that precedes the end of a
+// streamed body: the rest of the body must not be taken for a request.
+func (x *exchange) announceClose() {
+	if x.body != nil && x.body.Streamed() && x.r.ProtoMajor == 1 && !x.stream.complete.Load() {
+		x.w.Header()["Connection"] = []string{"close"}
+	}
+}
+
+// endStream ends the reads of a streamed body. HTTP/2 keeps the bodies of a
+// connection's calls apart by itself.
+func (x *exchange) endStream() {
+	if x.body.Streamed() && x.r.ProtoMajor == 1 {
+		x.stream.end(x.w)
+	}
+}
+
 // refuse counts, logs and answers a call that was not sent.
 func (x *exchange) refuse(reason call.Reason) {
 	verdict := call.NotRun(reason, call.ProofNotSent)
@@ -237,6 +255,7 @@
 // fail answers the call with a failure that this node generates.
 func (x *exchange) fail(verdict call.Verdict) {
 	reason := verdict.Reason()
+	x.announceClose()
 	if d := x.proxy.config.Dialect; d != nil {
 		after := time.Duration(0)
 		if verdict.Outcome() == call.OutcomeNotRun {
--- a/mesh/hop/body.go
+++ b/mesh/hop/body.go
@@ -24,16 +24,17 @@
 	stream   io.ReadCloser // nil if the body is buffered
 }
 
-// NewBody returns the body of a call. It fails if a body to buffer ends early.
-func NewBody(r *http.Request) (*Body, error) {
-	if r.ContentLength == 0 {
+// NewBody returns the body of a call. length is -1 if it is not known. It fails if a
+// body to buffer ends early.
+func NewBody(body io.ReadCloser, length int64) (*Body, error) {
+	if length == 0 {
 		return &Body{}, nil
 	}
-	if r.ContentLength < 0 || r.ContentLength > maxReplay {
-		return &Body{stream: r.Body}, nil
+	if length < 0 || length > maxReplay {
+		return &Body{stream: body}, nil
 	}
-	buffered := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, buffered); err != nil {
+	buffered := make([]byte, length)
+	if _, err := io.ReadFull(body, buffered); err != nil {
 		return nil, errors.Wrap(err, "read request body")
 	}
 	return &Body{buffered: buffered}, nil
