--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -60,13 +60,27 @@
 	}
 	for _, l := range e.Calls {
 		if l.Message == telemetry.GateFailed {
-			out = append(out, fmt.Sprintf("%s, beside the backend server, saw: %s, after %d ms in the queue and %d ms at the server %v",
-				l.Instance, reasonText[call.Reason(l.Reason)], l.intAttr("queued"), l.intAttr("took"), l.Attributes["detail"]))
+			out = append(out, fmt.Sprintf("%s, beside the backend server, saw: %s, after %d ms in the queue and %d ms at the server %v%s",
+				l.Instance, reasonText[call.Reason(l.Reason)], l.intAttr("queued"), l.intAttr("took"), l.Attributes["detail"], answerReceived(l)))
 		}
 	}
 	return append(out, e.circumstances(end, lines, from, to)...)
 }
 
+// answerReceived describes the answer that a gate received, or returns "" if it
+// received none.
+func answerReceived(l logLine) string {
+	if l.Attributes["status"] == nil {
+		return ""
+	}
+	names := "names this call"
+	if answer, _ := l.Attributes["answer"].(string); answer != l.Call {
+		names = fmt.Sprintf("names call %q", answer)
+	}
+	return fmt.Sprintf(" (the answer, status %d, %s; its connection %d had carried %d before)",
+		l.intAttr("status"), names, l.intAttr("conn"), l.intAttr("carried"))
+}
+
 // latencyBreakdown describes how the latency of a slow call divides into queueing,
 // the backend server and the rest.
 func latencyBreakdown(end logLine) string {
--- a/carobctl/explain_test.go
+++ b/carobctl/explain_test.go
@@ -21,6 +21,9 @@
   7.2 a-1 {"time":"2026-05-27T10:00:07.2Z","level":"INFO","msg":"call lost","instance":"a-1","call":"5480","path":"/q","service":"quotes","reason":"broken","ran":"unknown","route":"r","table":42,"left":2280,"tried":["b-2"],"arrivals":1,"instances":8}
   9.0 b-2 {"time":"2026-05-27T10:00:08.9Z","level":"INFO","msg":"backend server lost","instance":"b-2","heard":2000}
 not a line of a node
+`
+	crossedLog = `{"time":"2026-05-27T10:00:08.1Z","level":"INFO","msg":"gate failed","instance":"b-2","call":"5481","service":"quotes","server":"i-2","reason":"crossed","ran":"unknown","proof":"","detail":"503 Full","queued":0,"took":2,"conn":7,"carried":3,"status":503,"answer":"5480"}
+{"time":"2026-05-27T10:00:08.2Z","level":"INFO","msg":"call lost","instance":"a-1","call":"5481","path":"/q","service":"quotes","reason":"crossed","ran":"unknown","tried":["b-2"],"arrivals":1}
 `
 	slowLog = `{"time":"2026-05-27T10:00:09Z","level":"INFO","msg":"call slow","instance":"a-1","call":"99aa","service":"quotes","took":700,"spent":600,"queued":450,"objective":300,"tried":["b-2"],"arrivals":1}
 `
@@ -49,6 +52,10 @@
 			id: "5480", log: lostLog,
 			want: []string{"may have run", "b-2, beside the backend server, saw: the connection broke", "3 ms in the queue and 27 ms", "reset by peer", "lost then: b-2"},
 		},
+		"answer to another call": {
+			id: "5481", log: crossedLog,
+			want: []string{"may have run", `(the answer, status 503, names call "5480"; its connection 7 had carried 3 before)`},
+		},
 		"slow":          {id: "99aa", log: slowLog, want: []string{"450 ms in the queue of the last node, 150 ms at its server, 100 ms on the way", "nothing changed at a-1, b-2"}},
 		"only the gate": {id: "5480", log: strings.SplitAfter(lostLog, "\n")[0], want: []string{"no line about its end"}},
 		"unknown":       {id: "0000", log: lostLog, want: []string{"no line names call 0000 in 3 lines"}, code: exitRefused},
