Log net/http's own errors as warnings, under one limit

Panics of net/http on callers' connections were written at debug level, which does not run, so the fault of bodies that were read on left no line. They are one message now, at most five lines in ten seconds, with the text as an attribute. TestErrorsOfLibrariesAreBounded.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -321,7 +320,7 @@
 func (n *Node) serve(l net.Listener, h http.Handler) {
 	server := &http.Server{
 		Handler: h, Protocols: peer.ServerProtocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: maxStreamBuffer},
-		ErrorLog: slog.NewLogLogger(n.sinks.Log.Handler(), slog.LevelDebug),
+		ErrorLog: telemetry.NewErrorLog(n.sinks.Log, "http server"),
 	}
 	caller.SetTimeouts(server) // the same timeouts apply to connections of nodes and operators
 	n.servers = append(n.servers, server)
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"io"
+	"log"
 	"log/slog"
+	"strings"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -45,6 +47,29 @@
 	return slog.New(NewLimiter(json, LimiterConfig{MessageBursts: messageBursts, Suppressed: suppressed}))
 }
 
+// NewErrorLog returns a logger for the errors of a library, of which each becomes a
+// warning with a fixed message and the library's text as the attribute "error".
+func NewErrorLog(l *slog.Logger, message string) *log.Logger {
+	return log.New(errorLogWriter{l, message}, "", 0)
+}
+
+// errorLogWriter writes each line to a structured logger.
+type errorLogWriter struct {
+	log     *slog.Logger
+	message string
+}
+
+// Write implements io.Writer.
+func (w errorLogWriter) Write(p []byte) (int, error) {
+	text := strings.TrimSpace(string(p[:min(len(p), maxErrorText)]))
+	w.log.Warn(w.message, "error", text)
+	return len(p), nil
+}
+
+// maxErrorText bounds the text of a library's error in a line, in bytes. A panic's stack
+// begins with the frames that matter.
+const maxErrorText = 4 << 10
+
 // ParseLevel returns the level that a settings value names, or info if it names
 // none.
 func ParseLevel(name string) slog.Level {
--- a/mesh/telemetry/telemetry_test.go
+++ b/mesh/telemetry/telemetry_test.go
@@ -115,6 +115,21 @@
 	require.Equal(t, "quotes-1", lines[1]["instance"])
 }
 
+// TestErrorsOfLibrariesAreBounded checks that the errors of a library, whose texts all
+// differ, share one limit, and that a long text is cut.
+func TestErrorsOfLibrariesAreBounded(t *testing.T) {
+	var out buffer
+	log := NewErrorLog(NewLogger(&out, slog.LevelInfo, nil), "http server")
+	for n := range 50 {
+		log.Printf("http: panic serving 127.0.0.1:%d: %s", n, strings.Repeat("x", 2*maxErrorText))
+	}
+	lines := out.lines(t)
+	require.Len(t, lines, 5)
+	require.Equal(t, "WARN", lines[0]["level"])
+	require.Equal(t, "http server", lines[0]["msg"])
+	require.Len(t, lines[0]["error"], maxErrorText)
+}
+
 func TestMetricsScrape(t *testing.T) {
 	m := NewMetrics()
 	m.Scope.SubScope("node").Gauge("revision").Update(12)
