Test a body that follows a call that was answered early

A streamed body is served in full duplex; when the call is answered before the body is read, net/http reads the rest after its abortPendingRead, and the end of it starts the background read of the connection. A later body read then panics: in net/http's own goroutine, which recovers and closes the connection, or in a transport's, which does not recover. Change: a test with ten connections.

--- a/mesh/caller/duplex_test.go
+++ b/mesh/caller/duplex_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
 )
 
@@ -58,8 +59,9 @@
 // dialEntry starts an entry node that allows long bodies and returns a connection to it, on
 // which reads fail after a while.
 func dialEntry(t *testing.T, remote http.RoundTripper) (net.Conn, *bufio.Reader) {
-	table := *reasonsTable
-	table.Limits.MaxBodyBytes = 1 << 20
+	table, route := *reasonsTable, *reasonsTable.Routes[0]
+	table.Limits.MaxBodyBytes, route.Timeout = 1<<20, time.Minute
+	table.Routes = []*record.Route{&route}
 	p := promiseProxy(t, remote, nil, io.Discard)
 	p.config.Table = func() *revision.Table { return &table }
 	entry := httptest.NewServer(p)
@@ -101,3 +103,33 @@
 		})
 	}
 }
+
+// TestNextBodyAfterEarlyAnswer guards against a panic that ends the process: net/http starts
+// to watch the connection when it has read the rest of an answered call's body.
+func TestNextBodyAfterEarlyAnswer(t *testing.T) {
+	const length = 16<<10 + 1 // bodies up to 16 KB are buffered
+	head := func(path string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", path, length)
+	}
+	for range 10 { // the watch does not always win
+		remote := newEarlyAnswer()
+		conn, reader := dialEntry(t, remote)
+		write(conn, head("/book/first")+strings.Repeat("x", length-10))
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, "POST /book/first", <-remote.calls)
+		write(conn, strings.Repeat("x", 10)+head("/book/second"))
+		go func() {
+			<-remote.calls
+			time.Sleep(20 * time.Millisecond)
+			write(conn, strings.Repeat("x", length))
+		}()
+		resp, err = http.ReadResponse(reader, nil)
+		if err != nil {
+			continue // the node has closed the connection
+		}
+		require.NoError(t, <-remote.ends)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+}
