Test a refusal that follows a lost attempt of a call that may be repeated

Cause: a call whose first attempt may have run and whose last one is refused ends with outcome unknown, but the status follows from the last reason. REFUSED does not count calls that may be repeated; the status says something false all the same.

--- a/mesh/caller/attempts_test.go
+++ b/mesh/caller/attempts_test.go
@@ -1,6 +1,7 @@
 package caller
 
-// This file checks which servers a call is sent to after which answers.
+// This file checks which servers a call is sent to after which answers, and what its
+// caller is told when several attempts failed.
 
 import (
 	"fmt"
@@ -21,10 +22,8 @@
 	"caroblift.dev/wire"
 )
 
-// TestOneServerGetsACallOnce guards against sending a call that must run once again after an
-// attempt that may have run, and against sending it twice to a server that has had it.
-func TestOneServerGetsACallOnce(t *testing.T) {
-	const instances = 4
+// viewOf returns a view with instances of the service.
+func viewOf(t *testing.T, instances int) *member.View {
 	now := time.Now()
 	agent := member.New(member.Config{Heartbeat: time.Second, SuspicionTimeout: time.Second}, &wire.Member{Name: "entry", Domain: "d", State: wire.State_STATE_ALIVE}, now)
 	var members []*wire.Member
@@ -38,6 +37,13 @@
 	agent.Tick(now.Add(time.Second / 2))
 	view := agent.View()
 	require.Len(t, view.Offers("quotes"), instances)
+	return view
+}
+
+// TestOneServerGetsACallOnce guards against sending a call that must run once again after an
+// attempt that may have run, and against sending it twice to a server that has had it.
+func TestOneServerGetsACallOnce(t *testing.T) {
+	view := viewOf(t, 4)
 	type step struct {
 		reason  call.Reason
 		outcome call.Outcome
@@ -96,3 +102,29 @@
 		})
 	}
 }
+
+// TestRefusalAfterLostAttemptIsNoPromise guards against a promise for a call that may be
+// repeated, whose last attempt was refused after an earlier one had run.
+func TestRefusalAfterLostAttemptIsNoPromise(t *testing.T) {
+	for _, last := range []call.Reason{call.ReasonBusy, call.ReasonLeaving, call.ReasonNoServer, call.ReasonLate, call.ReasonShed, call.ReasonMoved} {
+		t.Run(string(last), func(t *testing.T) {
+			table, view, sent := *reasonsTable, viewOf(t, 2), 0
+			table.Routes = []*record.Route{{Name: "book", Prefix: "/book", Service: "quotes", Timeout: time.Minute, MaxAttempts: 2}}
+			hop := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+				if sent++; sent == 1 {
+					return nil, errors.New("reset")
+				}
+				return refuseWith(last, call.OutcomeNotRun)(r)
+			})
+			p := New(Config{
+				Table: func() *revision.Table { return &table }, Ready: func() bool { return true }, View: func() *member.View { return view },
+				Remote: hop, ReportReachability: func(string, bool) {}, Timeout: time.Second,
+			})
+			w := httptest.NewRecorder()
+			p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/book", http.NoBody))
+			require.Equal(t, 2, sent)
+			require.Equal(t, "unknown", w.Header().Get(call.HeaderRan))
+			require.False(t, isPromise(w.Code), "status %d", w.Code)
+		})
+	}
+}
