--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -173,23 +173,16 @@
 }
 
 // reasonsView returns a view with one instance of the service.
-func reasonsView(t *testing.T) func() *member.View { return viewOf(t, "quotes-0") }
-
-// viewOf returns a view with instances of the service that have the given names.
-func viewOf(t *testing.T, names ...string) func() *member.View {
+func reasonsView(t *testing.T) func() *member.View {
 	now := time.Now()
 	self := &wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}
 	agent := member.New(member.Config{Heartbeat: time.Second, SuspicionTimeout: time.Second}, self, now)
-	var members []*wire.Member
-	for _, name := range names {
-		members = append(members, &wire.Member{
-			Name: name, Peer: "127.0.0.1:1", Hop: "127.0.0.1:2", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
-			Servers: []*wire.Server{{Service: "quotes", Slots: 3}},
-		})
-	}
-	agent.HandleProbe(now, &wire.ProbeRequest{Events: members})
+	agent.HandleProbe(now, &wire.ProbeRequest{Events: []*wire.Member{{
+		Name: "quotes-0", Peer: "127.0.0.1:1", Hop: "127.0.0.1:2", Domain: "xitun", State: wire.State_STATE_ALIVE, Incarnation: 1,
+		Servers: []*wire.Server{{Service: "quotes", Slots: 3}},
+	}}})
 	agent.Tick(now.Add(time.Second / 2))
-	require.Len(t, agent.View().Offers("quotes"), len(names))
+	require.Len(t, agent.View().Offers("quotes"), 1)
 	return agent.View
 }
 
--- a/mesh/caller/status_test.go
+++ b/mesh/caller/status_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
 )
@@ -20,9 +21,9 @@
 	route.Repeat, route.MaxAttempts, route.Timeout = record.RepeatAlways, 3, time.Second
 	table := *reasonsTable
 	table.Routes = []*record.Route{&route}
-	attempts := 0
+	attempts, view := 0, viewOf(t, 2)
 	p := New(Config{
-		Table: func() *revision.Table { return &table }, Ready: func() bool { return true }, View: viewOf(t, "quotes-0", "quotes-1"),
+		Table: func() *revision.Table { return &table }, Ready: func() bool { return true }, View: func() *member.View { return view },
 		ReportReachability: func(string, bool) {}, Timeout: time.Second,
 		Remote: roundTripFunc(func(r *http.Request) (*http.Response, error) {
 			attempts++
