Keep the membership's goroutines alive until it takes no more events

A node could end with a panic, "tomb.Go called after all goroutines terminated", at the moment it stops: the loop ended with its context, before Run noted that it stops, and an event of a call or a peer in between started a goroutine on a dead tomb.

--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -157,12 +157,10 @@
 func (m *Members) Run(ctx context.Context) error {
 	m.mu.Lock()
 	m.running = true
-	m.tomb.Go(func() error { return m.loop(m.tomb.Context(ctx)) })
+	// The loop outlives ctx until running is false: start must not meet a dead tomb.
+	m.tomb.Go(func() error { return m.loop(m.tomb.Context(context.Background())) })
 	m.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-m.tomb.Dying():
-	}
+	<-ctx.Done()
 	m.mu.Lock()
 	m.running = false
 	m.mu.Unlock()
