Test carobctl after a write whose answer was lost

Cause: exit code 5 says that nothing was written, and follows from connect's code unavailable. connect gives this code also for a connection that breaks after the request was sent, and for 502 and 504 of anything between. Result: on all three cases exit with 5 instead of 7, although the node received the write.

--- /dev/null
+++ b/carobctl/lost_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/wire/wireconnect"
+)
+
+// TestLostAnswerIsNotNothingWritten guards against reporting that nothing was written
+// when the node received a write and its answer was lost.
+func TestLostAnswerIsNotNothingWritten(t *testing.T) {
+	for name, lose := range map[string]http.HandlerFunc{
+		"connection closed":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"answer of a proxy":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+		"timeout of a proxy": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGatewayTimeout) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeOperator{}
+			_, handler := wireconnect.NewOperatorHandler(f)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				handler.ServeHTTP(httptest.NewRecorder(), r)
+				lose(w, r)
+			}))
+			defer server.Close()
+			got := carobctl(server.Listener.Addr().String(), service, "apply", "-f", "-")
+			require.Equal(t, exitOutcomeUnknown, got.code, got.err)
+		})
+	}
+}
