Order versions of the store by era and revision

The store may come back from an older copy of itself and give out revisions again, and every comparison took the higher revision for the newer one. store.Version is the pair of era and revision with the one comparison; objects, listings, watches and conditional writes carry it. The stand-in can come back from a copy of any age. The built-in protocol has one era.

--- a/carobbench/plain.go
+++ b/carobbench/plain.go
@@ -37,7 +37,7 @@
 	fleet *fleet.Fleet
 
 	mu       sync.Mutex
-	arrivals map[uint64][]time.Time // when each node received the object, by version
+	arrivals map[store.Version][]time.Time // when each node received the object, by version
 }
 
 // measureBaseline measures the polling baseline.
@@ -50,8 +50,8 @@
 	if err := c.seed(f); err != nil {
 		return nil, err
 	}
-	p := &baseline{fleet: f, arrivals: map[uint64][]time.Time{}}
-	object, err := p.publish(0)
+	p := &baseline{fleet: f, arrivals: map[store.Version][]time.Time{}}
+	object, err := p.publish(store.Version{})
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +68,7 @@
 	return c.measurePolling(p, object)
 }
 
-func (c *convergeCommand) measurePolling(p *baseline, version uint64) (*convergenceStats, error) {
+func (c *convergeCommand) measurePolling(p *baseline, version store.Version) (*convergenceStats, error) {
 	out := &convergenceStats{Nodes: c.Nodes, Changes: c.Changes}
 	time.Sleep(c.Idle / 2)
 	bytes, begin := p.fleet.PlatformBytes.Total(), time.Now()
@@ -76,7 +76,7 @@
 	out.Idle = int64(float64(p.fleet.PlatformBytes.Total()-bytes) / time.Since(begin).Seconds() / float64(c.Nodes))
 
 	bytes, calls, begin := p.fleet.PlatformBytes.Total(), platformCalls(p.fleet), time.Now()
-	published := map[uint64]time.Time{}
+	published := map[store.Version]time.Time{}
 	for i := range c.Changes {
 		at := time.Now()
 		next, err := p.publish(version)
@@ -97,26 +97,26 @@
 }
 
 // publish writes the whole configuration over the given version, or creates it if
-// version is 0, and returns the new version.
-func (p *baseline) publish(version uint64) (uint64, error) {
+// version is zero, and returns the new version.
+func (p *baseline) publish(version store.Version) (store.Version, error) {
 	ctx := context.Background()
 	objs, _, err := store.ListAll(ctx, p.fleet.Store, store.KindRecord, "")
 	if err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	var all []baselineRecord
 	for _, o := range objs {
 		var r baselineRecord
 		if err := json.Unmarshal(o.Body, &r); err != nil {
-			return 0, errors.Wrapf(err, "decode %s", o.Name)
+			return store.Version{}, errors.Wrapf(err, "decode %s", o.Name)
 		}
 		all = append(all, r)
 	}
 	body, err := json.Marshal(all)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode the whole configuration")
+		return store.Version{}, errors.Wrap(err, "encode the whole configuration")
 	}
-	if version == 0 {
+	if version.IsZero() {
 		fmt.Printf("polling baseline: %d bytes of configuration\n", len(body))
 		o, err := p.fleet.Store.Create(ctx, baselineKind, baselineName, body)
 		return o.Version, err
@@ -129,7 +129,7 @@
 func (p *baseline) poll(ctx context.Context) {
 	client := store.New(store.ClientConfig{Addresses: []string{p.fleet.PlatformAddress()}})
 	defer client.Close()
-	var version uint64
+	var version store.Version
 	for ctx.Err() == nil {
 		objs, next, err := client.Watch(ctx, baselineKind, version, baselineWatchTime)
 		if err != nil {
@@ -162,14 +162,14 @@
 	}
 }
 
-func (p *baseline) recordArrival(version uint64) {
+func (p *baseline) recordArrival(version store.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.arrivals[version] = append(p.arrivals[version], time.Now())
 }
 
 // holders returns the number of nodes that received a version.
-func (p *baseline) holders(version uint64) int {
+func (p *baseline) holders(version store.Version) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.arrivals[version])
@@ -178,7 +178,7 @@
 // convergenceTimes returns, for each published version, the time until the last
 // node had received it. Versions that some node skipped for a newer one are
 // left out.
-func (p *baseline) convergenceTimes(published map[uint64]time.Time, nodes int) []time.Duration {
+func (p *baseline) convergenceTimes(published map[store.Version]time.Time, nodes int) []time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []time.Duration
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -56,6 +56,7 @@
 	platformReader platformReader
 	store          Store
 	pollStore      Store
+	eras           *store.Eras
 	budget         *store.Budget
 	meetingPoints  *store.MeetingPoints
 	pool           *peer.Pool
@@ -263,8 +264,9 @@
 // connections for calls that must not wait behind a watch.
 func (n *Node) openStore() {
 	s, sinks := n.settings.GetPlatform(), n.sinks.ForPart("platform")
+	n.eras = store.NewEras(sinks)
 	if n.platform != nil {
-		n.store, n.pollStore = n.platform.OpenStore(sinks), n.platform.OpenStore(sinks)
+		n.store, n.pollStore = n.platform.OpenStore(sinks, n.eras), n.platform.OpenStore(sinks, n.eras)
 		return
 	}
 	client := store.New(store.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: sinks})
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -26,12 +26,12 @@
 
 // Platform describes a platform with its own protocol. Every field is required.
 type Platform struct {
-	OpenStore       func(telemetry.Sinks) Store           // opens a client with its own connections
-	ConfigObject    store.ConfigObject                    // names and decodes the object that holds the configuration
-	BackendDialect  backend.Dialect                       // spoken by backend servers
-	CallerDialect   caller.Dialect                        // spoken by callers
-	AnnounceHandler func(*backend.Announcer) http.Handler // returns the handler of the backend port
-	ReadyHandler    func(ready func() bool) http.Handler  // returns the handler of the ready port
+	OpenStore       func(telemetry.Sinks, *store.Eras) Store // opens a client with its own connections, which shares the eras
+	ConfigObject    store.ConfigObject                       // names and decodes the object that holds the configuration
+	BackendDialect  backend.Dialect                          // spoken by backend servers
+	CallerDialect   caller.Dialect                           // spoken by callers
+	AnnounceHandler func(*backend.Announcer) http.Handler    // returns the handler of the backend port
+	ReadyHandler    func(ready func() bool) http.Handler     // returns the handler of the ready port
 }
 
 // maxWatchers is the largest fleet in which every node watches the configuration.
@@ -112,7 +112,9 @@
 			}
 			return nonReaderWaitFactor * ms(s.GetWait())
 		},
-		Deliver: func(snapshot *wire.Snapshot) error { return n.Distributor.ApplyPlatformSnapshot(snapshot) }, Sinks: n.sinks.ForPart("platform"),
+		Deliver: func(snapshot *wire.Snapshot, _ store.Version) error {
+			return n.Distributor.ApplyPlatformSnapshot(snapshot)
+		}, Sinks: n.sinks.ForPart("platform"),
 	})
 }
 
--- a/mesh/operator/records.go
+++ b/mesh/operator/records.go
@@ -59,8 +59,9 @@
 
 // storedRecord is what the platform holds under the name of a record.
 type storedRecord struct {
-	record  *wire.Record // nil if there is none
-	changes []string     // change IDs of the latest writes, newest first
+	record  *wire.Record  // nil if there is none
+	version store.Version // of its object
+	changes []string      // change IDs of the latest writes, newest first
 }
 
 // coversSince reports whether s lists every write since base, so that a change
@@ -161,7 +162,7 @@
 	if stored.record == nil {
 		return w.store.Create(ctx, store.KindRecord, name, body)
 	}
-	return w.store.Update(ctx, store.KindRecord, name, stored.record.GetVersion(), body)
+	return w.store.Update(ctx, store.KindRecord, name, stored.version, body)
 }
 
 // writeError wraps an error of the platform and states whether the write may have
@@ -183,7 +184,7 @@
 		return storedRecord{}, err
 	}
 	r, err := store.DecodeRecord(object)
-	return storedRecord{record: r, changes: store.ChangeIDs(object)}, err
+	return storedRecord{record: r, version: object.Version, changes: store.ChangeIDs(object)}, err
 }
 
 // sameContent reports whether a exists and has the same schema version and body as
--- a/mesh/store/archive.go
+++ b/mesh/store/archive.go
@@ -153,14 +153,14 @@
 }
 
 // writePointer replaces the pointer object that has the given version, or
-// creates it when the version is 0. When the outcome is unknown or the write
+// creates it when the version is zero. When the outcome is unknown or the write
 // conflicts, it reads the pointer back and compares the change ID.
-func (c *compactor) writePointer(ctx context.Context, p *wire.Pointer, version uint64) error {
+func (c *compactor) writePointer(ctx context.Context, p *wire.Pointer, version Version) error {
 	body, err := protojson.Marshal(p)
 	if err != nil {
 		return errors.Wrapf(err, "encode pointer to snapshot %d", p.GetSnapshot())
 	}
-	if version == 0 {
+	if version.IsZero() {
 		_, err = c.store.Create(ctx, KindPointer, pointerName, body)
 	} else {
 		_, err = c.store.Update(ctx, KindPointer, pointerName, version, body)
--- a/mesh/store/budget.go
+++ b/mesh/store/budget.go
@@ -111,17 +111,17 @@
 }
 
 // List implements Store.
-func (s *budgetedStore) List(ctx context.Context, kind, after string) ([]Object, uint64, bool, error) {
+func (s *budgetedStore) List(ctx context.Context, kind, after string) ([]Object, Version, bool, error) {
 	if err := s.budget.take(s.budget.reads); err != nil {
-		return nil, 0, false, err
+		return nil, Version{}, false, err
 	}
 	return s.store.List(ctx, kind, after)
 }
 
 // Watch implements Store.
-func (s *budgetedStore) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]Object, uint64, error) {
+func (s *budgetedStore) Watch(ctx context.Context, kind string, version Version, wait time.Duration) ([]Object, Version, error) {
 	if err := s.budget.take(s.budget.reads); err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	return s.store.Watch(ctx, kind, version, wait)
 }
@@ -135,7 +135,7 @@
 }
 
 // Update implements Store.
-func (s *budgetedStore) Update(ctx context.Context, kind, name string, version uint64, body []byte) (Object, error) {
+func (s *budgetedStore) Update(ctx context.Context, kind, name string, version Version, body []byte) (Object, error) {
 	if err := s.budget.take(s.budget.writes); err != nil {
 		return Object{}, err
 	}
@@ -143,7 +143,7 @@
 }
 
 // Delete implements Store.
-func (s *budgetedStore) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (s *budgetedStore) Delete(ctx context.Context, kind, name string, version Version) error {
 	if err := s.budget.take(s.budget.writes); err != nil {
 		return err
 	}
--- a/mesh/store/client.go
+++ b/mesh/store/client.go
@@ -92,7 +92,7 @@
 
 // page is the JSON body of the response to a list or a watch.
 type page struct {
-	Version uint64   `json:"version"`
+	Version Version  `json:"version"`
 	More    bool     `json:"more,omitempty"`
 	Objects []Object `json:"objects"`
 }
@@ -153,15 +153,15 @@
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-func etag(version uint64) string { return strconv.Quote(strconv.FormatUint(version, 10)) }
+func etag(version Version) string { return strconv.Quote(strconv.FormatUint(version.Revision, 10)) }
 
-func parseETag(h http.Header) (uint64, error) {
+func parseETag(h http.Header) (Version, error) {
 	text, err := strconv.Unquote(h.Get("ETag"))
 	if err != nil {
-		return 0, errors.Errorf("platform returned ETag %q, want a quoted version number", h.Get("ETag"))
+		return Version{}, errors.Errorf("platform returned ETag %q, want a quoted version number", h.Get("ETag"))
 	}
 	v, err := strconv.ParseUint(text, 10, 64)
-	return v, errors.Wrapf(err, "parse ETag %q", text)
+	return Version{Revision: v}, errors.Wrapf(err, "parse ETag %q", text)
 }
 
 // Get implements Store.
@@ -187,14 +187,14 @@
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, kind, after string) ([]Object, uint64, bool, error) {
+func (c *Client) List(ctx context.Context, kind, after string) ([]Object, Version, bool, error) {
 	p, err := c.fetchPage(ctx, callList, "/objects/"+url.PathEscape(kind)+"?after="+url.QueryEscape(after), c.config.Timeout)
 	return p.Objects, p.Version, p.More, err
 }
 
 // Watch implements Store.
-func (c *Client) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]Object, uint64, error) {
-	path := fmt.Sprintf("/objects/%s?watch=%d&wait=%d", url.PathEscape(kind), version, wait.Milliseconds())
+func (c *Client) Watch(ctx context.Context, kind string, version Version, wait time.Duration) ([]Object, Version, error) {
+	path := fmt.Sprintf("/objects/%s?watch=%d&wait=%d", url.PathEscape(kind), version.Revision, wait.Milliseconds())
 	p, err := c.fetchPage(ctx, callWatch, path, wait+c.config.Timeout)
 	return p.Objects, p.Version, err
 }
@@ -222,13 +222,13 @@
 }
 
 // Update implements Store.
-func (c *Client) Update(ctx context.Context, kind, name string, version uint64, body []byte) (Object, error) {
+func (c *Client) Update(ctx context.Context, kind, name string, version Version, body []byte) (Object, error) {
 	header := map[string]string{"If-Match": etag(version)}
 	return c.write(ctx, kind, name, request{kind: callUpdate, method: http.MethodPut, header: header, body: body})
 }
 
 // Delete implements Store.
-func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (c *Client) Delete(ctx context.Context, kind, name string, version Version) error {
 	header := map[string]string{"If-Match": etag(version)}
 	_, err := c.write(ctx, kind, name, request{kind: callDelete, method: http.MethodDelete, header: header})
 	return err
--- a/mesh/store/follower.go
+++ b/mesh/store/follower.go
@@ -44,7 +44,7 @@
 
 // list returns the revision objects after the table in force, and the version to
 // watch from.
-func (f follower) list(ctx context.Context, s Store) ([]Object, uint64, error) {
+func (f follower) list(ctx context.Context, s Store) ([]Object, Version, error) {
 	return ListAll(ctx, s, KindRevision, RevisionName(f.holder.Table().Number))
 }
 
--- a/mesh/store/fuzz_test.go
+++ b/mesh/store/fuzz_test.go
@@ -36,7 +36,7 @@
 	f.Add("service.", []byte(`{}`))
 	f.Add("policy.a", []byte(`{"kind":"policy","name":"a","deleted":true}`))
 	f.Fuzz(func(t *testing.T, name string, body []byte) {
-		o := Object{Kind: KindRecord, Name: name, Version: 9, Body: body}
+		o := Object{Kind: KindRecord, Name: name, Version: Version{Revision: 9}, Body: body}
 		r, err := DecodeRecord(o)
 		if err != nil {
 			return
@@ -47,7 +47,7 @@
 		}
 		reencoded, err := EncodeRecord(r, "new", ChangeIDs(o))
 		require.NoError(t, err)
-		roundTripped, err := DecodeRecord(Object{Kind: KindRecord, Name: RecordName(record.KeyOf(r)), Version: 9, Body: reencoded})
+		roundTripped, err := DecodeRecord(Object{Kind: KindRecord, Name: RecordName(record.KeyOf(r)), Version: Version{Revision: 9}, Body: reencoded})
 		require.NoError(t, err)
 		changes := ChangeIDs(Object{Body: reencoded})
 		require.Equal(t, "new", changes[0])
@@ -137,7 +137,7 @@
 }
 
 func (s pointerStore) Get(context.Context, string, string) (Object, error) {
-	return Object{Version: 1, Body: s.body}, nil
+	return Object{Version: Version{Revision: 1}, Body: s.body}, nil
 }
 
 // FuzzPointer reads arbitrary pointers and the snapshots that they name.
--- a/mesh/store/objects.go
+++ b/mesh/store/objects.go
@@ -71,10 +71,10 @@
 	}
 	var body recordBody
 	if json.Unmarshal(o.Body, &body) != nil || body.Kind != word || body.Name != name {
-		return &wire.Record{Kind: kind, Name: name, Version: o.Version, Body: o.Body}, nil
+		return &wire.Record{Kind: kind, Name: name, Version: o.Version.Revision, Body: o.Body}, nil
 	}
 	return &wire.Record{
-		Kind: kind, Name: name, Schema: body.Schema, Version: o.Version, Deleted: body.Deleted, Body: body.Spec,
+		Kind: kind, Name: name, Schema: body.Schema, Version: o.Version.Revision, Deleted: body.Deleted, Body: body.Spec,
 	}, nil
 }
 
@@ -116,13 +116,13 @@
 
 // ListAll returns every object of a kind after a name, and the version to watch
 // from, which is that of the first page.
-func ListAll(ctx context.Context, s Store, kind, after string) ([]Object, uint64, error) {
+func ListAll(ctx context.Context, s Store, kind, after string) ([]Object, Version, error) {
 	var all []Object
-	var from uint64
+	var from Version
 	for first := true; ; first = false {
 		objs, version, more, err := s.List(ctx, kind, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, Version{}, err
 		}
 		if first {
 			from = version
@@ -137,10 +137,10 @@
 
 // ListRecords returns every record, tombstones included, and the version to
 // watch from. Objects whose names are not those of records are skipped.
-func ListRecords(ctx context.Context, s Store) ([]*wire.Record, uint64, error) {
+func ListRecords(ctx context.Context, s Store) ([]*wire.Record, Version, error) {
 	objs, version, err := ListAll(ctx, s, KindRecord, "")
 	if err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	out := make([]*wire.Record, 0, len(objs))
 	for _, o := range objs {
--- a/mesh/store/records.go
+++ b/mesh/store/records.go
@@ -19,7 +19,7 @@
 type recordSet struct {
 	mu      sync.Mutex
 	byKey   map[record.Key]*wire.Record
-	version uint64 // of the platform, from which to watch
+	version Version // of the platform, from which to watch
 	listed  bool
 	changed chan struct{} // holds an item after a change
 }
@@ -30,7 +30,7 @@
 
 // watchFrom returns the version to watch from, and false when the records have to
 // be listed first.
-func (s *recordSet) watchFrom() (uint64, bool) {
+func (s *recordSet) watchFrom() (Version, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version, s.listed
@@ -56,7 +56,7 @@
 
 // merge adds the records that are newer than the cached ones, as of a version of
 // the platform.
-func (s *recordSet) merge(records []*wire.Record, version uint64) {
+func (s *recordSet) merge(records []*wire.Record, version Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := !s.listed
@@ -67,7 +67,7 @@
 			changed = true
 		}
 	}
-	s.version, s.listed = max(s.version, version), true
+	s.version, s.listed = newest(s.version, version), true
 	if !changed {
 		return
 	}
--- a/mesh/store/snapshot.go
+++ b/mesh/store/snapshot.go
@@ -126,18 +126,18 @@
 }
 
 // readPointer returns the pointer and the version of its object, or an empty
-// pointer and 0 if no snapshot has been written yet.
-func readPointer(ctx context.Context, s Store) (*wire.Pointer, uint64, error) {
+// pointer and the zero Version if no snapshot has been written yet.
+func readPointer(ctx context.Context, s Store) (*wire.Pointer, Version, error) {
 	o, err := s.Get(ctx, KindPointer, pointerName)
 	if errors.Is(err, ErrNotFound) {
-		return &wire.Pointer{}, 0, nil
+		return &wire.Pointer{}, Version{}, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	var p wire.Pointer
 	if err := decodeJSON(o, &p); err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	return &p, o.Version, nil
 }
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -27,12 +27,12 @@
 	Store        Store
 	ReadStore    Store // on separate connections, since a watch can stop responding
 	Object       ConfigObject
-	Active       func() bool                   // whether this node is to read the store now
-	Deliver      func(*wire.Snapshot) error    // applies a snapshot; an error is logged
-	WatchTimeout func() time.Duration          // longest duration of the next watch
-	ReadPause    func(bytes int) time.Duration // pause after reading this many bytes; nil for minReadInterval
-	PeerUpdates  <-chan struct{}               // receives an item when peers may hold a newer version
-	PeersAhead   func() bool                   // whether a peer holds a newer version
+	Active       func() bool                         // whether this node is to read the store now
+	Deliver      func(*wire.Snapshot, Version) error // applies a snapshot of an object's version; an error is logged
+	WatchTimeout func() time.Duration                // longest duration of the next watch
+	ReadPause    func(bytes int) time.Duration       // pause after reading this many bytes; nil for minReadInterval
+	PeerUpdates  <-chan struct{}                     // receives an item when peers may hold a newer version
+	PeersAhead   func() bool                         // whether a peer holds a newer version
 	Sinks        telemetry.Sinks
 }
 
@@ -40,14 +40,21 @@
 // node. It watches the object but does not rely on the watch alone: it reads the
 // object on another connection when the watch version is too old, when the watch
 // fails twice in a row, when several watches bring no change, and when a watch
-// brings none although a peer holds a newer version. An idle source makes one
-// call for each wait; the object may be large and is read only when necessary.
+// brings none although a peer holds a newer version. After a failure the first
+// watch is short, so that the source soon learns whether the store came back from
+// an older copy. An idle source makes one call for each wait; the object may be
+// large and is read only when necessary.
+//
+// A store that came back from an older copy may hold an older configuration than
+// before. The source delivers it like any other; which of two configurations is
+// newer is decided by their own numbers.
 type Source struct {
 	config           SourceConfig
 	confirmedAt      atomic.Int64
 	reachable        atomic.Bool
-	deliveredVersion uint64 // of the object last delivered
-	watchFrom        uint64 // store version to watch from; 0 when the object must be read
+	deliveredVersion Version // of the object last delivered
+	watchFrom        Version // store version to watch from; zero when the object must be read
+	resuming         bool    // whether a call failed and none succeeded since
 }
 
 // NewSource returns a source; Run starts it.
@@ -78,6 +85,7 @@
 		if err == nil {
 			continue // no configuration is written yet, or the node stopped reading
 		}
+		s.resuming = true
 		if s.reachable.Swap(false) {
 			s.config.Sinks.Log.Warn("store lost", "error", err.Error(), "version", s.deliveredVersion)
 		}
@@ -102,12 +110,16 @@
 	// that are written in quick succession and is well below the bound for one to
 	// come into force.
 	minReadInterval = 300 * time.Millisecond
+	// resumeWait is how long the first watch after a failure waits. It is short
+	// since the answer tells the era of the store, and not zero since a store may
+	// take that for no limit.
+	resumeWait = 20 * time.Millisecond
 )
 
 // follow reads the object if needed and watches it until a call fails or the node
 // stops reading. It calls succeeded after each successful read or watch.
 func (s *Source) follow(ctx context.Context, succeeded func()) error {
-	if s.watchFrom == 0 {
+	if s.watchFrom.IsZero() {
 		o, err := s.config.ReadStore.Get(ctx, s.config.Object.Kind, s.config.Object.Name)
 		if errors.Is(err, ErrNotFound) {
 			s.confirm()
@@ -119,7 +131,7 @@
 		}
 		s.deliver(o)
 		succeeded()
-		s.watchFrom = o.Version
+		s.watchFrom, s.resuming = o.Version, false
 	}
 	for firstWatch, emptyWatches := true, 0; ctx.Err() == nil && s.config.Active(); firstWatch = false {
 		objs, next, err := s.watch(ctx, s.watchFrom)
@@ -129,14 +141,18 @@
 			return errors.Wrap(err, "watch configuration")
 		}
 		succeeded()
-		if emptyWatches++; behind || len(objs) > 0 || emptyWatches == maxEmptyWatches {
+		if !s.resuming {
+			emptyWatches++
+		}
+		s.resuming = false
+		if behind || len(objs) > 0 || emptyWatches == maxEmptyWatches {
 			emptyWatches = 0
 			if err := s.handleEvents(ctx, objs); err != nil {
 				return err
 			}
 		}
 		s.confirm()
-		s.watchFrom = max(s.watchFrom, next)
+		s.watchFrom = newest(s.watchFrom, next)
 		if len(objs) > 1 {
 			if err := s.readUntilStable(ctx); err != nil {
 				return err
@@ -152,7 +168,7 @@
 // whose watches are cut at the same time do not all read the object at once.
 func (s *Source) handleWatchError(err error, firstWatch bool) {
 	if firstWatch || errors.Is(err, ErrGone) {
-		s.watchFrom = 0
+		s.watchFrom = Version{}
 	}
 }
 
@@ -165,13 +181,17 @@
 
 // watch waits for changes. It returns errWatchBehind when a peer holds a newer
 // version that the watch has not returned.
-func (s *Source) watch(ctx context.Context, from uint64) ([]Object, uint64, error) {
+func (s *Source) watch(ctx context.Context, from Version) ([]Object, Version, error) {
+	wait := s.config.WatchTimeout()
+	if s.resuming {
+		wait = resumeWait
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if s.config.PeerUpdates != nil {
 		go s.cancelWhenBehind(ctx, cancel)
 	}
-	objs, next, err := s.config.Store.Watch(ctx, s.config.Object.Kind, from, s.config.WatchTimeout())
+	objs, next, err := s.config.Store.Watch(ctx, s.config.Object.Kind, from, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errWatchBehind) {
 		return nil, from, errWatchBehind
 	}
@@ -212,11 +232,11 @@
 	}
 	var newest Object // each version holds the whole configuration, so the older ones can be skipped
 	for _, o := range objs {
-		if o.Name == s.config.Object.Name && !o.Deleted && o.Version > newest.Version {
+		if o.Name == s.config.Object.Name && !o.Deleted && o.Version.Newer(newest.Version) {
 			newest = o
 		}
 	}
-	if newest.Version > 0 {
+	if !newest.Version.IsZero() {
 		s.deliverAndPause(ctx, newest)
 	}
 	return nil
@@ -231,7 +251,7 @@
 		if err != nil {
 			return errors.Wrap(err, "read configuration until it is stable")
 		}
-		if o.Version <= s.watchFrom {
+		if !o.Version.Newer(s.watchFrom) {
 			return nil
 		}
 		s.watchFrom = o.Version
@@ -262,12 +282,12 @@
 // deliver decodes and delivers an object if it is newer than the last one
 // delivered. A refused object is logged and does not count as delivered.
 func (s *Source) deliver(o Object) {
-	if o.Version <= s.deliveredVersion {
+	if !o.Version.Newer(s.deliveredVersion) {
 		return
 	}
 	snapshot, err := s.config.Object.Decode(o)
 	if err == nil {
-		err = s.config.Deliver(snapshot)
+		err = s.config.Deliver(snapshot, o.Version)
 	}
 	if err != nil {
 		s.config.Sinks.Log.Error("configuration refused", "object", o.Kind+"/"+o.Name, "version", o.Version, "error", err.Error())
--- a/mesh/store/source_test.go
+++ b/mesh/store/source_test.go
@@ -41,7 +41,7 @@
 			number, err := strconv.ParseUint(string(o.Body), 10, 64)
 			return &wire.Snapshot{Number: number}, errors.Wrap(err, "body")
 		}},
-		Deliver: func(s *wire.Snapshot) error {
+		Deliver: func(s *wire.Snapshot, _ store.Version) error {
 			f.delivered = append(f.delivered, s.GetNumber())
 			return nil
 		},
@@ -59,7 +59,7 @@
 // write creates the object or replaces its body.
 func (f *sourceTest) write(t *testing.T, body string) {
 	var err error
-	if f.object.Version == 0 {
+	if f.object.Version.IsZero() {
 		f.object, err = f.platform.Create(t.Context(), "setup", "whole", []byte(body))
 	} else {
 		f.object, err = f.platform.Update(t.Context(), "setup", "whole", f.object.Version, []byte(body))
--- a/mesh/store/store.go
+++ b/mesh/store/store.go
@@ -32,7 +32,7 @@
 	ErrConflict       = errors.New("object version does not match")
 	ErrOutcomeUnknown = errors.New("no response, the write may have taken effect")
 	ErrUnavailable    = errors.New("platform is unavailable")
-	ErrGone           = errors.New("watch version is too old")
+	ErrGone           = errors.New("platform does not have the history since the watch version")
 )
 
 // RateLimitError reports that the platform's rate limit or the node's budget is
@@ -48,11 +48,11 @@
 
 // Object is one versioned object.
 type Object struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Version uint64 `json:"version"` // increases with every write to any object of the platform
-	Deleted bool   `json:"deleted,omitempty"`
-	Body    []byte `json:"body,omitempty"`
+	Kind    string  `json:"kind"`
+	Name    string  `json:"name"`
+	Version Version `json:"version"`
+	Deleted bool    `json:"deleted,omitempty"`
+	Body    []byte  `json:"body,omitempty"`
 }
 
 // Store is the platform's object API. Every method makes one call, which counts
@@ -63,18 +63,19 @@
 	// List returns one page of the objects of a kind after a name, in name
 	// order; more reports whether another page follows. The version is the
 	// platform's at the time of the read, from which a watch can start.
-	List(ctx context.Context, kind, after string) (objs []Object, version uint64, more bool, err error)
+	List(ctx context.Context, kind, after string) (objs []Object, version Version, more bool, err error)
 	// Create writes an object, or returns ErrConflict if it exists.
 	Create(ctx context.Context, kind, name string, body []byte) (Object, error)
 	// Update replaces an object that has the given version, or returns
-	// ErrConflict if it has another.
-	Update(ctx context.Context, kind, name string, version uint64, body []byte) (Object, error)
+	// ErrConflict if it has another. Every version of an earlier era is another.
+	Update(ctx context.Context, kind, name string, version Version, body []byte) (Object, error)
 	// Delete removes an object that has the given version, or returns
 	// ErrConflict if it has another.
-	Delete(ctx context.Context, kind, name string, version uint64) error
+	Delete(ctx context.Context, kind, name string, version Version) error
 	// Watch waits until an object of the kind is newer than the version and
 	// returns the changed objects, or none when the wait is over, and the version
-	// for the next watch. ErrGone means that the version is too old and that the
-	// caller has to list again.
-	Watch(ctx context.Context, kind string, version uint64, wait time.Duration) (objs []Object, next uint64, err error)
+	// for the next watch, which is of the same era. ErrGone means that the platform
+	// does not have the history since the version, because the version is too old
+	// or of an earlier era, and that the caller has to list again.
+	Watch(ctx context.Context, kind string, version Version, wait time.Duration) (objs []Object, next Version, err error)
 }
--- a/mesh/store/takeover_test.go
+++ b/mesh/store/takeover_test.go
@@ -32,7 +32,7 @@
 
 // run acquires and renews the lease until the context ends.
 func (l *lease) run(ctx context.Context) {
-	var seen uint64
+	var seen store.Version
 	var since time.Time
 	for ctx.Err() == nil {
 		body, _ := json.Marshal(l.name)
@@ -42,7 +42,7 @@
 			seen, since = o.Version, time.Now()
 		}
 		switch {
-		case err != nil && o.Version == 0:
+		case err != nil && o.Version.IsZero():
 			o, err = l.store.Create(ctx, "lease", "publisher", body)
 			l.held.Store(err == nil)
 		case own || time.Since(since) >= leaseTime:
--- a/mesh/store/world_test.go
+++ b/mesh/store/world_test.go
@@ -95,8 +95,8 @@
 			cl.violatef("write %s took effect twice", tag)
 		}
 		before, _ := store.DecodeRecord(old)
-		if base := cl.baseVersions[tag]; old.Version != base && (base != 0 || !before.GetDeleted()) {
-			cl.violatef("write %s replaced version %d, but its operator had read version %d", tag, old.Version, base)
+		if base := cl.baseVersions[tag]; old.Version.Revision != base && (base != 0 || !before.GetDeleted()) {
+			cl.violatef("write %s replaced version %d, but its operator had read version %d", tag, old.Version.Revision, base)
 		}
 	}
 }
@@ -329,11 +329,11 @@
 // listing is the result of a list or a watch.
 type listing struct {
 	objs    []store.Object
-	version uint64
+	version store.Version
 	more    bool
 }
 
-func (s *nodeStore) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
+func (s *nodeStore) List(ctx context.Context, kind, after string) ([]store.Object, store.Version, bool, error) {
 	l, err := withHooks(ctx, s, kind, false, func() (l listing, err error) {
 		l.objs, l.version, l.more, err = s.store.List(ctx, kind, after)
 		return l, err
@@ -341,7 +341,7 @@
 	return l.objs, l.version, l.more, err
 }
 
-func (s *nodeStore) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
+func (s *nodeStore) Watch(ctx context.Context, kind string, version store.Version, wait time.Duration) ([]store.Object, store.Version, error) {
 	l, err := withHooks(ctx, s, kind, false, func() (l listing, err error) {
 		l.objs, l.version, err = s.store.Watch(ctx, kind, version, wait)
 		return l, err
@@ -353,11 +353,11 @@
 	return withHooks(ctx, s, kind, true, func() (store.Object, error) { return s.store.Create(ctx, kind, name, body) })
 }
 
-func (s *nodeStore) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+func (s *nodeStore) Update(ctx context.Context, kind, name string, version store.Version, body []byte) (store.Object, error) {
 	return withHooks(ctx, s, kind, true, func() (store.Object, error) { return s.store.Update(ctx, kind, name, version, body) })
 }
 
-func (s *nodeStore) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (s *nodeStore) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	_, err := withHooks(ctx, s, kind, true, func() (struct{}, error) { return struct{}{}, s.store.Delete(ctx, kind, name, version) })
 	return err
 }
@@ -471,5 +471,5 @@
 // version returns the version of a record on the platform, 0 for none.
 func (cl *cluster) version(k record.Key) uint64 {
 	o, _ := cl.store.Peek(store.KindRecord, store.RecordName(k))
-	return o.Version
+	return o.Version.Revision
 }
--- a/mesh/storetest/faults.go
+++ b/mesh/storetest/faults.go
@@ -43,7 +43,7 @@
 func (s *Store) DropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.oldest, s.history = s.current.version, nil
+	s.oldest, s.history = s.current.revision, nil
 }
 
 // Conn is one client's connection to a store. Like store.Client, it ends a call on
@@ -153,12 +153,12 @@
 // listing is the result of a list or a watch.
 type listing struct {
 	objs    []store.Object
-	version uint64
+	version store.Version
 	more    bool
 }
 
 // List implements store.Store.
-func (c *Conn) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
+func (c *Conn) List(ctx context.Context, kind, after string) ([]store.Object, store.Version, bool, error) {
 	l, err := call(ctx, c, c.Timeout, store.ErrUnavailable, func(ctx context.Context) (l listing, err error) {
 		l.objs, l.version, l.more, err = c.store.List(ctx, kind, after)
 		return l, err
@@ -167,7 +167,7 @@
 }
 
 // Watch implements store.Store.
-func (c *Conn) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
+func (c *Conn) Watch(ctx context.Context, kind string, version store.Version, wait time.Duration) ([]store.Object, store.Version, error) {
 	l, err := call(ctx, c, wait+c.Timeout, store.ErrUnavailable, func(ctx context.Context) (l listing, err error) {
 		l.objs, l.version, err = c.store.Watch(ctx, kind, version, wait)
 		return l, err
@@ -183,14 +183,14 @@
 }
 
 // Update implements store.Store.
-func (c *Conn) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+func (c *Conn) Update(ctx context.Context, kind, name string, version store.Version, body []byte) (store.Object, error) {
 	return call(ctx, c, c.Timeout, store.ErrOutcomeUnknown, func(ctx context.Context) (store.Object, error) {
 		return c.store.Update(ctx, kind, name, version, body)
 	})
 }
 
 // Delete implements store.Store.
-func (c *Conn) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (c *Conn) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	_, err := call(ctx, c, c.Timeout, store.ErrOutcomeUnknown, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, c.store.Delete(ctx, kind, name, version)
 	})
--- a/mesh/storetest/http.go
+++ b/mesh/storetest/http.go
@@ -65,7 +65,7 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.Version, 10)))
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.Version.Revision, 10)))
 	if r.Method == http.MethodGet {
 		_, _ = w.Write(o.Body)
 	}
@@ -82,10 +82,11 @@
 	if err != nil {
 		return store.Object{}, errors.New("If-Match or If-None-Match is missing")
 	}
-	version, err := strconv.ParseUint(text, 10, 64)
+	revision, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		return store.Object{}, errors.Wrap(err, "If-Match")
 	}
+	version := store.Version{Era: s.Era(), Revision: revision} // a request names no era
 	switch r.Method {
 	case http.MethodPut:
 		return s.Update(ctx, kind, name, version, body)
@@ -97,7 +98,7 @@
 
 // page is the JSON body of the response to a list or a watch.
 type page struct {
-	Version uint64         `json:"version"`
+	Version store.Version  `json:"version"`
 	More    bool           `json:"more,omitempty"`
 	Objects []store.Object `json:"objects"`
 }
@@ -107,9 +108,9 @@
 	var p page
 	var err error
 	if query.Has("watch") {
-		version, _ := strconv.ParseUint(query.Get("watch"), 10, 64)
+		revision, _ := strconv.ParseUint(query.Get("watch"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("wait"))
-		p.Objects, p.Version, err = s.Watch(r.Context(), kind, version, time.Duration(wait)*time.Millisecond)
+		p.Objects, p.Version, err = s.Watch(r.Context(), kind, store.Version{Era: s.Era(), Revision: revision}, time.Duration(wait)*time.Millisecond)
 	} else {
 		p.Objects, p.Version, p.More, err = s.List(r.Context(), kind, query.Get("after"))
 	}
--- a/mesh/storetest/store.go
+++ b/mesh/storetest/store.go
@@ -40,12 +40,18 @@
 // objects is the state of the platform at one version: its objects by kind and
 // name.
 type objects struct {
-	version uint64
-	byKind  map[string]map[string]store.Object
+	era      uint64
+	revision uint64
+	byKind   map[string]map[string]store.Object
+}
+
+// version returns the version of the platform as a whole.
+func (o objects) version() store.Version {
+	return store.Version{Era: o.era, Revision: o.revision}
 }
 
 func (o objects) clone() objects {
-	out := objects{version: o.version, byKind: map[string]map[string]store.Object{}}
+	out := objects{era: o.era, revision: o.revision, byKind: map[string]map[string]store.Object{}}
 	for kind, objs := range o.byKind {
 		out.byKind[kind] = maps.Clone(objs)
 	}
@@ -66,7 +72,8 @@
 	current objects
 	stale   objects        // state that stale reads return
 	history []store.Object // latest changes, for watches
-	oldest  uint64         // oldest version from which a watch can start
+	journal []change       // the same changes, for Restore
+	oldest  uint64         // oldest revision from which a watch can start
 	changed chan struct{}  // closed and replaced after every change
 	faults  Faults
 	calls   map[string]uint64
@@ -171,10 +178,10 @@
 }
 
 // List implements store.Store.
-func (s *Store) List(ctx context.Context, kind, after string) ([]store.Object, uint64, bool, error) {
+func (s *Store) List(ctx context.Context, kind, after string) ([]store.Object, store.Version, bool, error) {
 	f, err := s.admit(ctx, "list", s.Reads)
 	if err != nil {
-		return nil, 0, false, err
+		return nil, store.Version{}, false, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,13 +191,13 @@
 	if more {
 		out = out[:pageLength]
 	}
-	return out, view.version, more, nil
+	return out, view.version(), more, nil
 }
 
 // Watch implements store.Store.
-func (s *Store) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) ([]store.Object, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind string, version store.Version, wait time.Duration) ([]store.Object, store.Version, error) {
 	if _, err := s.admit(ctx, "watch", s.Reads); err != nil {
-		return nil, 0, err
+		return nil, store.Version{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -201,7 +208,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, store.ErrUnavailable
+			return nil, store.Version{}, store.ErrUnavailable
 		case <-timer.C:
 			return nil, next, nil
 		case <-changed:
@@ -211,32 +218,32 @@
 
 // events returns the events for a watch from a version, the version for the next
 // watch, and a channel that is closed at the next change.
-func (s *Store) events(kind string, version uint64) ([]store.Object, uint64, <-chan struct{}, error) {
+func (s *Store) events(kind string, version store.Version) ([]store.Object, store.Version, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version < s.oldest {
-		return nil, 0, nil, store.ErrGone
+	if version.Era != s.current.era || version.Revision < s.oldest || version.Revision > s.current.revision {
+		return nil, store.Version{}, nil, store.ErrGone
 	}
 	if s.faults.SilentWatches {
 		return nil, version, s.changed, nil
 	}
 	out := s.since(kind, version)
 	if s.faults.ReorderEvents && len(out) > 0 {
-		out = append(out, s.since(kind, s.oldest)...)
+		out = append(out, s.since(kind, store.Version{Era: s.current.era, Revision: s.oldest})...)
 		slices.Reverse(out)
 	}
-	return out, s.current.version, s.changed, nil
+	return out, s.current.version(), s.changed, nil
 }
 
 // since returns the newest state of each object of a kind that changed after a
 // version, or with the fault AllChanges every state. The caller holds s.mu.
-func (s *Store) since(kind string, version uint64) []store.Object {
+func (s *Store) since(kind string, version store.Version) []store.Object {
 	newest := map[string]store.Object{}
 	if s.faults.AllChanges {
-		return slices.DeleteFunc(slices.Clone(s.history), func(o store.Object) bool { return o.Kind != kind || o.Version <= version })
+		return slices.DeleteFunc(slices.Clone(s.history), func(o store.Object) bool { return o.Kind != kind || !o.Version.Newer(version) })
 	}
 	for _, o := range s.history {
-		if o.Kind == kind && o.Version > version {
+		if o.Kind == kind && o.Version.Newer(version) {
 			newest[o.Name] = o
 		}
 	}
@@ -254,12 +261,12 @@
 }
 
 // Update implements store.Store.
-func (s *Store) Update(ctx context.Context, kind, name string, version uint64, body []byte) (store.Object, error) {
+func (s *Store) Update(ctx context.Context, kind, name string, version store.Version, body []byte) (store.Object, error) {
 	return s.write(ctx, "update", store.Object{Kind: kind, Name: name, Version: version, Body: body})
 }
 
 // Delete implements store.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (s *Store) Delete(ctx context.Context, kind, name string, version store.Version) error {
 	_, err := s.write(ctx, "delete", store.Object{Kind: kind, Name: name, Version: version, Deleted: true})
 	return err
 }
@@ -289,7 +296,7 @@
 	return written, err
 }
 
-// put replaces the object that has the version in o, with 0 for none, or returns
+// put replaces the object that has the version in o, zero for none, or returns
 // ErrConflict.
 func (s *Store) put(o store.Object) (store.Object, error) {
 	s.mu.Lock()
@@ -298,8 +305,8 @@
 		return store.Object{}, store.ErrConflict
 	}
 	old := s.current.byKind[o.Kind][o.Name]
-	s.current.version++
-	o.Version = s.current.version
+	s.current.revision++
+	o.Version = s.current.version()
 	if s.OnChange != nil {
 		s.OnChange(old, o)
 	}
@@ -313,9 +320,10 @@
 	}
 	s.history = append(s.history, o)
 	if n := len(s.history) - historyLength; n > 0 {
-		s.oldest = s.history[n-1].Version
+		s.oldest = s.history[n-1].Version.Revision
 		s.history = append([]store.Object(nil), s.history[n:]...)
 	}
+	s.record(change{at: time.Now(), old: old, written: o})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return o, nil
