Ask peers before a start serves what a restored store holds

A restarted node took what it read first for the newest configuration and was ready with it. After the store came back from an older copy a peer may hold a newer one, so the node now asks its peers first, up to eight in one round and for one heartbeat interval at most, and applies what it read unless it is older than theirs. A store in era 0 has lost nothing, so nobody need be asked.

--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -112,8 +112,8 @@
 			}
 			return nonReaderWaitFactor * ms(s.GetWait())
 		},
-		Deliver: func(snapshot *wire.Snapshot, _ store.Version) error {
-			return n.Distributor.ApplyPlatformSnapshot(snapshot)
+		Deliver: func(snapshot *wire.Snapshot, version store.Version) error {
+			return n.Distributor.ApplyPlatformSnapshot(snapshot, version.Era > 0)
 		}, Sinks: n.sinks.ForPart("platform"),
 	})
 }
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -58,8 +58,9 @@
 
 	mu           sync.Mutex
 	state        *spread.State
-	lastReport   *wire.Report // last report on the whole fleet
-	lastReportAt time.Time    // when it was taken
+	unapplied    *wire.Snapshot // read from the platform before the floor was known; nil if none
+	lastReport   *wire.Report   // last report on the whole fleet
+	lastReportAt time.Time      // when it was taken
 }
 
 // NewDistributor creates the distributor of a node. It does nothing before Run.
@@ -87,6 +88,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		d.applyUnapplied()
 		changed := d.config.Holder.Changed()
 		for _, a := range d.takeActions() {
 			t.Go(func() error {
@@ -239,12 +241,50 @@
 }
 
 // ApplyPlatformSnapshot applies a whole configuration that was just read from a
-// platform whose reads always return the newest one. Nothing older may be
-// served after it.
-func (d *Distributor) ApplyPlatformSnapshot(snapshot *wire.Snapshot) error {
+// platform whose reads always return the newest one that it has. Nothing older may
+// be served after it.
+//
+// If restored is set, the platform may have come back from an older copy and a peer
+// may hold a newer configuration. A starting node then asks its peers first and
+// applies the snapshot when they have answered, unless it is older than theirs. An
+// older one than the table in force is not applied.
+func (d *Distributor) ApplyPlatformSnapshot(snapshot *wire.Snapshot, restored bool) error {
 	d.mu.Lock()
-	d.state.SetFloor(snapshot.GetNumber())
+	if !restored {
+		d.state.SetFloor(snapshot.GetNumber())
+	} else if !d.state.HandleRestorable(snapshot.GetNumber(), time.Now()) {
+		if snapshot.GetNumber() > d.unapplied.GetNumber() {
+			d.unapplied = snapshot
+		}
+		d.mu.Unlock()
+		return nil
+	}
 	d.mu.Unlock()
+	return d.applyRead(snapshot)
+}
+
+// applyUnapplied applies the configuration that was read before the floor was
+// known, once it is known.
+func (d *Distributor) applyUnapplied() {
+	d.mu.Lock()
+	snapshot := d.unapplied
+	if snapshot == nil || !d.state.FloorKnown() {
+		d.mu.Unlock()
+		return
+	}
+	d.unapplied = nil
+	d.mu.Unlock()
+	_ = d.applyRead(snapshot) // apply logs the error, and the state fetches from a peer
+}
+
+// applyRead applies a configuration that was read from the platform, unless the
+// table in force is newer or the node may not serve it.
+func (d *Distributor) applyRead(snapshot *wire.Snapshot) error {
+	number, held := snapshot.GetNumber(), max(d.Revision(), d.config.Holder.Floor())
+	if number < held {
+		d.config.Sinks.Log.Warn("platform holds an older configuration", "number", number, "table", d.Revision(), "floor", d.config.Holder.Floor())
+		return nil
+	}
 	return d.apply(&wire.Update{Snapshot: snapshot})
 }
 
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -54,9 +54,19 @@
 // to have reported, or 0.
 func (s *State) ReportedRevision(name string) uint64 { return s.reported.revision(name) }
 
-// floorPeersPerRound is the number of peers that a starting node asks for its
-// floor in one round.
-const floorPeersPerRound = 3
+// Number of peers that a starting node asks for its floor in one round.
+const (
+	floorPeersPerRound = 3
+	// restoredPeersPerRound holds for a platform that may have come back from an
+	// older copy. There is one round only, in which many of the peers may have just
+	// started as well.
+	restoredPeersPerRound = 8
+)
+
+// floorGraceHeartbeats is how long a starting node waits for peers after it has
+// read a platform that may have come back from an older copy, in heartbeat
+// intervals. It is twice the usual time to join and to be answered.
+const floorGraceHeartbeats = 1
 
 // floorDiscovery is the state of a starting node's search for its floor. It asks
 // peers in rounds, and the platform for its newest revision.
@@ -67,6 +77,7 @@
 	failedRounds int             // rounds without a ready peer
 	nextRound    time.Time       // earliest start of the next round
 	platformRead bool            // whether the platform has been read
+	graceUntil   time.Time       // after a read of a platform that may have lost its newest revision: when to stop waiting for peers
 	headPending  bool            // whether a read of the platform's head is in flight
 	headDone     bool            // whether that read has ended, also if it failed
 }
@@ -85,6 +96,10 @@
 	if f.known || s.finishRound(now) {
 		return true
 	}
+	if s.graceOver(now) {
+		f.known, f.asked = true, nil
+		return true
+	}
 	if f.headPending || len(f.asked) > 0 || now.Before(f.nextRound) {
 		return false
 	}
@@ -102,10 +117,14 @@
 // best parent candidates, which most likely recorded this instance's revision;
 // the rest are random.
 func (s *State) floorPeers() []*wire.Member {
+	limit := floorPeersPerRound
+	if !s.floor.graceUntil.IsZero() {
+		limit = restoredPeersPerRound
+	}
 	var out []*wire.Member
 	seen := map[string]bool{s.placement.View.Self.GetName(): true}
 	add := func(m *wire.Member) {
-		if m != nil && !seen[m.GetName()] && len(out) < floorPeersPerRound {
+		if m != nil && !seen[m.GetName()] && len(out) < limit {
 			seen[m.GetName()] = true
 			out = append(out, m)
 		}
@@ -115,7 +134,7 @@
 			add(m)
 		}
 	}
-	for range 4 * floorPeersPerRound {
+	for range 4 * limit {
 		add(s.randomPeer())
 	}
 	return out
@@ -183,6 +202,10 @@
 	if f.asked == nil || f.headPending {
 		return false
 	}
+	if len(f.asked) == 0 && !f.graceUntil.IsZero() && !s.graceOver(now) {
+		f.asked = nil // no peer is known yet
+		return false
+	}
 	if f.readyPeers > 0 && !f.platformRead && !f.headDone && s.config.CanReadHead {
 		f.headPending = true
 		s.emit(Action{Kind: ActionReadHead, From: Position{Number: s.config.Holder.Floor()}})
@@ -216,10 +239,37 @@
 	return true
 }
 
+// HandleRestorable records the number of a configuration that was read from a
+// platform that may have come back from an older copy: a peer may hold a newer one.
+// A starting node asks its peers first, but waits no longer than one heartbeat
+// interval. HandleRestorable reports whether the floor is known, so that the
+// configuration may be applied if it is not below the floor. The floor of a node
+// that knows it is not raised: the table in force is served until the next one is
+// applied.
+func (s *State) HandleRestorable(number uint64, now time.Time) bool {
+	f := &s.floor
+	f.platformRead = true
+	if f.known {
+		return true
+	}
+	if f.graceUntil.IsZero() {
+		f.asked, f.nextRound = nil, time.Time{} // ask more peers than before
+		f.graceUntil = now.Add(floorGraceHeartbeats * s.config.HeartbeatInterval)
+	}
+	s.config.Holder.RaiseFloor(number)
+	return false
+}
+
+// graceOver reports whether a node that has read a platform that may have lost its
+// newest revision has waited long enough for its peers.
+func (s *State) graceOver(now time.Time) bool {
+	return !s.floor.graceUntil.IsZero() && !now.Before(s.floor.graceUntil)
+}
+
 // SetFloor sets the floor to the number of a configuration that was read from
-// the platform after this node started. It is for platforms that always return
-// the newest configuration: nothing older may be served, and no peer need be
-// asked.
+// the platform after this node started. It is for platforms that have lost nothing
+// and always return the newest configuration: nothing older may be served, and no
+// peer need be asked.
 func (s *State) SetFloor(number uint64) {
 	s.floor.platformRead, s.floor.known, s.floor.asked = true, true, nil
 	s.config.Holder.RaiseFloor(number)
--- a/mesh/spread/repair.go
+++ b/mesh/spread/repair.go
@@ -48,7 +48,8 @@
 func (s *State) Behind() bool { return s.repair.aheadRevision > s.number() }
 
 // repairTick sends a fetch if the node has been behind for half a heartbeat
-// interval, missed an update or needs a snapshot. Otherwise it starts the digest
+// interval, or at all while it may serve nothing and no parent will push to it, or
+// if it missed an update or needs a snapshot. Otherwise it starts the digest
 // exchange when that is due.
 func (s *State) repairTick(now time.Time) {
 	r := &s.repair
@@ -62,7 +63,8 @@
 			delete(s.parentBackoffs, name)
 		}
 	}
-	behind := s.Behind() && now.Sub(r.behindSince) >= s.config.HeartbeatInterval/2
+	waiting := s.parent.name == "" && !s.config.Holder.Ready()
+	behind := s.Behind() && (waiting || now.Sub(r.behindSince) >= s.config.HeartbeatInterval/2)
 	due := !now.Before(r.nextExchange)
 	switch {
 	case r.fetching || now.Before(r.nextFetch):
