Write lost meeting points again when the store came back

Meeting points were written when a node starts and looked at every two minutes, so those that a restored store had lost were missing until then. The nodes that had one now look for theirs within a second after the era has risen and write it again; the others make no call.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -234,7 +234,7 @@
 	n.meetingPoints = store.NewMeetingPoints(store.MeetingPointsConfig{
 		Store: meetingStore, Self: func() *wire.Member { return n.Members.View().Self },
 		IsAlive: func(name string) bool { return n.Members.View().Members[name] != nil }, MembersKnown: n.Members.Joined,
-		PointsPerDomain: maxMeetingPoints, Sinks: n.sinks.ForPart("platform"),
+		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Sinks: n.sinks.ForPart("platform"),
 	})
 	if n.platform != nil {
 		n.assembleSource(n.platform)
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -26,7 +26,7 @@
 	meetingInterval      = 2 * time.Minute  // after each later one
 )
 
-// MeetingPointsConfig configures a MeetingPoints. Every field but Sinks is
+// MeetingPointsConfig configures a MeetingPoints. Every field but Eras and Sinks is
 // required.
 type MeetingPointsConfig struct {
 	Store           Store
@@ -34,6 +34,7 @@
 	IsAlive         func(name string) bool // whether a node is a live member, as known to this node
 	MembersKnown    func() bool            // whether this node knows the members of the fleet
 	PointsPerDomain int                    // wanted number of meeting points in each failure domain
+	Eras            *Eras                  // of the platform; nil if it has none
 	Sinks           telemetry.Sinks
 }
 
@@ -41,8 +42,12 @@
 // node writes one when it starts, unless its failure domain has enough of them.
 // Points are not renewed: one that names a dead node costs a joiner one
 // attempt, until a node that knows the members deletes it.
+//
+// When the platform comes back from an older copy, points may be gone. The nodes
+// that had one, few in each failure domain, look for theirs and write it again.
 type MeetingPoints struct {
 	config MeetingPointsConfig
+	owns   bool // whether this node's point is on the platform, or may be; used by Run only
 
 	mu     sync.Mutex
 	listed map[string]Object // objects as last read, by name
@@ -96,10 +101,11 @@
 	var retry backoff
 	wait := firstMeetingInterval
 	for ctx.Err() == nil {
+		rose := m.config.Eras.Rose()
 		err := m.maintain(ctx)
 		if err == nil {
 			retry.reset()
-			pause(ctx, wait+jitter(wait/2))
+			m.pauseUnlessLost(ctx, rose, wait+jitter(wait/2))
 			wait = meetingInterval
 			continue
 		}
@@ -111,6 +117,28 @@
 	return nil
 }
 
+// rewriteSpread is the time over which the nodes of a fleet look for their meeting
+// points after the platform came back from an older copy. Together with the longest
+// delay until a node reaches the platform again it is less than 2 s.
+const rewriteSpread = time.Second
+
+// pauseUnlessLost waits for d, until the context ends, or for a part of
+// rewriteSpread after the era rises if the meeting point of this node may be lost.
+func (m *MeetingPoints) pauseUnlessLost(ctx context.Context, rose <-chan struct{}, d time.Duration) {
+	if !m.owns {
+		rose = nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-rose:
+		m.config.Sinks.Log.Info("looking for own meeting point after the platform came back", "era", m.config.Eras.State().Current)
+		pause(ctx, jitter(rewriteSpread))
+	}
+}
+
 // maintain writes the meeting point of this node if it is needed, and deletes
 // that of at most one dead node.
 func (m *MeetingPoints) maintain(ctx context.Context) error {
@@ -139,6 +167,7 @@
 	name := strings.ReplaceAll(want.Name, "/", "-")
 	old, exists := listed[name]
 	if p, ok := decodePoint(old); exists && ok && p == want {
+		m.owns = true
 		return nil
 	}
 	others := 0
@@ -149,10 +178,13 @@
 	}
 	switch {
 	case exists:
+		m.owns = true
 		_, err = m.config.Store.Update(ctx, KindMember, name, old.Version, body)
 	case others >= m.config.PointsPerDomain:
+		m.owns = false
 		return nil
 	default:
+		m.owns = true // also if the write gets no answer
 		_, err = m.config.Store.Create(ctx, KindMember, name, body)
 	}
 	return errors.Wrapf(err, "write meeting point %s", name)
