--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -182,6 +182,7 @@
 	}
 	if n.platform != nil {
 		config.Standalone, config.ReadHead, config.PushDelay = false, nil, pushDelayQuarterBeats*config.HeartbeatInterval/4
+		config.KnownNodes = func() []*wire.Member { return n.meetingPoints.Listed() }
 	}
 	n.Distributor = peer.NewDistributor(config)
 }
--- a/mesh/peer/spread.go
+++ b/mesh/peer/spread.go
@@ -39,10 +39,11 @@
 	View              func() *member.View
 	ConfirmedAt       func() int64 // when the platform last confirmed the head to this node, Unix ms
 	HeartbeatInterval time.Duration
-	ExchangeInterval  time.Duration // interval of digest exchanges with a random peer
-	MaxSnapshots      int           // optional; transfers of snapshots started per heartbeat interval, 8 if zero
-	Standalone        bool          // optional; there is no other node to join
-	PushDelay         time.Duration // optional; how long a child may be behind before it gets a push
+	ExchangeInterval  time.Duration         // interval of digest exchanges with a random peer
+	MaxSnapshots      int                   // optional; transfers of snapshots started per heartbeat interval, 8 if zero
+	Standalone        bool                  // optional; there is no other node to join
+	PushDelay         time.Duration         // optional; how long a child may be behind before it gets a push
+	KnownNodes        func() []*wire.Member // optional; nodes that a starting node may ask though they are not in its view yet
 	// ReadHead is optional. It returns the newest revision on the platform, or
 	// the given one if the platform has none that is newer. A starting node
 	// calls it once.
@@ -69,6 +70,7 @@
 	return &Distributor{config: config, wake: make(chan struct{}, 1), state: spread.New(spread.Config{
 		Tree: config.Tree, Holder: config.Holder, HeartbeatInterval: config.HeartbeatInterval, ExchangeInterval: config.ExchangeInterval,
 		MaxSnapshots: config.MaxSnapshots, Standalone: config.Standalone, CanReadHead: config.ReadHead != nil, PushDelay: config.PushDelay,
+		KnownNodes: config.KnownNodes,
 	}, config.View(), time.Now())}
 }
 
--- a/mesh/spread/floor.go
+++ b/mesh/spread/floor.go
@@ -5,6 +5,7 @@
 // peers for its own before it applies any table.
 
 import (
+	"slices"
 	"time"
 
 	"caroblift.dev/mesh/member"
@@ -54,20 +55,23 @@
 // to have reported, or 0.
 func (s *State) ReportedRevision(name string) uint64 { return s.reported.revision(name) }
 
-// Number of peers that a starting node asks for its floor in one round.
+// floorPeersPerRound is the number of peers that a starting node asks for its
+// floor in one round.
+const floorPeersPerRound = 3
+
+// Limits of the search of a starting node that has read a platform which may have
+// come back from an older copy. Many of its peers may have just started as well.
 const (
-	floorPeersPerRound = 3
-	// restoredPeersPerRound holds for a platform that may have come back from an
-	// older copy. There is one round only, in which many of the peers may have just
-	// started as well.
 	restoredPeersPerRound = 8
+	// restoredRounds is the number of rounds without a peer that knows its own floor
+	// after which the node takes all nodes to be starting. If half of many are, no
+	// more than one in 65,000 nodes is wrong about it.
+	restoredRounds = 2
+	// floorGraceHeartbeats is how long the node waits for peers at most, in
+	// heartbeat intervals.
+	floorGraceHeartbeats = 1
 )
 
-// floorGraceHeartbeats is how long a starting node waits for peers after it has
-// read a platform that may have come back from an older copy, in heartbeat
-// intervals. It is twice the usual time to join and to be answered.
-const floorGraceHeartbeats = 1
-
 // floorDiscovery is the state of a starting node's search for its floor. It asks
 // peers in rounds, and the platform for its newest revision.
 type floorDiscovery struct {
@@ -77,9 +81,12 @@
 	failedRounds int             // rounds without a ready peer
 	nextRound    time.Time       // earliest start of the next round
 	platformRead bool            // whether the platform has been read
-	graceUntil   time.Time       // after a read of a platform that may have lost its newest revision: when to stop waiting for peers
-	headPending  bool            // whether a read of the platform's head is in flight
-	headDone     bool            // whether that read has ended, also if it failed
+
+	// After a read of a platform that may have come back from an older copy.
+	graceUntil     time.Time // when to stop waiting for peers; zero before the read
+	restoredRounds int       // rounds since the read without a peer that knows its own floor
+	headPending    bool      // whether a read of the platform's head is in flight
+	headDone       bool      // whether that read has ended, also if it failed
 }
 
 // FloorKnown reports whether the floor is known. Until then the node applies no
@@ -90,6 +97,8 @@
 // the floor is known. A round asks peers, then the platform for revisions newer
 // than theirs. If no peer knows its own floor, the node waits until a reader has
 // read the platform. If the platform does not answer, the peers' answers decide.
+// If it may have come back from an older copy, the node asks again until a peer that
+// knows its own floor has answered or the grace is over.
 func (s *State) discoverFloor(now time.Time, checked int64) bool {
 	f := &s.floor
 	f.platformRead = f.platformRead || checked > 0
@@ -115,7 +124,9 @@
 
 // floorPeers returns the peers to ask in this round. The first round prefers the
 // best parent candidates, which most likely recorded this instance's revision;
-// the rest are random.
+// the rest are random. After a read of a platform that may have come back from an
+// older copy, up to half of them are members in the view and the others may be
+// known from elsewhere.
 func (s *State) floorPeers() []*wire.Member {
 	limit := floorPeersPerRound
 	if !s.floor.graceUntil.IsZero() {
@@ -134,6 +145,16 @@
 			add(m)
 		}
 	}
+	if !s.floor.graceUntil.IsZero() {
+		for range restoredPeersPerRound / 2 {
+			add(s.randomPeer())
+		}
+		known := slices.Clone(s.knownNodes())
+		s.config.Rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		for _, m := range known {
+			add(m)
+		}
+	}
 	for range 4 * limit {
 		add(s.randomPeer())
 	}
@@ -202,19 +223,18 @@
 	if f.asked == nil || f.headPending {
 		return false
 	}
-	if len(f.asked) == 0 && !f.graceUntil.IsZero() && !s.graceOver(now) {
-		f.asked = nil // no peer is known yet
-		return false
-	}
 	if f.readyPeers > 0 && !f.platformRead && !f.headDone && s.config.CanReadHead {
 		f.headPending = true
 		s.emit(Action{Kind: ActionReadHead, From: Position{Number: s.config.Holder.Floor()}})
 		return false
 	}
-	if f.readyPeers > 0 || f.platformRead {
+	if f.readyPeers > 0 || f.platformRead && f.graceUntil.IsZero() {
 		f.known, f.asked = true, nil
 		return true
 	}
+	if !f.graceUntil.IsZero() {
+		return s.finishRestoredRound(now)
+	}
 	if len(f.asked) > 0 {
 		f.failedRounds++
 		f.nextRound = now.Add(s.backoff(min(f.failedRounds, 3)) / 2)
@@ -223,6 +243,26 @@
 	return false
 }
 
+// finishRestoredRound ends a round in which no peer knew its own floor, after the
+// platform was read that may have come back from an older copy. It reports whether
+// the floor is known because all nodes seem to be starting.
+func (s *State) finishRestoredRound(now time.Time) bool {
+	f := &s.floor
+	if len(f.asked) > 0 && len(s.knownNodes()) > 0 {
+		f.restoredRounds++
+	}
+	f.known, f.asked, f.nextRound = f.restoredRounds == restoredRounds, nil, now.Add(s.config.HeartbeatInterval/8)
+	return f.known
+}
+
+// knownNodes returns the nodes that may be asked though they are not in the view.
+func (s *State) knownNodes() []*wire.Member {
+	if s.config.KnownNodes == nil {
+		return nil
+	}
+	return s.config.KnownNodes()
+}
+
 // HandlePlatformRevision records the newest revision that the platform holds,
 // and reports whether the node may apply it now.
 func (s *State) HandlePlatformRevision(number uint64, now time.Time) bool {
--- a/mesh/spread/floor_test.go
+++ b/mesh/spread/floor_test.go
@@ -38,53 +38,63 @@
 func TestStartAfterRestore(t *testing.T) {
 	const beat = time.Second
 	const read, held = 10, 12 // on the platform, and by a peer
+	const grace = floorGraceHeartbeats * beat
 	for name, c := range map[string]struct {
-		peers   int
-		answers []*wire.FetchResponse // of the peers, in order; nil for none
-		after   time.Duration         // until the floor is known
-		floor   uint64
+		members, listed int                   // peers in the view, and those known from elsewhere
+		answers         []*wire.FetchResponse // of the peers asked in each round, in order; nil for none
+		after           time.Duration         // until the floor is known
+		floor           uint64
 	}{
-		"a peer holds a newer one":         {3, []*wire.FetchResponse{{Ready: true, Revision: read}, {Ready: true, Revision: held}, {}}, 0, held},
-		"a peer knows what the node had":   {1, []*wire.FetchResponse{{Ready: true, Revision: read, Floor: held}}, 0, held},
-		"all start":                        {3, []*wire.FetchResponse{{}, {}, {}}, 0, read},
-		"one of many runs on":              {8, []*wire.FetchResponse{{}, {}, {}, {}, {}, {}, {}, {Ready: true, Revision: held}}, 0, held},
-		"the only one that runs is silent": {2, []*wire.FetchResponse{{}, nil}, floorGraceHeartbeats * beat, read},
-		"nobody is known":                  {0, nil, floorGraceHeartbeats * beat, read},
-		"an answer beside a silent one":    {2, []*wire.FetchResponse{{Ready: true, Revision: held}, nil}, floorGraceHeartbeats * beat, held},
+		"a peer holds a newer one":         {3, 0, []*wire.FetchResponse{{Ready: true, Revision: read}, {Ready: true, Revision: held}, {}}, 0, held},
+		"a peer knows what the node had":   {1, 0, []*wire.FetchResponse{{Ready: true, Revision: read, Floor: held}}, 0, held},
+		"one of many runs on":              {8, 0, []*wire.FetchResponse{{}, {}, {}, {}, {}, {}, {}, {Ready: true, Revision: held}}, 0, held},
+		"one that is no member yet":        {0, 2, []*wire.FetchResponse{{}, {Ready: true, Revision: held}}, 0, held},
+		"all start":                        {1, 3, []*wire.FetchResponse{{}, {}, {}, {}}, (restoredRounds - 1) * beat / 8, read},
+		"all members start":                {3, 0, []*wire.FetchResponse{{}, {}, {}}, grace, read},
+		"the only one that runs is silent": {2, 1, []*wire.FetchResponse{{}, nil, {}}, grace, read},
+		"nobody is known":                  {0, 0, nil, grace, read},
+		"an answer beside a silent one":    {2, 0, []*wire.FetchResponse{{Ready: true, Revision: held}, nil}, grace, held},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := time.Unix(1000, 0)
+			start := time.Unix(1000, 0)
 			view := &member.View{Self: &wire.Member{Name: "self", State: wire.State_STATE_ALIVE}, Members: map[string]*wire.Member{}}
-			for _, m := range append([]*wire.Member{view.Self}, peerMembers(c.peers)...) {
+			for _, m := range append([]*wire.Member{view.Self}, peersNamed("member", c.members)...) {
 				view.Names, view.Members[m.GetName()] = append(view.Names, m.GetName()), m
 			}
 			holder := &revision.Holder{}
-			s := New(Config{Holder: holder, ExchangeInterval: time.Hour, HeartbeatInterval: beat, Rand: rand.New(rand.NewPCG(1, 1))}, view, now)
-			s.Tick(now, view, 0)
-			require.False(t, s.HandleRestorable(read, now))
+			s := New(Config{
+				Holder: holder, ExchangeInterval: time.Hour, HeartbeatInterval: beat, Rand: rand.New(rand.NewPCG(1, 1)),
+				KnownNodes: func() []*wire.Member { return peersNamed("listed", c.listed) },
+			}, view, start)
+			s.Tick(start, view, 0)
 			s.Actions() // of the round before the platform was read
-			s.Tick(now, view, 1)
-			asked := 0
-			for _, a := range s.Actions() {
-				if a.Kind == ActionFetch && c.answers[asked] != nil {
-					s.HandleFetchResponse(a, c.answers[asked], now)
+			require.False(t, s.HandleRestorable(read, start))
+			known := start
+			for ; !s.FloorKnown(); known = known.Add(beat / 8) {
+				require.False(t, known.After(start.Add(grace)), "the floor is not known")
+				s.Tick(known, view, 1)
+				asked := 0
+				for _, a := range s.Actions() {
+					if a.Kind == ActionFetch && c.answers[asked] != nil {
+						s.HandleFetchResponse(a, c.answers[asked], known)
+					}
+					asked++
+				}
+				if s.FloorKnown() {
+					break
 				}
-				asked++
 			}
-			require.Equal(t, c.peers, asked)
-			require.Equal(t, c.after == 0, s.FloorKnown())
-			s.Tick(now.Add(c.after), view, 1)
-			require.True(t, s.FloorKnown())
-			require.True(t, s.HandleRestorable(read, now))
+			require.Equal(t, c.after, known.Sub(start))
+			require.True(t, s.HandleRestorable(read, known))
 			require.Equal(t, c.floor, holder.Floor())
 		})
 	}
 }
 
-// peerMembers returns live members.
-func peerMembers(count int) (out []*wire.Member) {
+// peersNamed returns live members.
+func peersNamed(prefix string, count int) (out []*wire.Member) {
 	for i := range count {
-		name := fmt.Sprint("peer", i)
+		name := fmt.Sprint(prefix, i)
 		out = append(out, &wire.Member{Name: name, Peer: name, State: wire.State_STATE_ALIVE})
 	}
 	return out
--- a/mesh/spread/state.go
+++ b/mesh/spread/state.go
@@ -13,17 +13,18 @@
 )
 
 // Config configures a State. Every field but MaxSnapshots, Standalone,
-// CanReadHead, PushDelay and Rand is required.
+// CanReadHead, PushDelay, KnownNodes and Rand is required.
 type Config struct {
 	Tree              Tree
 	Holder            *revision.Holder
-	HeartbeatInterval time.Duration // interval between heartbeats to the parent
-	ExchangeInterval  time.Duration // mean interval between digest exchanges with a random peer
-	MaxSnapshots      int           // maximum number of snapshots started within one heartbeat interval; 0 means 8
-	Standalone        bool          // whether the node has no peers to join
-	CanReadHead       bool          // whether the owner can read the platform's head
-	PushDelay         time.Duration // how long a child may be behind before it gets a push; zero if pushes are its only source
-	Rand              *rand.Rand    // if nil, seeded from the clock and the instance name
+	HeartbeatInterval time.Duration         // interval between heartbeats to the parent
+	ExchangeInterval  time.Duration         // mean interval between digest exchanges with a random peer
+	MaxSnapshots      int                   // maximum number of snapshots started within one heartbeat interval; 0 means 8
+	Standalone        bool                  // whether the node has no peers to join
+	CanReadHead       bool                  // whether the owner can read the platform's head
+	PushDelay         time.Duration         // how long a child may be behind before it gets a push; zero if pushes are its only source
+	KnownNodes        func() []*wire.Member // nodes that a starting node may ask though they are not in its view yet; may be nil
+	Rand              *rand.Rand            // if nil, seeded from the clock and the instance name
 }
 
 // ActionKind is the kind of an Action.
--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -84,102 +84,107 @@
 	f.platform.SetFaults(storetest.Faults{})
 }
 
+// restoreBound is the time from a write until it is in force, also after a restore.
+const restoreBound = 2 * time.Second
+
+// sourceRestoreCases holds what happens to a store and the numbers that come into
+// force. The configurations 3 and 5 are in force and older than the copy when each
+// case begins, and 34 is written at its end.
+var sourceRestoreCases = map[string]struct {
+	play func(t *testing.T, f *eraTest)
+	want []uint64
+}{
+	"away and back": {func(t *testing.T, f *eraTest) {
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.platform.Restore(1500 * time.Millisecond)
+		f.goAway(time.Second)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 8, f.holder.Table().Number, "what was in force stays")
+	}, []uint64{3, 5, 8, 34}},
+	"record written again": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.platform.Restore(1500 * time.Millisecond)
+		time.Sleep(time.Second)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+	}, []uint64{3, 5, 8, 34}},
+	"revisions given out again": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.platform.SetFaults(storetest.Faults{Down: true})
+		f.platform.Restore(1500 * time.Millisecond)
+		f.write(t, "13")
+		f.writeOthers(t, 40)
+		f.goAway(time.Second)
+		time.Sleep(restoreBound)
+		require.EqualValues(t, 13, f.holder.Table().Number, "below the revision to watch from")
+	}, []uint64{3, 5, 8, 13, 34}},
+	"watch beyond the end": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.platform.Restore(1500 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		f.write(t, "13")
+		time.Sleep(restoreBound)
+		require.EqualValues(t, 13, f.holder.Table().Number)
+	}, []uint64{3, 5, 8, 13, 34}},
+	"twice in a row": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.platform.Restore(1500 * time.Millisecond)
+		f.goAway(300 * time.Millisecond)
+		f.write(t, "13")
+		time.Sleep(time.Second)
+		f.platform.Restore(1200 * time.Millisecond)
+		f.goAway(300 * time.Millisecond)
+		f.write(t, "21")
+		time.Sleep(restoreBound)
+		require.EqualValues(t, 21, f.holder.Table().Number)
+	}, []uint64{3, 5, 8, 13, 21, 34}},
+	"during a change": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8")
+		time.Sleep(time.Second)
+		f.write(t, "9")
+		f.platform.Restore(1500 * time.Millisecond) // before the change is read
+		f.write(t, "13")
+		time.Sleep(restoreBound)
+		require.EqualValues(t, 13, f.holder.Table().Number)
+	}, []uint64{3, 5, 8, 13, 34}},
+	"same number, other content": {func(t *testing.T, f *eraTest) {
+		f.writeOthers(t, 20)
+		f.write(t, "8 lost")
+		time.Sleep(time.Second)
+		digest := f.holder.Table().Digest
+		f.platform.Restore(1500 * time.Millisecond)
+		f.write(t, "8 rewritten")
+		time.Sleep(restoreBound)
+		require.Equal(t, digest, f.holder.Table().Digest, "one number is one configuration")
+	}, []uint64{3, 5, 8, 34}},
+}
+
 // TestSourceAfterRestore guards against a node that ignores new configurations, or
-// goes back to an older one, after the store came back from an older copy. The
-// configurations 3 and 5 are in force and older than the copy when each case
-// begins; 34 is in force 2 s after its write.
+// goes back to an older one, after the store came back from an older copy.
 func TestSourceAfterRestore(t *testing.T) {
-	const bound = 2 * time.Second // from a write until it is in force
-	for name, c := range map[string]struct {
-		play func(t *testing.T, f *eraTest)
-		want []uint64 // numbers that came into force
-	}{
-		"away and back": {func(t *testing.T, f *eraTest) {
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.platform.Restore(1500 * time.Millisecond)
-			f.goAway(time.Second)
-			time.Sleep(time.Second)
-			require.EqualValues(t, 8, f.holder.Table().Number, "what was in force stays")
-		}, []uint64{3, 5, 8, 34}},
-		"record written again": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.platform.Restore(1500 * time.Millisecond)
-			time.Sleep(time.Second)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-		}, []uint64{3, 5, 8, 34}},
-		"revisions given out again": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.platform.SetFaults(storetest.Faults{Down: true})
-			f.platform.Restore(1500 * time.Millisecond)
-			f.write(t, "13")
-			f.writeOthers(t, 40)
-			f.goAway(time.Second)
-			time.Sleep(bound)
-			require.EqualValues(t, 13, f.holder.Table().Number, "below the revision to watch from")
-		}, []uint64{3, 5, 8, 13, 34}},
-		"watch beyond the end": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.platform.Restore(1500 * time.Millisecond)
-			time.Sleep(100 * time.Millisecond)
-			f.write(t, "13")
-			time.Sleep(bound)
-			require.EqualValues(t, 13, f.holder.Table().Number)
-		}, []uint64{3, 5, 8, 13, 34}},
-		"twice in a row": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.platform.Restore(1500 * time.Millisecond)
-			f.goAway(300 * time.Millisecond)
-			f.write(t, "13")
-			time.Sleep(time.Second)
-			f.platform.Restore(1200 * time.Millisecond)
-			f.goAway(300 * time.Millisecond)
-			f.write(t, "21")
-			time.Sleep(bound)
-			require.EqualValues(t, 21, f.holder.Table().Number)
-		}, []uint64{3, 5, 8, 13, 21, 34}},
-		"during a change": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8")
-			time.Sleep(time.Second)
-			f.write(t, "9")
-			f.platform.Restore(1500 * time.Millisecond) // before the change is read
-			f.write(t, "13")
-			time.Sleep(bound)
-			require.EqualValues(t, 13, f.holder.Table().Number)
-		}, []uint64{3, 5, 8, 13, 34}},
-		"same number, other content": {func(t *testing.T, f *eraTest) {
-			f.writeOthers(t, 20)
-			f.write(t, "8 lost")
-			time.Sleep(time.Second)
-			digest := f.holder.Table().Digest
-			f.platform.Restore(1500 * time.Millisecond)
-			f.write(t, "8 rewritten")
-			time.Sleep(bound)
-			require.Equal(t, digest, f.holder.Table().Digest, "one number is one configuration")
-		}, []uint64{3, 5, 8, 34}},
-	} {
+	for name, c := range sourceRestoreCases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				platform := storetest.New()
 				f, stop := newEraTest(platform, platform.Conn(500*time.Millisecond), platform.Conn(500*time.Millisecond))
 				defer stop()
 				f.write(t, "3")
-				time.Sleep(bound)
+				time.Sleep(restoreBound)
 				f.write(t, "5")
 				time.Sleep(10 * time.Second)
 				c.play(t, f)
 				f.write(t, "34")
-				time.Sleep(bound)
+				time.Sleep(restoreBound)
 				require.Equal(t, c.want, f.numbers)
 			})
 		})
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -74,17 +75,27 @@
 		return nil, errors.Wrap(err, "list meeting points")
 	}
 	listed := make(map[string]Object, len(objs))
-	var out []*wire.Member
 	for _, o := range objs {
 		listed[o.Name] = o
-		if p, ok := decodePoint(o); ok {
-			out = append(out, &wire.Member{Name: p.Name, Domain: p.Domain, Peer: p.Peer})
-		}
 	}
 	m.mu.Lock()
 	m.listed = listed
 	m.mu.Unlock()
-	return out, nil
+	return m.Listed(), nil
+}
+
+// Listed returns the members that the meeting points named when they were last
+// read, in name order, or nil before that.
+func (m *MeetingPoints) Listed() []*wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*wire.Member
+	for _, name := range slices.Sorted(maps.Keys(m.listed)) {
+		if p, ok := decodePoint(m.listed[name]); ok {
+			out = append(out, &wire.Member{Name: p.Name, Domain: p.Domain, Peer: p.Peer})
+		}
+	}
+	return out
 }
 
 // decodePoint returns the meeting point that an object holds, and false when the
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -120,18 +120,10 @@
 // stops reading. It calls succeeded after each successful read or watch.
 func (s *Source) follow(ctx context.Context, succeeded func()) error {
 	if s.watchFrom.IsZero() {
-		o, err := s.config.ReadStore.Get(ctx, s.config.Object.Kind, s.config.Object.Name)
-		if errors.Is(err, ErrNotFound) {
-			s.confirm()
-			pause(ctx, s.config.WatchTimeout()/4) // the operator has not written a configuration yet
-			return nil
+		if exists, err := s.readFirst(ctx); err != nil || !exists {
+			return err
 		}
-		if err != nil {
-			return errors.Wrap(err, "read configuration")
-		}
-		s.deliver(o)
 		succeeded()
-		s.watchFrom, s.resuming = o.Version, false
 	}
 	for firstWatch, emptyWatches := true, 0; ctx.Err() == nil && s.config.Active(); firstWatch = false {
 		objs, next, err := s.watch(ctx, s.watchFrom)
@@ -141,10 +133,7 @@
 			return errors.Wrap(err, "watch configuration")
 		}
 		succeeded()
-		if !s.resuming {
-			emptyWatches++
-		}
-		s.resuming = false
+		emptyWatches = s.countWatch(emptyWatches)
 		if behind || len(objs) > 0 || emptyWatches == maxEmptyWatches {
 			emptyWatches = 0
 			if err := s.handleEvents(ctx, objs); err != nil {
@@ -162,6 +151,33 @@
 	return nil
 }
 
+// countWatch returns the number of watches without a change, after one more that
+// succeeded. The short one after a failure does not count.
+func (s *Source) countWatch(emptyWatches int) int {
+	if s.resuming {
+		s.resuming = false
+		return emptyWatches
+	}
+	return emptyWatches + 1
+}
+
+// readFirst reads and delivers the object from which the next watch starts. It
+// returns false after a pause if there is none yet.
+func (s *Source) readFirst(ctx context.Context) (bool, error) {
+	o, err := s.config.ReadStore.Get(ctx, s.config.Object.Kind, s.config.Object.Name)
+	if errors.Is(err, ErrNotFound) {
+		s.confirm()
+		pause(ctx, s.config.WatchTimeout()/4) // the operator has not written a configuration yet
+		return false, nil
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "read configuration")
+	}
+	s.deliver(o)
+	s.watchFrom, s.resuming = o.Version, false
+	return true, nil
+}
+
 // handleWatchError makes the source read the object before the next watch if the
 // watch version is too old, or if the failed watch is the first one since the last
 // failure. Otherwise the next watch resumes from the same version, so that nodes
