--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -29,13 +29,22 @@
 // as an exitError. write says that the call changes a record: if its response is
 // lost, the change may have taken effect.
 func callNode[Q, R any](a *app, write bool, method func(context.Context, *connect.Request[Q]) (*connect.Response[R], error), req *Q) (*R, error) {
+	resp, err := callNodeWithHeader(a, write, method, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// callNodeWithHeader is like callNode and returns the header of the response too.
+func callNodeWithHeader[Q, R any](a *app, write bool, method func(context.Context, *connect.Request[Q]) (*connect.Response[R], error), req *Q) (*connect.Response[R], error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
 	resp, err := method(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, exitf(exitCodeFor(err, write), "node %s: %s", a.Node, err)
 	}
-	return resp.Msg, nil
+	return resp, nil
 }
 
 // exitCodeFor returns the exit code for a failed call. write is as in callNode.
--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -13,9 +13,13 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/node"
+	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/settings"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/mesh/storetest"
 	"caroblift.dev/mesh/telemetry"
 	"caroblift.dev/wire"
@@ -25,13 +29,13 @@
 // startNode runs one node against an in-memory store in place of the platform, and
 // returns the node's operator address.
 func startNode(t *testing.T) string {
-	store := httptest.NewServer(storetest.New())
-	t.Cleanup(store.Close)
+	platform := httptest.NewServer(storetest.New())
+	t.Cleanup(platform.Close)
 	s := settings.Defaults()
 	s.Instance = &wire.Instance{Name: "quotes-1", Domain: "xitun"}
 	const free = "127.0.0.1:0"
 	s.Listen = &wire.Listen{Caller: free, Hop: free, Peer: free, Backend: free, Operator: free}
-	s.Platform.Addresses = []string{strings.TrimPrefix(store.URL, "http://")}
+	s.Platform.Addresses = []string{strings.TrimPrefix(platform.URL, "http://")}
 	s.Peers.Beat = 50
 	n, err := node.New(s, telemetry.Sinks{})
 	require.NoError(t, err)
@@ -205,6 +209,25 @@
 	}
 }
 
+// TestStatusShowsEra checks that status names the era of a platform that has one, and
+// the era before once the node saw it rise.
+func TestStatusShowsEra(t *testing.T) {
+	eras := store.NewEras(telemetry.Sinks{})
+	self := &wire.Member{Name: "n"}
+	server := httptest.NewServer(operator.New(operator.Config{
+		Eras: eras, Holder: &revision.Holder{}, ConfirmedAt: func() int64 { return 0 }, PlatformAnswers: func() bool { return true },
+		View:        func() *member.View { return &member.View{Self: self} },
+		FleetReport: func(context.Context) *wire.Report { return &wire.Report{} },
+	}).Handler())
+	defer server.Close()
+	status := func() string { return carobctl(strings.TrimPrefix(server.URL, "http://"), "", "status").out }
+	require.NotContains(t, status(), "era")
+	require.NoError(t, eras.Observe(4))
+	require.Contains(t, status(), "\nplatform in era 4\n")
+	require.NoError(t, eras.Observe(5))
+	require.Contains(t, status(), "\nplatform in era 5, came back from an older copy in era 4\n")
+}
+
 func TestHelpNamesEveryExitCode(t *testing.T) {
 	got := carobctl("", "", "--help")
 	require.Zero(t, got.code)
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"text/tabwriter"
 	"time"
 
@@ -33,15 +34,17 @@
 // Execute prints the revision in force on the node and across the fleet.
 func (c *statusCommand) Execute([]string) error {
 	a := c.app
-	m, err := callNode(a, false, a.client().Status, &wire.StatusRequest{})
+	resp, err := callNodeWithHeader(a, false, a.client().Status, &wire.StatusRequest{})
 	if err != nil {
 		return err
 	}
+	m := resp.Msg
 	if a.JSON {
 		return a.printJSON(m)
 	}
 	fmt.Fprintf(a.out, "revision %d in force on node %s, newest known %d, %d live nodes\n", m.GetRevision(), a.Node, m.GetHead(), m.GetNodes())
 	fmt.Fprintf(a.out, "confirmed by the platform %s\n", formatAge(m.GetChecked()))
+	a.printEra(resp.Header())
 	t := a.newTableWriter()
 	fmt.Fprintln(t, "\nDOMAIN\tREVISION\tNODES")
 	for _, n := range m.GetReport().GetCounts() {
@@ -59,6 +62,19 @@
 	return nil
 }
 
+// printEra prints the era of the platform and, if the node saw it rise, the one
+// before. It prints nothing if the platform names no era.
+func (a *app) printEra(h http.Header) {
+	era, previous := h.Get(operator.HeaderEra), h.Get(operator.HeaderPreviousEra)
+	switch {
+	case era == "":
+	case era == previous:
+		fmt.Fprintf(a.out, "platform in era %s\n", era)
+	default:
+		fmt.Fprintf(a.out, "platform in era %s, came back from an older copy in era %s\n", era, previous)
+	}
+}
+
 // formatAge returns the time since at, in Unix ms, or "never" if at is 0.
 func formatAge(at int64) string {
 	if at == 0 {
--- a/mesh/operator/pages.go
+++ b/mesh/operator/pages.go
@@ -24,6 +24,7 @@
 
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
 )
@@ -215,6 +216,7 @@
 	Status   *wire.StatusResponse
 	Ready    bool
 	Age      string // time since the platform last confirmed the head
+	Era      store.EraState
 	Services []serviceSummary
 	States   map[string]int
 }
@@ -234,7 +236,7 @@
 	view, table := s.config.View(), s.config.Holder.Table()
 	d := homeData{
 		Self: view.Self, Status: s.status(ctx, &wire.StatusRequest{}), Ready: s.config.Holder.Ready(),
-		Age: "never", Services: summarizeServices(view, slices.Sorted(maps.Keys(table.Services))), States: map[string]int{},
+		Era: s.config.Eras.State(), Age: "never", Services: summarizeServices(view, slices.Sorted(maps.Keys(table.Services))), States: map[string]int{},
 	}
 	if at := d.Status.GetChecked(); at > 0 {
 		d.Age = time.Since(time.UnixMilli(at)).Round(100 * time.Millisecond).String()
--- a/mesh/operator/service.go
+++ b/mesh/operator/service.go
@@ -20,7 +20,7 @@
 	"caroblift.dev/wire"
 )
 
-// Config configures a Service. Every field but Metrics is required.
+// Config configures a Service. Every field but Metrics and Eras is required.
 type Config struct {
 	Store           store.Store
 	Holder          *revision.Holder
@@ -29,6 +29,7 @@
 	ConfirmedAt     func() int64                       // when the platform last confirmed the head, Unix ms
 	PlatformAnswers func() bool                        // whether the platform answers
 	Metrics         http.Handler                       // serves /metrics; may be nil
+	Eras            *store.Eras                        // of the platform; nil if it has none
 	SingleDocument  bool                               // the configuration comes as one document, so records are neither written nor read
 }
 
--- a/mesh/operator/status.go
+++ b/mesh/operator/status.go
@@ -4,20 +4,33 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 
 	"connectrpc.com/connect"
 
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 )
 
 // Status implements the Operator service.
 func (s *Service) Status(ctx context.Context, req *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
-	return connect.NewResponse(s.status(ctx, req.Msg)), nil
+	resp := connect.NewResponse(s.status(ctx, req.Msg))
+	if eras := s.config.Eras.State(); eras != (store.EraState{}) {
+		resp.Header().Set(HeaderEra, strconv.FormatUint(eras.Current, 10))
+		resp.Header().Set(HeaderPreviousEra, strconv.FormatUint(eras.Previous, 10))
+	}
+	return resp, nil
 }
 
+// Headers of the response to Status. They are missing if the platform names no era.
+const (
+	HeaderEra         = "Platform-Era"          // of the platform, as this node last heard
+	HeaderPreviousEra = "Platform-Era-Previous" // before the last rise that this node saw; the same if it saw none
+)
+
 func (s *Service) status(ctx context.Context, req *wire.StatusRequest) *wire.StatusResponse {
 	table := s.config.Holder.Table()
 	resp := &wire.StatusResponse{
