--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -265,14 +265,17 @@
 		}
 		before := points()
 		require.Len(t, before, perDomain*domains)
+		hearAll := func(spread time.Duration) {
+			for i, e := range eras {
+				time.AfterFunc(time.Duration(i)*spread/nodes, func() { require.NoError(t, e.Observe(platform.Era())) })
+			}
+		}
 		for round := range 2 {
 			time.Sleep(3 * time.Second)
 			calls := platform.Calls()
 			platform.Restore(time.Hour)
 			require.Empty(t, points())
-			for i, e := range eras {
-				time.AfterFunc(time.Duration(i)*time.Second/nodes, func() { require.NoError(t, e.Observe(platform.Era())) })
-			}
+			hearAll(time.Second)
 			time.Sleep(500 * time.Millisecond)
 			require.Less(t, len(points()), perDomain*domains, "not all at once")
 			time.Sleep(1500 * time.Millisecond)
@@ -280,6 +283,13 @@
 			require.EqualValues(t, perDomain*domains, platform.Calls()["create"]-calls["create"])
 			require.EqualValues(t, perDomain*domains, platform.Calls()["list"]-calls["list"], "the other nodes make no call")
 		}
+		platform.Restore(time.Hour)
+		platform.SetFaults(storetest.Faults{Down: true}) // it names its era also while it rejects calls
+		hearAll(0)
+		time.Sleep(8 * time.Second)
+		platform.SetFaults(storetest.Faults{})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, before, points(), "after an outage of 8 s")
 		cancel()
 		synctest.Wait()
 	})
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -123,14 +123,18 @@
 		if ctx.Err() == nil {
 			m.config.Sinks.Log.Info("meeting point not maintained", "error", err.Error())
 		}
+		if m.owns {
+			retry.initial, retry.limit = initialRetryDelay, rewriteSpread // few nodes
+		}
 		pause(ctx, retry.nextDelay(err))
 	}
 	return nil
 }
 
 // rewriteSpread is the time over which the nodes of a fleet look for their meeting
-// points after the platform came back from an older copy. Together with the longest
-// delay until a node reaches the platform again it is less than 2 s.
+// points after the platform came back from an older copy, and the longest delay
+// between their attempts. Together with the longest delay until a node reaches the
+// platform again it is about 2 s.
 const rewriteSpread = time.Second
 
 // pauseUnlessLost waits for d, until the context ends, or for a part of
