Hear of a store's return by a short watch after one failure too

A node whose watch failed once while the store was away resumed from its old revision; if that was given out again meanwhile, the watch waited its full time before its answer named the new era. A full watch must have succeeded before a failed one is resumed without a read, as before. The faster fetch of a node that may serve nothing holds only after a start from an older copy.

--- a/mesh/spread/repair.go
+++ b/mesh/spread/repair.go
@@ -48,9 +48,9 @@
 func (s *State) Behind() bool { return s.repair.aheadRevision > s.number() }
 
 // repairTick sends a fetch if the node has been behind for half a heartbeat
-// interval, or at all while it may serve nothing and no parent will push to it, or
-// if it missed an update or needs a snapshot. Otherwise it starts the digest
-// exchange when that is due.
+// interval, if it missed an update or needs a snapshot, or if it is behind at all
+// after a start from an older copy of the platform and no parent will push to it.
+// Otherwise it starts the digest exchange when that is due.
 func (s *State) repairTick(now time.Time) {
 	r := &s.repair
 	for name, until := range r.busyUntil {
@@ -63,8 +63,7 @@
 			delete(s.parentBackoffs, name)
 		}
 	}
-	waiting := s.parent.name == "" && !s.config.Holder.Ready()
-	behind := s.Behind() && (waiting || now.Sub(r.behindSince) >= s.config.HeartbeatInterval/2)
+	behind := s.Behind() && now.Sub(r.behindSince) >= s.patience()
 	due := !now.Before(r.nextExchange)
 	switch {
 	case r.fetching || now.Before(r.nextFetch):
@@ -76,6 +75,14 @@
 	}
 }
 
+// patience is how long the node may be behind before it fetches.
+func (s *State) patience() time.Duration {
+	if !s.floor.graceUntil.IsZero() && s.parent.name == "" && !s.config.Holder.Ready() {
+		return 0
+	}
+	return s.config.HeartbeatInterval / 2
+}
+
 // sendFetch requests the update that follows the table in force from a peer.
 func (s *State) sendFetch() {
 	m := s.fetchPeer()
--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,7 +26,9 @@
 type eraTest struct {
 	platform *storetest.Store
 	holder   revision.Holder
-	numbers  []uint64 // in force, in order
+
+	mu      sync.Mutex
+	numbers []uint64 // in force, in order
 }
 
 // newEraTest starts a source that reads from the given connections. It must be
@@ -58,7 +62,9 @@
 func (f *eraTest) deliver(s *wire.Snapshot, _ store.Version) error {
 	err := f.holder.Apply(&wire.Update{Snapshot: s})
 	if err == nil {
+		f.mu.Lock()
 		f.numbers = append(f.numbers, f.holder.Table().Number)
+		f.mu.Unlock()
 	}
 	if errors.Is(err, revision.ErrStale) {
 		return nil
@@ -66,6 +72,13 @@
 	return err
 }
 
+// inForce returns the numbers that have come into force, in order.
+func (f *eraTest) inForce() []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.numbers)
+}
+
 func (f *eraTest) write(t require.TestingT, body string) {
 	require.NoError(t, f.platform.Overwrite("setup", "whole", []byte(body)))
 }
@@ -185,12 +198,53 @@
 				c.play(t, f)
 				f.write(t, "34")
 				time.Sleep(restoreBound)
-				require.Equal(t, c.want, f.numbers)
+				require.Equal(t, c.want, f.inForce())
 			})
 		})
 	}
 }
 
+// revisionStore is a connection to a store by a protocol in which a request names no
+// era: a watch from a revision that was given out again waits, and only its answer
+// tells that the era has risen.
+type revisionStore struct {
+	store.Store
+	platform *storetest.Store
+}
+
+func (s revisionStore) Watch(ctx context.Context, kind string, version store.Version, wait time.Duration) ([]store.Object, store.Version, error) {
+	era := s.platform.Era()
+	objs, next, err := s.Store.Watch(ctx, kind, store.Version{Era: era, Revision: version.Revision}, wait)
+	if err == nil && era != version.Era {
+		return nil, store.Version{}, store.ErrGone
+	}
+	return objs, next, err
+}
+
+// TestSourceHearsOfReturnSoon guards against a watch that waits its full time after an
+// outage although it starts from a revision that was given out again.
+func TestSourceHearsOfReturnSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := storetest.New()
+		conn := func() store.Store { return revisionStore{platform.Conn(500 * time.Millisecond), platform} }
+		f, stop := newEraTest(platform, conn(), conn())
+		defer stop()
+		f.write(t, "3")
+		time.Sleep(3 * time.Second)
+		f.writeOthers(t, 20)
+		f.write(t, "5")
+		time.Sleep(time.Second)
+		platform.SetFaults(storetest.Faults{Down: true})
+		time.Sleep(watchWait - 680*time.Millisecond) // until one watch has failed; the pause after the change was 300 ms
+		platform.Restore(watchWait + 500*time.Millisecond)
+		f.write(t, "8")
+		f.writeOthers(t, 40)
+		platform.SetFaults(storetest.Faults{})
+		time.Sleep(time.Second)
+		require.Equal(t, []uint64{3, 5, 8}, f.inForce())
+	})
+}
+
 // TestRestore checks that a store that came back from an older copy has its state of
 // then, gives out revisions again under the next era and knows no expectation of an
 // earlier one.
@@ -421,7 +475,7 @@
 			require.NoError(t, err)
 			require.Empty(t, drawn)
 			require.Equal(t, want.GetNumber(), f.holder.Table().Number)
-			require.IsIncreasing(t, append([]uint64{0}, f.numbers...))
+			require.IsIncreasing(t, append([]uint64{0}, f.inForce()...))
 		})
 	})
 }
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -55,6 +55,7 @@
 	deliveredVersion Version // of the object last delivered
 	watchFrom        Version // store version to watch from; zero when the object must be read
 	resuming         bool    // whether a call failed and none succeeded since
+	watchWorks       bool    // whether a watch that was not short has succeeded since the last failure
 }
 
 // NewSource returns a source; Run starts it.
@@ -125,11 +126,12 @@
 		}
 		succeeded()
 	}
-	for firstWatch, emptyWatches := true, 0; ctx.Err() == nil && s.config.Active(); firstWatch = false {
+	s.watchWorks = false
+	for emptyWatches := 0; ctx.Err() == nil && s.config.Active(); {
 		objs, next, err := s.watch(ctx, s.watchFrom)
 		behind := errors.Is(err, errWatchBehind)
 		if err != nil && !behind {
-			s.handleWatchError(err, firstWatch)
+			s.handleWatchError(err)
 			return errors.Wrap(err, "watch configuration")
 		}
 		succeeded()
@@ -158,6 +160,7 @@
 		s.resuming = false
 		return emptyWatches
 	}
+	s.watchWorks = true
 	return emptyWatches + 1
 }
 
@@ -179,11 +182,11 @@
 }
 
 // handleWatchError makes the source read the object before the next watch if the
-// watch version is too old, or if the failed watch is the first one since the last
-// failure. Otherwise the next watch resumes from the same version, so that nodes
+// watch version is too old, or if no watch but a short one has succeeded since the
+// last failure. Otherwise the next watch resumes from the same version, so that nodes
 // whose watches are cut at the same time do not all read the object at once.
-func (s *Source) handleWatchError(err error, firstWatch bool) {
-	if firstWatch || errors.Is(err, ErrGone) {
+func (s *Source) handleWatchError(err error) {
+	if !s.watchWorks || errors.Is(err, ErrGone) {
 		s.watchFrom = Version{}
 	}
 }
