--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -55,6 +55,7 @@
 	platformReader platformReader
 	store          Store
 	pollStore      Store
+	eras           *store.Eras
 	budget         *store.Budget
 	meetingPoints  *store.MeetingPoints
 	pool           *peer.Pool
@@ -153,7 +154,7 @@
 	n.operator = operator.New(operator.Config{
 		Store:  n.store, // outside the budget, since operators make few calls whatever the size of the fleet
 		Holder: n.Holder, View: n.Members.View, ConfirmedAt: n.Distributor.ConfirmedAt, PlatformAnswers: n.platformReader.Reachable,
-		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, SingleDocument: n.platform != nil,
+		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, Eras: n.eras, SingleDocument: n.platform != nil,
 	})
 }
 
@@ -180,6 +181,7 @@
 	}
 	if n.platform != nil {
 		config.Standalone, config.ReadHead, config.PushDelay = false, nil, pushDelayQuarterBeats*config.HeartbeatInterval/4
+		config.KnownNodes = func() []*wire.Member { return n.meetingPoints.Listed() }
 	}
 	n.Distributor = peer.NewDistributor(config)
 }
@@ -232,7 +234,7 @@
 	n.meetingPoints = store.NewMeetingPoints(store.MeetingPointsConfig{
 		Store: meetingStore, Self: func() *wire.Member { return n.Members.View().Self },
 		IsAlive: func(name string) bool { return n.Members.View().Members[name] != nil }, MembersKnown: n.Members.Joined,
-		PointsPerDomain: maxMeetingPoints, Sinks: n.sinks.ForPart("platform"),
+		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Sinks: n.sinks.ForPart("platform"),
 	})
 	if n.platform != nil {
 		n.assembleSource(n.platform)
@@ -262,8 +264,9 @@
 // connections for calls that must not wait behind a watch.
 func (n *Node) openStore() {
 	s, sinks := n.settings.GetPlatform(), n.sinks.ForPart("platform")
+	n.eras = store.NewEras(sinks)
 	if n.platform != nil {
-		n.store, n.pollStore = n.platform.OpenStore(sinks), n.platform.OpenStore(sinks)
+		n.store, n.pollStore = n.platform.OpenStore(sinks, n.eras), n.platform.OpenStore(sinks, n.eras)
 		return
 	}
 	client := store.New(store.ClientConfig{Addresses: s.GetAddresses(), Timeout: ms(s.GetTimeout()), Sinks: sinks})
