Disbelieve an answer whose header continues that of another one

The review showed that bytes that are not due, cut off in a status line or behind a header's name, join the call's own answer into one header: its ID is right, the status or "not executed" another's. A call that ran was reported not run, and 200 and 500 changed places. An answer with a status line inside its status or a header value now says nothing.

--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -5,6 +5,8 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
 	"time"
 
 	"caroblift.dev/mesh/call"
@@ -50,7 +52,7 @@
 	}
 	a := d.Answer(answer)
 	switch {
-	case a.Invalid:
+	case a.Invalid, joined(answer):
 		return call.MayHaveRun(call.ReasonCrossed)
 	case a.NotExecuted && answer.StatusCode == http.StatusBadRequest:
 		return call.Success()
@@ -63,3 +65,21 @@
 	}
 	return call.Success()
 }
+
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}\b`)
+
+// joined reports whether the header of an answer continues that of another one, which
+// was cut off in its status line or behind the name of a header: the status line of
+// the second then stands in the text of the first.
+func joined(answer *http.Response) bool {
+	if statusLine.MatchString(answer.Status) {
+		return true
+	}
+	for _, values := range answer.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
