Report a write as unknown when its answer did not come from a node

carobctl ended with exit code 5, nothing was written, after a write whose answer was lost or came from a proxy (502, 504): the client library gives "unavailable" for all of them. Only an error that a node has sent, or a failed dial, says so now; else the code is 7. The review's TestLostAnswerIsNotNothingWritten lost the answers of reads and of the check before the write as well, for which 5 is right; it loses that of the write now, and fails in three of three cases without the change.

--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -10,9 +10,11 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
 	"caroblift.dev/wire/wireconnect"
@@ -47,8 +49,13 @@
 	return resp, nil
 }
 
-// exitCodeFor returns the exit code for a failed call. write is as in callNode.
+// exitCodeFor returns the exit code for a failed call. write is as in callNode. An error
+// that the node has not sent itself leaves open whether the node received the call, unless
+// no connection was established.
 func exitCodeFor(err error, write bool) int {
+	if write && !sentByNode(err) && !hop.IsDialError(err) {
+		return exitOutcomeUnknown
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeNotFound, connect.CodeInvalidArgument, connect.CodeFailedPrecondition:
 		return exitRefused
@@ -63,6 +70,13 @@
 	return exitUnavailable
 }
 
+// sentByNode reports whether a node has sent the error. Those that the client derives
+// from the status of some other answer, such as a proxy's, have no header.
+func sentByNode(err error) bool {
+	var e *connect.Error
+	return errors.As(err, &e) && connect.IsWireError(e) && e.Meta().Get("Content-Type") == "application/json"
+}
+
 // currentRecord returns the record that the platform holds under the key, or nil
 // if there is none.
 func (a *app) currentRecord(key record.Key) (*wire.Record, error) {
--- a/carobctl/lost_test.go
+++ b/carobctl/lost_test.go
@@ -19,9 +19,16 @@
 		"timeout of a proxy": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGatewayTimeout) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := &fakeOperator{}
+			f, applies := &fakeOperator{}, 0
 			_, handler := wireconnect.NewOperatorHandler(f)
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == wireconnect.OperatorApplyProcedure {
+					applies++
+				}
+				if applies <= 1 { // the first only checks the record
+					handler.ServeHTTP(w, r)
+					return
+				}
 				handler.ServeHTTP(httptest.NewRecorder(), r)
 				lose(w, r)
 			}))
