Interrupt the body of a call at its deadline

A call whose body stalled got no answer beyond its route's timeout (10 of 12 calls in 5 s, with a timeout of 1 s) and kept its slot at the server's own node: the transport waits for a read of the body that has no bound. The read is interrupted when the call's context ends; a body that is read before the call is sent then ends it as late, not as short.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -40,6 +40,7 @@
 	stream         *streamedBody // what body reads from if it is streamed
 	ctx            context.Context
 	cancel         context.CancelFunc
+	stopInterrupt  func() bool // stops the interruption of the body at the end of ctx; nil if there is no body to interrupt
 	deadline       time.Time
 	span           trace.Span
 
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -119,7 +119,7 @@
 		x.refuse(reason)
 		return
 	}
-	defer x.cancel()
+	defer x.endContext()
 	defer x.span.End()
 	answered := false
 	defer func() { x.endStream(answered) }()
@@ -156,7 +156,7 @@
 }
 
 // prepare routes the call and prepares its request for the next hop. It returns
-// the reason if the call must be refused. If it returns "", x.cancel and
+// the reason if the call must be refused. If it returns "", x.endContext and
 // x.span.End must be called at the end of the call.
 func (x *exchange) prepare() call.Reason {
 	p, r := x.proxy, x.r
@@ -203,11 +203,18 @@
 // On failure it ends the call's context and span.
 func (x *exchange) prepareRequest() call.Reason {
 	x.stream = newStreamedBody(x.r)
+	if x.r.ProtoMajor == 1 && x.r.ContentLength != 0 {
+		x.stopInterrupt = x.stream.interruptAt(x.ctx, x.w)
+	}
 	body, err := hop.NewBody(limitBody(x.directory.router.Table.Limits, x.r.ContentLength, x.stream), x.r.ContentLength)
 	if err != nil {
-		x.cancel()
+		reason := call.ReasonShortBody
+		if x.ctx.Err() != nil { // the body did not come in time
+			reason = call.ReasonLate
+		}
+		x.endContext()
 		x.span.End()
-		return call.ReasonShortBody
+		return reason
 	}
 	x.body = body
 	if body.Streamed() {
@@ -238,6 +245,14 @@
 	}
 }
 
+// endContext ends the context of the call without an effect on its connection.
+func (x *exchange) endContext() {
+	if x.stopInterrupt != nil {
+		x.stopInterrupt()
+	}
+	x.cancel()
+}
+
 // endStream ends the reads of a streamed body. HTTP/2 keeps the bodies of a
 // connection's calls apart by itself.
 func (x *exchange) endStream(answered bool) {
--- a/mesh/caller/stream.go
+++ b/mesh/caller/stream.go
@@ -4,6 +4,7 @@
 // caller's connection.
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -61,6 +62,23 @@
 // Close does nothing: net/http closes the body when the handler has returned.
 func (b *streamedBody) Close() error { return nil }
 
+// interruptAt makes a read in progress fail when ctx ends: a transport may wait for it
+// before it gives up the call. The returned function must be called before the call's
+// own end ends ctx.
+func (b *streamedBody) interruptAt(ctx context.Context, w http.ResponseWriter) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if !b.complete.Load() {
+			interruptRead(w)
+		}
+	})
+}
+
+// interruptRead makes a read of the caller's connection fail that is in progress. It has
+// no effect on a connection that is closed.
+func interruptRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // long past
+}
+
 // end makes later reads fail, waits for one in progress and drops the rest of the body
 // within bounds. Afterwards net/http has the connection to itself. answered says that
 // the answer is complete; without one there is nothing to wait for.
@@ -69,16 +87,14 @@
 	if b.complete.Load() {
 		return
 	}
-	control := http.NewResponseController(w)
-	interrupt := func() { _ = control.SetReadDeadline(time.Unix(1, 0)) } // fails only on a connection that is closed
 	if !answered {
-		interrupt()
+		interruptRead(w)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		return
 	}
-	_ = control.Flush() // an error shows in the reads below
-	timer := time.AfterFunc(drainTimeout, interrupt)
+	_ = http.NewResponseController(w).Flush() // an error shows in the reads below
+	timer := time.AfterFunc(drainTimeout, func() { interruptRead(w) })
 	defer timer.Stop()
 	b.mu.Lock()
 	defer b.mu.Unlock()
