Leave the hop port's HTTP/1.1 connections to net/http

The review saw net/http's panic of bodies that are read beside an answer at a gate that a client called over HTTP/1.1, once in 720 calls. Nodes speak HTTP/2 to each other, for which full duplex is nothing to switch on, so the gate no longer asks for it. Tests of the gate and the caller passed.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -20,9 +20,6 @@
 
 // ServeHTTP admits a call from another node and answers it.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
 	resp := g.handle(r, r.Header, true)
 	defer resp.Body.Close()
 	hop.CopyResponse(w, resp)
