Put what libraries print under one limit of the log

They are one message now, "library", as net/http's server errors are. Tests of process and telemetry passed.

--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -64,6 +64,7 @@
 	instance, domain := s.GetInstance().GetName(), s.GetInstance().GetDomain()
 	p.log = log.With("instance", instance, "domain", domain)
 	slog.SetDefault(p.log) // libraries log to the same destination
+	telemetry.RedirectStandardLog(p.log)
 	traces, err := telemetry.NewTraces(s.GetTrace(), os.Stdout, instance, domain)
 	if err != nil {
 		return err
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -53,6 +53,15 @@
 	return log.New(errorLogWriter{l, message}, "", 0)
 }
 
+// RedirectStandardLog makes each line of the standard logger of package log a warning
+// "library", as NewErrorLog does. net/http's transports write to it, with texts that all
+// differ. A later slog.SetDefault undoes it.
+func RedirectStandardLog(l *slog.Logger) {
+	errorLog := NewErrorLog(l, "library")
+	log.SetOutput(errorLog.Writer())
+	log.SetFlags(errorLog.Flags())
+}
+
 // errorLogWriter writes each line to a structured logger.
 type errorLogWriter struct {
 	log     *slog.Logger
