--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -55,7 +55,7 @@
 	case a.Invalid, joined(answer):
 		return call.MayHaveRun(call.ReasonCrossed)
 	case a.NotExecuted && answer.StatusCode == http.StatusBadRequest:
-		return call.Success()
+		return call.Success() // the call itself is at fault; no other server would run it
 	case a.NotExecuted && id == "":
 		return call.MayHaveRun(call.ReasonUnproven)
 	case a.NotExecuted && answer.StatusCode == http.StatusMisdirectedRequest:
--- a/mesh/backend/evidence.go
+++ b/mesh/backend/evidence.go
@@ -29,7 +29,9 @@
 	}
 }
 
-// evidence is what an attempt leaves behind for the log.
+// evidence is what an attempt leaves behind for the log. The context of the attempt holds
+// it, since a transport calls back with the context only. conn may be set by a goroutine
+// of the transport; the other fields belong to the goroutine that sends the call.
 type evidence struct {
 	conn    atomic.Pointer[serverConn] // that the call was last sent on; nil if none
 	carried uint64                     // answers that the connection had carried before this one
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -69,7 +69,7 @@
 	ReasonDial       Reason = "dial"        // no connection could be established
 	ReasonRefused    Reason = "refused"     // the connection closed before the call was accepted
 	ReasonBroken     Reason = "broken"      // the connection broke before the response
-	ReasonCrossed    Reason = "crossed"     // the response belonged to another call
+	ReasonCrossed    Reason = "crossed"     // the response belonged to another call, or the backend server did not produce it
 	ReasonDeadline   Reason = "deadline"    // the deadline passed
 	ReasonCanceled   Reason = "canceled"    // the caller canceled the call or disconnected
 	ReasonShed       Reason = "shed"        // the backend server itself refused with 503
--- a/mesh/caller/hedge.go
+++ b/mesh/caller/hedge.go
@@ -26,7 +26,7 @@
 	r.start(i)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	worst := call.NotRun("", call.ProofNotSent) // no attempt has ended yet
+	var first *result // the attempt that ended first, if it failed
 	for {
 		select {
 		case <-timer.C:
@@ -37,11 +37,13 @@
 				r.cancelOthers(res)
 				return res
 			}
-			res.verdict = res.verdict.Combine(worst)
+			if first != nil {
+				res.verdict = res.verdict.Combine(first.verdict)
+			}
 			if r.running == 0 {
 				return res
 			}
-			worst = res.verdict
+			first = res
 			res.close()
 		}
 	}
--- a/mesh/caller/limit.go
+++ b/mesh/caller/limit.go
@@ -25,7 +25,7 @@
 // which makes the call fail.
 func limitBody(l record.CallerLimits, length int64, body io.ReadCloser) io.ReadCloser {
 	if l.MaxBodyBytes > 0 && length < 0 {
-		return http.MaxBytesReader(nil, body, l.MaxBodyBytes)
+		return http.MaxBytesReader(nil, body, l.MaxBodyBytes) // nil: announceClose closes the connection
 	}
 	return body
 }
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -154,7 +154,7 @@
 		x.recordFailure(res, now)
 		return res
 	}
-	if x.proxy.config.Dialect != nil && call.Promises(resp.StatusCode) {
+	if x.proxy.config.Dialect != nil && call.Promises(resp.StatusCode) { // without one, callers read call.HeaderRan
 		_ = resp.Body.Close()
 		res := &result{instance: i, verdict: call.Answered(call.ReasonUnproven)}
 		x.recordFailure(res, now)
