Log the limit of requests a second that a backend server names

The gate writes a line and a metric for each change of the limit, and a line for each call that it sends to a server that names one, with the attempt, whether it came from another node, the limit, its age and the call that brought it. Nothing decides by it yet.

--- a/mesh/backend/dialect.go
+++ b/mesh/backend/dialect.go
@@ -30,12 +30,14 @@
 	// CallID returns the ID of the call that the header of a call or of an
 	// answer names, or "" when it names none.
 	CallID(header http.Header) string
-	// Answer returns what the status and header of an answer state.
+	// Answer returns what the status and header of an answer state about its call.
 	Answer(answer *http.Response) Answer
+	// Statement returns what the header of an answer states about the server.
+	Statement(header http.Header) Statement
 }
 
-// Answer is what an answer of a backend server states about itself, whichever call
-// it belongs to.
+// Answer is what an answer of a backend server states about its call, whichever that
+// is.
 type Answer struct {
 	NotExecuted bool // the server states that it did not execute the call
 	Invalid     bool // the server has not produced the answer itself, or it states that it both ran the call and did not
--- a/mesh/backend/evidence.go
+++ b/mesh/backend/evidence.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
+
+	"caroblift.dev/mesh/call"
 )
 
 // serverConn is a connection to the backend server.
@@ -33,6 +36,10 @@
 // it, since a transport calls back with the context only. conn may be set by a goroutine
 // of the transport; the other fields belong to the goroutine that sends the call.
 type evidence struct {
+	call   string // ID
+	target *Target
+	sentAt time.Time
+
 	conn    atomic.Pointer[serverConn] // that the call was last sent on; nil if none
 	carried uint64                     // answers that the connection had carried before this one
 	status  int                        // of the answer; 0 if there is none
@@ -42,15 +49,14 @@
 // evidenceKey is the context key of an attempt's evidence.
 type evidenceKey struct{}
 
-// withEvidence returns a context whose attempts record evidence.
-func withEvidence(ctx context.Context) (context.Context, *evidence) {
-	e := &evidence{}
+// withEvidence returns a context whose attempts record their evidence in e.
+func withEvidence(ctx context.Context, e *evidence) context.Context {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*serverConn); ok {
 			e.conn.Store(c)
 		}
 	}})
-	return context.WithValue(ctx, evidenceKey{}, e), e
+	return context.WithValue(ctx, evidenceKey{}, e)
 }
 
 // recordAnswer records an answer in the evidence of its attempt.
@@ -68,6 +74,15 @@
 	}
 }
 
+// recordStatement records what the server states about itself in an answer that is its own:
+// it names the call, and does not come from another server at the same address.
+func (g *Gate) recordStatement(ctx context.Context, v call.Verdict, resp *http.Response) {
+	e, ok := ctx.Value(evidenceKey{}).(*evidence)
+	if ok && e.answer != "" && (v.Reason() == "" || v.Reason() == call.ReasonShed) {
+		g.observe(e, g.config.Dialect.Statement(resp.Header))
+	}
+}
+
 // gotConn reports whether an attempt of the context was given a connection to send
 // the call on.
 func gotConn(ctx context.Context) bool {
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -59,8 +59,9 @@
 	}
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
-	ctx, attempt := withEvidence(ctx)
-	resp, failure := g.forward(ctx, r, header, target)
+	attempt := &evidence{call: id, target: target, sentAt: c.admittedAt}
+	g.logLimited(attempt, header.Get(call.HeaderAttempt), remote, true)
+	resp, failure := g.forward(withEvidence(ctx, attempt), r, header, target)
 	if failure != nil {
 		failure.evidence = attempt
 		g.releaseAfterFailure(slot, failure)
@@ -376,6 +377,7 @@
 		return resp, nil
 	}
 	verdict := Judge(g.config.Dialect, out.Header, resp)
+	g.recordStatement(ctx, verdict, resp)
 	if verdict.Reason() == "" {
 		return resp, nil
 	}
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -26,6 +26,7 @@
 type Target struct {
 	Service string
 	Server  string // name of the server's current incarnation; empty when it has none
+	Epoch   uint64 // of that incarnation; zero when it is not known
 	Address string // IP:port
 	Slots   int
 	Cold    bool
@@ -62,6 +63,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
+	limit     call.RateLimit // that the server names
 	link      *call.Link
 	draining  bool
 }
@@ -101,9 +103,12 @@
 // SetTarget sets the backend server; nil means there is none. A server that is
 // leaving gets no new call, and calls queued for it are refused as not run.
 func (g *Gate) SetTarget(t *Target) {
-	old := g.target.Swap(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	old := g.target.Swap(t)
+	if !t.sameServer(old) {
+		g.limit = call.RateLimit{}
+	}
 	now := time.Now()
 	switch {
 	case t == nil || t.Leaving:
--- a/mesh/backend/report.go
+++ b/mesh/backend/report.go
@@ -20,18 +20,32 @@
 	scope   tally.Scope
 	answers tally.Counter
 	silence tally.Counter   // reused connections found silent
+	limit   tally.Gauge     // requests a second that the server takes; noLimit if it names none
 	work    tally.Histogram // time from getting a slot to the end of the answer
 	queued  tally.Histogram // time that admitted calls waited for a slot
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	return &metrics{
+	m := &metrics{
 		scope:   scope,
 		answers: scope.Counter("answers"),
 		silence: scope.Counter("silent"),
+		limit:   scope.Gauge("limit"),
 		work:    scope.Histogram("work", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 		queued:  scope.Histogram("queued", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 	}
+	m.setLimit(call.NamedLimit{})
+	return m
+}
+
+// noLimit is the value of the metric while the server names no limit.
+const noLimit = -1
+
+func (m *metrics) setLimit(l call.NamedLimit) {
+	if !l.Named {
+		l.Rate = noLimit
+	}
+	m.limit.Update(l.Rate)
 }
 
 func (m *metrics) recordAnswer(took time.Duration) {
--- a/mesh/backend/resend_test.go
+++ b/mesh/backend/resend_test.go
@@ -24,6 +24,8 @@
 
 func (plainDialect) Answer(*http.Response) backend.Answer { return backend.Answer{} }
 
+func (plainDialect) Statement(http.Header) backend.Statement { return backend.Statement{} }
+
 // TestCrashIsTriedOnce plays a backend server that crashes in every call while the gate
 // holds idle connections to it. Only the entry node, which counts them, may send a
 // call again, so that a call that may be repeated reaches the server once as well.
--- /dev/null
+++ b/mesh/backend/statement.go
@@ -0,0 +1,56 @@
+package backend
+
+// This file records what the backend server states about itself in its answers.
+
+import (
+	"time"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/telemetry"
+)
+
+// Statement is what a backend server states about itself in the header of an answer,
+// whichever call the answer belongs to.
+type Statement struct {
+	Limit   call.NamedLimit
+	Leaving bool   // the server is leaving and is to get no new call
+	Invalid string // value of a limit that can't be read; empty if there is none
+}
+
+// observe records the statement in the answer to an attempt. It must be the answer of
+// the server that the attempt was sent to. A limit that can't be read leaves the one in
+// force as it is.
+func (g *Gate) observe(e *evidence, s Statement) {
+	log := g.config.Sinks.Log
+	if s.Invalid != "" {
+		log.Warn("server limit not readable", "server", e.target.Server, "call", e.call, "limit", s.Invalid)
+		return
+	}
+	g.mu.Lock()
+	now := time.Now()
+	before := g.limit.State(now)
+	changed := g.target.Load().sameServer(e.target) && g.limit.Observe(s.Limit, e.call, e.sentAt, now)
+	g.mu.Unlock()
+	if changed {
+		g.metrics.setLimit(s.Limit)
+		log.Info("server limit", "server", e.target.Server, "call", e.call, "named", s.Limit.Named, "limit", s.Limit.Rate,
+			"before", before.Rate, "held", before.Age.Milliseconds())
+	}
+}
+
+// logLimited logs an attempt that the limit of the server concerns.
+func (g *Gate) logLimited(e *evidence, attempt string, remote, admitted bool) {
+	g.mu.Lock()
+	state := g.limit.State(time.Now())
+	g.mu.Unlock()
+	if state.Named {
+		g.config.Sinks.Log.Info(telemetry.CallLimited, "call", e.call, "server", e.target.Server, "admitted", admitted, "attempt", attempt,
+			"remote", remote, "limit", state.Rate, "age", state.Age.Milliseconds(), "source", state.Source)
+	}
+}
+
+// sameServer reports whether two targets are the same incarnation of a backend server.
+// A server that was found has no epoch before it announces itself.
+func (t *Target) sameServer(o *Target) bool {
+	return t != nil && o != nil && t.Server == o.Server && t.Address == o.Address && (t.Epoch == o.Epoch || t.Epoch == 0 || o.Epoch == 0)
+}
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -25,6 +25,7 @@
 	CallRetried = "call retried" // an attempt failed and another one follows
 	GateFailed  = "gate failed"  // the backend server did not answer an admitted call
 	ServerError = "server error" // the backend server answered an admitted call with status 400 or above
+	CallLimited = "call limited" // the call was sent to a backend server that names a limit of requests a second
 )
 
 // maxCallLines bounds the lines of each of these messages in an interval of ten
@@ -36,6 +37,7 @@
 var messageBursts = map[string]int{
 	CallRefused: maxCallLines, CallLost: maxCallLines, CallSlow: maxCallLines / 5, CallGone: maxCallLines / 5,
 	CallRetried: maxCallLines / 5, GateFailed: maxCallLines, ServerError: maxCallLines / 5,
+	CallLimited: maxCallLines / 5, "server limit": maxCallLines / 5,
 	"member found": maxCallLines / 5, "member changed": maxCallLines / 5, "member lost": maxCallLines / 5,
 }
 
