--- a/mesh/call/ratelimit.go
+++ b/mesh/call/ratelimit.go
@@ -48,7 +48,10 @@
 	Source string        // ID of the call whose answer brought it
 }
 
-// State returns the limit in force.
+// State returns the limit in force; the zero LimitState if there is none.
 func (l *RateLimit) State(now time.Time) LimitState {
+	if !l.named.Named {
+		return LimitState{}
+	}
 	return LimitState{NamedLimit: l.named, Age: now.Sub(l.since), Source: l.source}
 }
