Keep the limit of requests a second that a backend server names

Cause: the limit stands in a header of the answer, and the header was passed on to the caller unread; nothing decided by it.

All calls to a server pass the gate beside it, so a token bucket there (x/time/rate, half a second of burst) holds for the callers of all nodes. It belongs to one incarnation of the server. An answer counts if it names its call; one that ends or raises the limit, only if its call was sent after the last one that named it was read. A call without a token is refused at once with the reason limited, which is no arrival, takes nothing from the retry budget, and goes to another instance; the entry node then expects its share of the room there. If there is none the caller gets a Retry-After by the rate. Calls that wait for a slot hold a token. Less urgent calls leave one. Below 0.25 a second no limit is kept, since a server without calls can't say that its need has ended.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -48,19 +48,18 @@
 		g.calls.End(entry)
 	}
 	target, slot, reason := g.admit(ctx, header, remote)
+	g.logLimited(id, header.Get(call.HeaderAttempt), remote, reason)
 	if reason != "" {
 		finish()
 		g.metrics.countRefusal(reason)
 		resp := g.refusalAnswer(id, reason)
-		class := call.ParseDemand(header.Get(call.HeaderDemand), time.Now()).Class
-		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.expectedWait(class).Milliseconds(), 10)}
+		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.expectedWait(slot).Milliseconds(), 10)}
 		g.addShortages(resp, slot)
 		return resp
 	}
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
 	attempt := &evidence{call: id, target: target, sentAt: c.admittedAt}
-	g.logLimited(attempt, header.Get(call.HeaderAttempt), remote, true)
 	resp, failure := g.forward(withEvidence(ctx, attempt), r, header, target)
 	if failure != nil {
 		failure.evidence = attempt
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -63,7 +63,6 @@
 
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
-	limit     call.RateLimit // that the server names
 	link      *call.Link
 	draining  bool
 }
@@ -107,7 +106,7 @@
 	defer g.mu.Unlock()
 	old := g.target.Swap(t)
 	if !t.sameServer(old) {
-		g.limit = call.RateLimit{}
+		g.admission.ResetLimit()
 	}
 	now := time.Now()
 	switch {
@@ -269,13 +268,17 @@
 	g.admission.RecordResult(good, time.Now())
 }
 
-// expectedWait returns how long a new call of a class would wait for a slot, or
-// its answer for the link, whichever is longer.
-func (g *Gate) expectedWait(class string) time.Duration {
+// expectedWait returns how long a new call like the refused w would wait for a slot, its
+// answer for the link, or the call for the limit of the server, whichever is longest.
+// w is nil if the gate has no backend server of the service.
+func (g *Gate) expectedWait(w *call.Waiter) time.Duration {
+	if w == nil {
+		w = &call.Waiter{}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return max(g.admission.ExpectedWait(now), g.link.ExpectedSendTime(class, now))
+	return max(g.admission.ExpectedWait(now), g.link.ExpectedSendTime(w.Class, now), g.admission.LimitWait(w, now))
 }
 
 // load returns the load that is reported in answers, how long another large
--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -28,8 +28,12 @@
 	}
 	g.mu.Lock()
 	now := time.Now()
-	before := g.limit.State(now)
-	changed := g.target.Load().sameServer(e.target) && g.limit.Observe(s.Limit, e.call, e.sentAt, now)
+	before, changed := g.admission.LimitState(now), false
+	if g.target.Load().sameServer(e.target) {
+		var rejected []*call.Waiter
+		changed, rejected = g.admission.ObserveLimit(s.Limit, e.call, e.sentAt, now)
+		g.wake(rejected)
+	}
 	g.mu.Unlock()
 	if changed {
 		g.metrics.setLimit(s.Limit)
@@ -38,14 +42,15 @@
 	}
 }
 
-// logLimited logs an attempt that the limit of the server concerns.
-func (g *Gate) logLimited(e *evidence, attempt string, remote, admitted bool) {
+// logLimited logs a call that was sent under a limit of the server, or that was refused
+// for it.
+func (g *Gate) logLimited(id, attempt string, remote bool, reason call.Reason) {
 	g.mu.Lock()
-	state := g.limit.State(time.Now())
+	state := g.admission.LimitState(time.Now())
 	g.mu.Unlock()
-	if state.Named {
-		g.config.Sinks.Log.Info(telemetry.CallLimited, "call", e.call, "server", e.target.Server, "admitted", admitted, "attempt", attempt,
-			"remote", remote, "limit", state.Rate, "age", state.Age.Milliseconds(), "source", state.Source)
+	if t := g.target.Load(); t != nil && state.Named && (reason == "" || reason == call.ReasonLimited) {
+		g.config.Sinks.Log.Info(telemetry.CallLimited, "call", id, "server", t.Server, "sent", reason == "", "attempt", attempt,
+			"remote", remote, "limit", state.Rate, "age", state.Age.Milliseconds(), "source", state.Source, "tokens", state.Tokens)
 	}
 }
 
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -76,6 +76,7 @@
 	nestedProgress int             // nested calls that hold a slot
 	shortages      shortageMeter   // of this service
 	called         shortageLimiter // by the shortages of the services that the server calls
+	rateLimit      RateLimit       // that the server names
 }
 
 // SetLink sets the network link that responses are sent over; nil means a link
@@ -139,6 +140,8 @@
 		a.refuse(w, ReasonOverload, now)
 	case a.linkTooSlow(w, now):
 		w.reject(ReasonBusy)
+	case a.limited(w, now):
+		a.refuse(w, ReasonLimited, now)
 	case len(a.queue) == 0 && a.inProgress < a.Slots(now):
 		a.grantSlot(w, now)
 	case w.NoWait:
@@ -164,6 +167,7 @@
 // grantSlot gives a slot to a waiter.
 func (a *Admission) grantSlot(w *Waiter, now time.Time) {
 	a.inProgress++
+	a.rateLimit.take(now)
 	if w.nested {
 		a.nestedProgress++
 	}
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -21,6 +21,7 @@
 	ejectionFailureRate  = 0.6              // failure rate from which an instance is ejected
 	minEjection          = time.Second      // duration of the first ejection
 	maxEjectionDoublings = 5                // maximum doublings of minEjection
+	maxLimitPause        = 5 * time.Second  // longest time for which a refusal by a limit counts
 )
 
 // LoadReport is the load of a backend server, which its node sends with each
@@ -83,6 +84,7 @@
 	transit          [2]average    // time on the network, in seconds; the second is for large responses
 	linkWait         average       // wait for its network link as last reported, in seconds
 	ejectedUntil     atomic.Int64  // end of the ejection, in Unix ns
+	limitedUntil     atomic.Int64  // until when the backend server's limit is expected to leave no room, in Unix ns
 	ejections        atomic.Int32  // consecutive ejections
 }
 
@@ -238,6 +240,21 @@
 	}
 }
 
+// RecordLimited records that a gate refused a call by a limit of its backend server,
+// which has room for the next one after some time. All nodes share that room, so this
+// one expects its part of it.
+func (i *Instance) RecordLimited(after time.Duration, nodes int, now time.Time, rand Rand) {
+	pause := min(after*time.Duration(max(1, nodes)), maxLimitPause)
+	pause -= pause * time.Duration(rand(1000)) / 2000 // nodes that were refused together return apart
+	i.limitedUntil.Store(now.Add(pause).UnixNano())
+}
+
+// limitWait returns how long the limit of the backend server is expected to leave no
+// room, in seconds.
+func (i *Instance) limitWait(now time.Time) float64 {
+	return max(0, time.Duration(i.limitedUntil.Load()-now.UnixNano()).Seconds())
+}
+
 // recordSuccess records a successful attempt. The first one after an ejection
 // resets the count of consecutive ejections.
 func (i *Instance) recordSuccess(now time.Time) {
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -63,6 +63,7 @@
 	ReasonNoRoute    Reason = "no-route"    // no route matches
 	ReasonNoServer   Reason = "no-server"   // no backend server offers the service
 	ReasonBusy       Reason = "busy"        // all slots are in use and the call can't be queued
+	ReasonLimited    Reason = "limited"     // the backend server takes fewer requests a second
 	ReasonOverload   Reason = "overload"    // a service that the backend server calls lacks slots for more urgent calls
 	ReasonLate       Reason = "late"        // the call could not start before its deadline
 	ReasonLeaving    Reason = "leaving"     // the node or the backend server is stopping
@@ -116,7 +117,7 @@
 	switch r {
 	case ReasonNotReady, ReasonNoServer:
 		return retryAfterStart
-	case ReasonBusy, ReasonOverload, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
+	case ReasonBusy, ReasonLimited, ReasonOverload, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
 		return retryAfterBusy
 	}
 	return 0
@@ -126,17 +127,17 @@
 // have reached the backend server. An attempt that a gate refused has not.
 func (r Reason) MayHaveArrived() bool {
 	switch r {
-	case ReasonBusy, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
+	case ReasonBusy, ReasonLimited, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
 		return false
 	}
 	return true
 }
 
 // ExemptFromBudget reports whether a retry after this reason is exempt from the
-// retry budget: the instance is stopping or unreachable, so retries can't
-// overload it.
+// retry budget: the instance is stopping, unreachable or kept from getting more
+// calls, so retries can't overload it.
 func (r Reason) ExemptFromBudget() bool {
-	return r == ReasonLeaving || r == ReasonNoServer || r == ReasonDial || r == ReasonRefused
+	return r == ReasonLeaving || r == ReasonLimited || r == ReasonNoServer || r == ReasonDial || r == ReasonRefused
 }
 
 // CanRetry reports whether a call may be retried after an outcome. A call that
--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -68,7 +68,7 @@
 }
 
 // expectedTime returns the expected time of a call at the instance, in seconds,
-// including the wait for a slot and the cost of failures. mean is the duration of
+// including the wait for a slot or for a limit and the cost of failures. mean is the duration of
 // a call to assume if the instance has not reported its own.
 func (i *Instance) expectedTime(mean float64, now time.Time) float64 {
 	duration := i.reportedDuration.value()
@@ -77,9 +77,9 @@
 	}
 	slots := float64(i.slots.Load())
 	load := (i.InProgress(now) + 1) / slots
-	wait := 0.0
+	wait := i.limitWait(now)
 	if load > 1 {
-		wait = (load - 1) * duration
+		wait += (load - 1) * duration
 	}
 	failing := max(i.reportedFailures.decayed(now), i.failures.decayed(now))
 	if i.Ejected(now) {
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -89,6 +89,7 @@
 		call.ReasonNoRoute:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.URL.Path = "/none" }),
 		call.ReasonNoServer: refusedByGate(refuseWith(call.NotRun(call.ReasonNoServer, call.ProofNotSent))),
 		call.ReasonBusy:     refusedByGate(refuseWith(call.NotRun(call.ReasonBusy, call.ProofNotSent))),
+		call.ReasonLimited:  refusedByGate(refuseWith(call.NotRun(call.ReasonLimited, call.ProofNotSent))),
 		call.ReasonOverload: refusedByGate(refuseWith(call.NotRun(call.ReasonOverload, call.ProofNotSent))),
 		call.ReasonLate:     refusedByGate(refuseWith(call.NotRun(call.ReasonLate, call.ProofNotSent))),
 		call.ReasonLeaving:  refusedByEntry(func(p *Proxy, _ *http.Request) { p.leaving.Store(true) }),
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -180,6 +181,8 @@
 	switch res.verdict.Reason() {
 	case call.ReasonLeaving, call.ReasonNoServer:
 		res.instance.Avoid(now)
+	case call.ReasonLimited:
+		res.instance.RecordLimited(x.backlog, len(x.directory.view.Names), now, rand.IntN)
 	case call.ReasonDial:
 		res.instance.Avoid(now)
 		x.recordResult(res, false, now)
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -25,7 +25,7 @@
 	CallRetried = "call retried" // an attempt failed and another one follows
 	GateFailed  = "gate failed"  // the backend server did not answer an admitted call
 	ServerError = "server error" // the backend server answered an admitted call with status 400 or above
-	CallLimited = "call limited" // the call was sent to a backend server that names a limit of requests a second
+	CallLimited = "call limited" // the call was sent under a limit that the backend server names, or refused for it
 )
 
 // maxCallLines bounds the lines of each of these messages in an interval of ten
