Send no call to a server that says in its answers that it leaves

Cause: as with the limit, the header of the answer was passed on unread; only announcements decided.

The gate takes the statement from an answer that names its call and comes from the server that the call was sent to. It admits nothing more from then on, whatever that incarnation announces, refuses what is queued, and the announcer marks the lease, so that the other nodes hear of it. A new incarnation starts with nothing stated.

TestStatedLeavingEndsCalls passes; TestOnlyOwnAnswerStatesLimit and TestStatementEndsWithIncarnation check which answers count and for how long.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -112,6 +112,16 @@
 	})
 }
 
+// RecordLeaving records that an incarnation of the backend server has stated in an answer
+// that it is leaving, which is final as in an announcement.
+func (a *Announcer) RecordLeaving(name string, epoch uint64) {
+	a.updateLease(func(now time.Time) (bool, *Announcement, bool) {
+		marked := a.lease.markLeaving(name, epoch)
+		next, changed := a.lease.evaluate(now)
+		return marked, next, changed
+	})
+}
+
 // LogRefused logs an announcement that was refused, with the reason.
 func (a *Announcer) LogRefused(err error) {
 	a.config.Log.Warn("announcement refused", "error", err.Error())
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -47,6 +47,9 @@
 	OwnShare  func(service string) float64 // returns the share of instances that run a service; nil means unknown
 	SentBytes func() int64                 // returns all bytes that the instance has sent over the link so far; with nil only large answers count
 	Sinks     telemetry.Sinks
+	// ServerLeaving is called when the backend server, as it was set, states in an answer
+	// that it is leaving; it may be nil. The gate admits no new call to it from then on.
+	ServerLeaving func(*Target)
 }
 
 // Gate admits calls to the backend server and forwards them. Every call to the
@@ -63,6 +66,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
+	left      *Target // the last server that stated in an answer that it is leaving; nil if none
 	link      *call.Link
 	draining  bool
 }
@@ -100,10 +104,20 @@
 }
 
 // SetTarget sets the backend server; nil means there is none. A server that is
-// leaving gets no new call, and calls queued for it are refused as not run.
+// leaving, or has stated it in an answer, gets no new call, and calls queued for it are
+// refused as not run.
 func (g *Gate) SetTarget(t *Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setTarget(t)
+}
+
+// setTarget is SetTarget for a caller that holds g.mu.
+func (g *Gate) setTarget(t *Target) {
+	if t != nil && t.sameIncarnation(g.left) && !t.Leaving {
+		leaving := *t
+		leaving.Leaving, t = true, &leaving
+	}
 	old := g.target.Swap(t)
 	if !t.sameServer(old) {
 		g.admission.ResetLimit()
--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -22,6 +22,9 @@
 // force as it is.
 func (g *Gate) observe(e *evidence, s Statement) {
 	log := g.config.Sinks.Log
+	if s.Leaving {
+		g.recordLeaving(e.target, e.call)
+	}
 	if s.Invalid != "" {
 		log.Warn("server limit not readable", "server", e.target.Server, "call", e.call, "limit", s.Invalid)
 		return
@@ -42,20 +45,51 @@
 	}
 }
 
+// recordLeaving records that a backend server has stated in the answer to a call that it
+// is leaving. That is final for the incarnation, whatever it announces.
+func (g *Gate) recordLeaving(t *Target, id string) {
+	g.mu.Lock()
+	current := g.target.Load()
+	news := t.sameIncarnation(current) && !current.Leaving
+	if news {
+		g.left = t
+		g.setTarget(current)
+	}
+	g.mu.Unlock()
+	if !news {
+		return
+	}
+	g.config.Sinks.Log.Info("backend server says that it leaves", "server", t.Server, "call", id)
+	if g.config.ServerLeaving != nil {
+		g.config.ServerLeaving(t)
+	}
+}
+
+// LimitState describes the limit that the backend server names.
+func (g *Gate) LimitState() call.LimitState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.LimitState(time.Now())
+}
+
 // logLimited logs a call that was sent under a limit of the server, or that was refused
 // for it.
 func (g *Gate) logLimited(id, attempt string, remote bool, reason call.Reason) {
-	g.mu.Lock()
-	state := g.admission.LimitState(time.Now())
-	g.mu.Unlock()
+	state := g.LimitState()
 	if t := g.target.Load(); t != nil && state.Named && (reason == "" || reason == call.ReasonLimited) {
 		g.config.Sinks.Log.Info(telemetry.CallLimited, "call", id, "server", t.Server, "sent", reason == "", "attempt", attempt,
 			"remote", remote, "limit", state.Rate, "age", state.Age.Milliseconds(), "source", state.Source, "tokens", state.Tokens)
 	}
 }
 
-// sameServer reports whether two targets are the same incarnation of a backend server.
-// A server that was found has no epoch before it announces itself.
+// sameIncarnation reports whether two targets are the same incarnation of a backend
+// server. It is false when either is nil.
+func (t *Target) sameIncarnation(o *Target) bool {
+	return t != nil && o != nil && t.Server == o.Server && t.Address == o.Address && t.Epoch == o.Epoch
+}
+
+// sameServer is like sameIncarnation, but a server that was found, which has no epoch
+// before it announces itself, may be any incarnation of that name.
 func (t *Target) sameServer(o *Target) bool {
 	return t != nil && o != nil && t.Server == o.Server && t.Address == o.Address && (t.Epoch == o.Epoch || t.Epoch == 0 || o.Epoch == 0)
 }
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -26,7 +26,7 @@
 	gate := backend.GateConfig{
 		Policy:         func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
-		OwnShare: n.ownShare,
+		OwnShare: n.ownShare, ServerLeaving: func(t *backend.Target) { n.announcer.RecordLeaving(t.Server, t.Epoch) },
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Remote: n.hopTransport,
