Let entry nodes tell a restarted gate what its server has stated

A gate that starts again has heard nothing of its server, while nodes that had passed a limit or a leaving on are bound by it: until the first answer, calls of theirs reached a server without a limit, and one that leaves if it had only said so in its answers.

A gate adds what it knows to its answers; entry nodes keep it by instance, across incarnations of its node, and send it back with their calls. The gate, which alone decides, adopts a limit until it has an answer of its own, starts it without tokens, and refuses calls whose entry node has heard that this incarnation leaves. Health checks, which a starting gate sends first, count the same way: they can name a limit and a leaving, and end none.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -205,6 +205,9 @@
 		resp.Header[call.HeaderLink] = []string{strconv.FormatInt(wait, 10)}
 	}
 	resp.Header[call.HeaderLoad] = []string{report.String()}
+	if stated := g.stated().Format(); stated != "" {
+		resp.Header[call.HeaderStated] = []string{stated}
+	}
 }
 
 // callFailure is the reason why a call was not answered.
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -66,6 +66,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
+	foreseen  foreseenLimit
 	left      *Target // the last server that stated in an answer that it is leaving; nil if none
 	link      *call.Link
 	draining  bool
@@ -121,6 +122,7 @@
 	old := g.target.Swap(t)
 	if !t.sameServer(old) {
 		g.admission.ResetLimit()
+		g.adoptForeseen(t)
 	}
 	now := time.Now()
 	switch {
@@ -195,6 +197,9 @@
 	if demand := header.Get(call.HeaderDemand); demand != "" {
 		w.Demand = call.ParseDemand(demand, time.Now())
 	}
+	if g.refusesLeaving(header, t) {
+		return nil, w, call.ReasonLeaving
+	}
 	if g.requestSlot(w, t) == call.Waiting {
 		g.awaitDecision(ctx, w)
 	}
--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -3,6 +3,7 @@
 // This file records what the backend server states about itself in its answers.
 
 import (
+	"net/http"
 	"time"
 
 	"caroblift.dev/mesh/call"
@@ -21,33 +22,112 @@
 // the server that the attempt was sent to. A limit that can't be read leaves the one in
 // force as it is.
 func (g *Gate) observe(e *evidence, s Statement) {
-	log := g.config.Sinks.Log
 	if s.Leaving {
 		g.recordLeaving(e.target, e.call)
 	}
 	if s.Invalid != "" {
-		log.Warn("server limit not readable", "server", e.target.Server, "call", e.call, "limit", s.Invalid)
+		g.config.Sinks.Log.Warn("server limit not readable", "server", e.target.Server, "call", e.call, "limit", s.Invalid)
 		return
 	}
 	g.mu.Lock()
-	now := time.Now()
-	before, changed := g.admission.LimitState(now), false
+	defer g.mu.Unlock()
 	if g.target.Load().sameServer(e.target) {
-		var rejected []*call.Waiter
-		changed, rejected = g.admission.ObserveLimit(s.Limit, e.call, e.sentAt, now)
-		g.wake(rejected)
+		g.changeLimit(e.target, e.call, s.Limit, func(now time.Time) (bool, []*call.Waiter) {
+			return g.admission.ObserveLimit(s.Limit, e.call, e.sentAt, now)
+		})
 	}
-	g.mu.Unlock()
+}
+
+// changeLimit logs and counts a change of the limit that change makes. The caller holds
+// g.mu.
+func (g *Gate) changeLimit(t *Target, source string, l call.NamedLimit, change func(now time.Time) (bool, []*call.Waiter)) {
+	now := time.Now()
+	before := g.admission.LimitState(now)
+	changed, rejected := change(now)
+	g.wake(rejected)
 	if changed {
-		g.metrics.setLimit(s.Limit)
-		log.Info("server limit", "server", e.target.Server, "call", e.call, "named", s.Limit.Named, "limit", s.Limit.Rate,
-			"before", before.Rate, "held", before.Age.Milliseconds())
+		g.metrics.setLimit(l)
+		g.config.Sinks.Log.Info("server limit", "server", t.Server, "source", source, "named", l.Named, "limit", l.Rate,
+			"before", before.Rate, "held", before.Age.Milliseconds(), "refused", len(rejected))
+	}
+}
+
+// adoptLimit adopts a limit that the gate has not heard of itself. The caller holds
+// g.mu.
+func (g *Gate) adoptLimit(t *Target, source string, l call.NamedLimit) {
+	g.changeLimit(t, source, l, func(now time.Time) (bool, []*call.Waiter) { return g.admission.AdoptLimit(l, source, now) })
+}
+
+// Sources of a limit other than the ID of a call.
+const (
+	sourceHealth = "health" // the answer to a health check
+	sourceNode   = "node"   // another node, which had passed it on
+)
+
+// foreseenLimit is a limit named by a server that is not in force yet.
+type foreseenLimit struct {
+	server string
+	limit  call.NamedLimit
+}
+
+// recordHealth records the limit in the answer to a health check.
+func (g *Gate) recordHealth(server string, s Statement) {
+	if !s.Limit.Named {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.target.Load(); t != nil && t.Server == server {
+		g.adoptLimit(t, sourceHealth, s.Limit)
+		return
+	}
+	g.foreseen = foreseenLimit{server, s.Limit}
+}
+
+// adoptForeseen adopts the limit that a server named before it came into force. The
+// caller holds g.mu.
+func (g *Gate) adoptForeseen(t *Target) {
+	if t != nil && t.Server == g.foreseen.server {
+		g.adoptLimit(t, sourceHealth, g.foreseen.limit)
+		g.foreseen = foreseenLimit{}
+	}
+}
+
+// refusesLeaving adopts what the entry node of a call has heard of the server, and
+// reports whether the call must be refused since the server is leaving.
+func (g *Gate) refusesLeaving(header http.Header, t *Target) bool {
+	stated := call.ParseStated(header.Get(call.HeaderStated))
+	if !stated.Concerns(t.Server, t.Epoch) {
+		return false
+	}
+	if stated.Leaving {
+		if stated.Epoch == t.Epoch && t.Epoch != 0 {
+			g.recordLeaving(t, sourceNode)
+		}
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target.Load().sameServer(t) {
+		g.adoptLimit(t, sourceNode, stated.Limit)
+	}
+	return false
+}
+
+// stated returns what the server has stated, for the nodes that its answers go to.
+func (g *Gate) stated() call.Stated {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.target.Load()
+	if t == nil {
+		return call.Stated{}
 	}
+	return call.Stated{Server: t.Server, Epoch: t.Epoch, Limit: g.admission.LimitState(time.Now()).NamedLimit, Leaving: t.sameIncarnation(g.left)}
 }
 
-// recordLeaving records that a backend server has stated in the answer to a call that it
-// is leaving. That is final for the incarnation, whatever it announces.
-func (g *Gate) recordLeaving(t *Target, id string) {
+// recordLeaving records that a backend server has stated that it is leaving, in the answer
+// to a call with the given ID or as another source says. That is final for the incarnation, whatever it announces.
+func (g *Gate) recordLeaving(t *Target, source string) {
 	g.mu.Lock()
 	current := g.target.Load()
 	news := t.sameIncarnation(current) && !current.Leaving
@@ -59,7 +139,7 @@
 	if !news {
 		return
 	}
-	g.config.Sinks.Log.Info("backend server says that it leaves", "server", t.Server, "call", id)
+	g.config.Sinks.Log.Info("backend server says that it leaves", "server", t.Server, "source", source)
 	if g.config.ServerLeaving != nil {
 		g.config.ServerLeaving(t)
 	}
--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -20,11 +20,12 @@
 	Healthy                        // the server accepts calls
 	Unhealthy                      // the server is leaving or failing
 	OtherIncarnation               // another incarnation answered
+	HealthLeaving                  // the server states that it is leaving
 )
 
 // String returns the name used in log lines.
 func (h Health) String() string {
-	return [...]string{"unclear", "well", "unwell", "elsewhere"}[h]
+	return [...]string{"unclear", "well", "unwell", "elsewhere", "leaving"}[h]
 }
 
 const (
@@ -103,6 +104,14 @@
 		if c.passed || !c.incarnation.sameIncarnation(&in) {
 			return false, nil, false
 		}
+		if health == HealthLeaving {
+			c.running = false
+			leaving := *c.newest
+			leaving.Leaving = true
+			accepted := a.lease.renew(&leaving, now)
+			next, changed := a.lease.evaluate(now)
+			return accepted, next, changed
+		}
 		if health != Healthy {
 			retry = health == HealthUnclear && tries < maxHealthTries
 			c.running = retry
@@ -135,8 +144,8 @@
 	return health
 }
 
-// RequestHealth sends a health request to a backend server. It returns Healthy or
-// Unhealthy and the name of the incarnation that answered, or HealthUnclear and ""
+// RequestHealth sends a health request to a backend server. It returns Healthy, Unhealthy
+// or HealthLeaving and the name of the incarnation that answered, or HealthUnclear and ""
 // in the cases that CheckHealth names and when there is no answer.
 func (g *Gate) RequestHealth(ctx context.Context, address, path string) (health Health, incarnation string) {
 	dialect, ok := g.config.Dialect.(HealthDialect)
@@ -152,10 +161,14 @@
 		return HealthUnclear, ""
 	}
 	defer resp.Body.Close()
+	states := g.config.Dialect.Statement(resp.Header)
 	switch incarnation, taken := dialect.Life(resp); {
 	case !taken:
 		return HealthUnclear, ""
+	case states.Leaving:
+		return HealthLeaving, incarnation
 	case resp.StatusCode == http.StatusOK:
+		g.recordHealth(incarnation, states)
 		return Healthy, incarnation
 	default:
 		return Unhealthy, incarnation
--- a/mesh/backend/vet_test.go
+++ b/mesh/backend/vet_test.go
@@ -23,6 +23,7 @@
 		"leaving":                   {health: Unhealthy},
 		"leaving, announced":        {health: Unhealthy, next: []Announcement{{Seq: 9, Leaving: true}}},
 		"leaving, two delayed ones": {health: Unhealthy, next: []Announcement{{Seq: 3}, {Seq: 2}}},
+		"leaving, as it states":     {health: HealthLeaving, next: []Announcement{{Seq: 5}, {Seq: 6}, {Seq: 7}}},
 		"other incarnation answers": {health: OtherIncarnation},
 		"no answer":                 {health: HealthUnclear},
 		"no answer, newer ones":     {health: HealthUnclear, next: []Announcement{{Seq: 5}, {Seq: 6}}, served: true},
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -30,6 +30,7 @@
 	HeaderDemand   = "Caroblift-Demand"   // how the gate is to queue the call, as Demand formats it
 	HeaderCaller   = "Caroblift-Caller"   // service of the instance at which the call entered the mesh
 	HeaderAfter    = "Caroblift-After"    // ms after which the caller of a refused call may retry
+	HeaderStated   = "Caroblift-Stated"   // what the backend server has stated, as Stated formats it; between nodes in both directions, absent when nothing
 	HeaderShortage = "Caroblift-Shortage" // shortages of the called service, as FormatShortages formats them; absent when none
 	HeaderRevision = "Caroblift-Revision" // configuration revision by which the call was routed
 )
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -70,7 +70,8 @@
 // Instance holds what an entry node knows of one instance. Its methods may be
 // called concurrently.
 type Instance struct {
-	Name string
+	Name   string
+	Memory *Memory // outlives the node's incarnation
 
 	slots            atomic.Int32  // as announced, or as last reported
 	outstanding      atomic.Int32  // this node's calls in progress there
@@ -121,7 +122,7 @@
 
 // NewInstance returns an instance with the number of slots that it announced.
 func NewInstance(name string, slots int) *Instance {
-	i := &Instance{Name: name}
+	i := &Instance{Name: name, Memory: &Memory{}}
 	i.slots.Store(int32(max(1, slots)))
 	return i
 }
--- a/mesh/call/ratelimit.go
+++ b/mesh/call/ratelimit.go
@@ -41,6 +41,7 @@
 	namedAt time.Time     // when an answer that named the limit was last read
 	since   time.Time     // when the limit came into force
 	source  string        // ID of the call whose answer brought it
+	heard   bool          // an answer to a call was observed
 	bucket  *rate.Limiter // nil without a limit
 
 	urgent     int       // lowest priority of the calls since the last one of that priority is urgentFor ago
@@ -48,9 +49,25 @@
 }
 
 // Observe records what the answer to a call says about the limit, and reports whether
-// that changes the limit in force. sentAt is when the call was sent; the zero time
-// stands for an answer that may only lower the limit.
+// that changes the limit in force. sentAt is when the call was sent.
 func (l *RateLimit) Observe(in NamedLimit, source string, sentAt, now time.Time) bool {
+	l.heard = true
+	return l.change(in, source, sentAt, now)
+}
+
+// Adopt records a limit that another node, or a health check, has heard of, and reports
+// whether that changes the limit in force. It has no effect once an answer to a call was
+// observed, and can't end or raise a limit. Calls may have been sent just before, so
+// that no token is there at first.
+func (l *RateLimit) Adopt(in NamedLimit, source string, now time.Time) bool {
+	if l.heard || !in.Named || !l.change(in, source, time.Time{}, now) {
+		return false
+	}
+	l.bucket.AllowN(now, int(l.bucket.TokensAt(now)))
+	return true
+}
+
+func (l *RateLimit) change(in NamedLimit, source string, sentAt, now time.Time) bool {
 	lowers := in.Named && (!l.named.Named || in.Rate <= l.named.Rate)
 	if !lowers && !sentAt.After(l.namedAt) {
 		return false
@@ -146,6 +163,21 @@
 	if !a.rateLimit.Observe(in, source, sentAt, now) {
 		return false, nil
 	}
+	return true, a.rejectLimited(now)
+}
+
+// AdoptLimit adopts a limit as RateLimit.Adopt does, and returns the same as
+// ObserveLimit.
+func (a *Admission) AdoptLimit(in NamedLimit, source string, now time.Time) (bool, []*Waiter) {
+	if !a.rateLimit.Adopt(in, source, now) {
+		return false, nil
+	}
+	return true, a.rejectLimited(now)
+}
+
+// rejectLimited rejects the queued waiters for which there is no token, and returns
+// them.
+func (a *Admission) rejectLimited(now time.Time) []*Waiter {
 	var rejected []*Waiter
 	for tokens := a.rateLimit.tokens(now); float64(len(a.queue)) > tokens; {
 		i := a.lastIndex(now)
@@ -154,7 +186,7 @@
 		a.refuse(w, ReasonLimited, now)
 		rejected = append(rejected, w)
 	}
-	return true, rejected
+	return rejected
 }
 
 // ResetLimit ends the limit, since another backend server follows.
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/member"
@@ -56,6 +57,7 @@
 	instances      map[string]*instance
 	accounts       map[string]*serviceState
 	callerTimeouts map[string]*callerTimeout // by route
+	memories       map[string]*call.Memory   // by name of the instance
 }
 
 // instance is the load and failure state of an instance, which is valid for one
@@ -66,7 +68,7 @@
 }
 
 func newRetainedState() retainedState {
-	return retainedState{instances: map[string]*instance{}, accounts: map[string]*serviceState{}, callerTimeouts: map[string]*callerTimeout{}}
+	return retainedState{instances: map[string]*instance{}, accounts: map[string]*serviceState{}, callerTimeouts: map[string]*callerTimeout{}, memories: map[string]*call.Memory{}}
 }
 
 // currentDirectory returns the directory for the current table and members, and
@@ -94,12 +96,21 @@
 	return d
 }
 
+// memoryTime is how long it is remembered what the backend server of an instance stated,
+// while the instance is no member. It is longer than servers take to leave.
+const memoryTime = 2 * time.Minute
+
 // prune removes the state of instances, services and routes that no longer
 // exist. The caller holds p.mu.
 func (p *Proxy) prune(v *member.View, t *revision.Table) {
 	maps.DeleteFunc(p.retained.instances, func(name string, i *instance) bool {
 		return v.Members[name].GetIncarnation() != i.incarnation
 	})
+	now := time.Now()
+	maps.DeleteFunc(p.retained.memories, func(name string, m *call.Memory) bool {
+		age, holds := m.Age(now)
+		return v.Members[name] == nil && (!holds || age > memoryTime)
+	})
 	if len(p.retained.callerTimeouts) > len(t.Routes)+len(p.retained.instances) {
 		clear(p.retained.callerTimeouts) // most belong to removed routes
 	}
@@ -181,6 +192,14 @@
 	return a
 }
 
+// memory returns the memory of an instance. The caller holds p.mu.
+func (p *Proxy) memory(name string) *call.Memory {
+	if p.retained.memories[name] == nil {
+		p.retained.memories[name] = &call.Memory{}
+	}
+	return p.retained.memories[name]
+}
+
 // coldSlotsDivisor divides the slots of a cold backend server until its node
 // has reported its load.
 const coldSlotsDivisor = 4
@@ -198,6 +217,7 @@
 				slots /= coldSlotsDivisor
 			}
 			i = &instance{Instance: call.NewInstance(name, slots), incarnation: o.Node.GetIncarnation()}
+			i.Memory = p.memory(name)
 			p.retained.instances[name] = i
 		}
 		out[n] = i.Instance
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -126,6 +126,10 @@
 		req.Header[call.HeaderDemand] = []string{x.demand.Format(time.Now())}
 	}
 	req.Header[call.HeaderDeadline] = []string{call.FormatTimeLeft(x.deadline, time.Now())}
+	delete(req.Header, call.HeaderStated) // of the instance tried before
+	if stated := i.Memory.Stated().Format(); stated != "" {
+		req.Header[call.HeaderStated] = []string{stated}
+	}
 	if attempt > 1 || x.inExtraAttempt {
 		req.Header[call.HeaderAttempt] = []string{strconv.Itoa(max(2, attempt))}
 	}
@@ -148,6 +152,7 @@
 	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
 		report(x.target, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
 	}
+	i.Memory.Record(call.ParseStated(resp.Header.Get(call.HeaderStated)), resp.Header.Get(call.HeaderReason) == "", now.Add(-took), now)
 	if resp.Header.Get(call.HeaderReason) != "" {
 		x.backlog = parseBacklog(resp.Header)
 		_ = resp.Body.Close()
