Draw the calls of repeated runs from the budgets of the called services

Cause: a retry takes credit from the budget of its own service only, but when the call runs again its run makes its calls again, and those count as repeats at the services that it calls.

The node beside the server runs the repeat, and its budgets get the deposits of the calls that its server makes. So its gate takes what another run costs from them: calls in a run, as measured since a gate first recognized the class as nested, and the deposits that these calls will pay. Without that credit it refuses the repeat with the reason budget, before it is sent, and another instance may run it.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -54,7 +54,7 @@
 		g.metrics.countRefusal(reason)
 		resp := g.refusalAnswer(id, reason)
 		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.expectedWait(slot).Milliseconds(), 10)}
-		g.addShortages(resp, slot)
+		g.markNested(resp, slot)
 		return resp
 	}
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
@@ -69,15 +69,16 @@
 		c.logServerError(resp.StatusCode, attempt)
 		resp = c.prepareAnswer(resp, remote)
 	}
-	g.addShortages(resp, slot)
+	g.markNested(resp, slot)
 	return resp
 }
 
-// addShortages adds the shortages of the service to the answer to a nested call.
-func (g *Gate) addShortages(resp *http.Response, w *call.Waiter) {
+// markNested marks the answer to a nested call and adds the shortages of the service.
+func (g *Gate) markNested(resp *http.Response, w *call.Waiter) {
 	if w == nil || !w.Nested() {
 		return
 	}
+	resp.Header[call.HeaderNested] = []string{call.Yes}
 	g.mu.Lock()
 	shortages := g.admission.Shortages(time.Now())
 	g.mu.Unlock()
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -47,11 +47,25 @@
 	OwnShare  func(service string) float64 // returns the share of instances that run a service; nil means unknown
 	SentBytes func() int64                 // returns all bytes that the instance has sent over the link so far; with nil only large answers count
 	Sinks     telemetry.Sinks
+	// Calls limits the runs of repeated calls by the budgets of the services that the backend
+	// server calls; nil means no limit.
+	Calls CallBudget
 	// ServerLeaving is called when the backend server, as it was set, states in an answer
 	// that it is leaving; it may be nil. The gate admits no new call to it from then on.
 	ServerLeaving func(*Target)
 }
 
+// CallBudget accounts for the calls that the backend server makes in its runs. Its methods
+// may be called concurrently.
+type CallBudget interface {
+	// AddRun counts a call that the backend server runs.
+	AddRun()
+	// TakeRepeat takes what another run of a call costs from the budgets of the services
+	// that the server calls. It returns false if one of them has not enough, and otherwise
+	// a function that gives all back.
+	TakeRepeat() (giveBack func(), ok bool)
+}
+
 // Gate admits calls to the backend server and forwards them. Every call to the
 // server passes the gate, so its count of calls in progress is exact.
 type Gate struct {
@@ -200,13 +214,24 @@
 	if g.refusesLeaving(header, t) {
 		return nil, w, call.ReasonLeaving
 	}
+	giveBack := func() {}
+	if g.config.Calls != nil && header[call.HeaderRepeated] != nil {
+		var ok bool
+		if giveBack, ok = g.config.Calls.TakeRepeat(); !ok {
+			return nil, w, call.ReasonBudget
+		}
+	}
 	if g.requestSlot(w, t) == call.Waiting {
 		g.awaitDecision(ctx, w)
 	}
-	if w.State() == call.Admitted {
-		return t, w, ""
+	if w.State() != call.Admitted {
+		giveBack()
+		return nil, w, w.Reason()
+	}
+	if g.config.Calls != nil {
+		g.config.Calls.AddRun()
 	}
-	return nil, w, w.Reason()
+	return t, w, ""
 }
 
 // requestSlot applies the current limits and asks for a slot. When the call must
--- a/mesh/backend/gate_test.go
+++ b/mesh/backend/gate_test.go
@@ -119,3 +119,49 @@
 		require.Empty(t, resp.Header.Get(call.HeaderReason), "after an idle time of %d ms", idle)
 	}
 }
+
+// callBudget is a backend.CallBudget with a number of repeats left.
+type callBudget struct{ runs, left int }
+
+func (b *callBudget) AddRun() { b.runs++ }
+
+func (b *callBudget) TakeRepeat() (func(), bool) {
+	if b.left == 0 {
+		return nil, false
+	}
+	b.left--
+	return func() { b.left++ }, true
+}
+
+// TestRepeatNeedsBudgetOfCalledServices checks which calls take from the budget of the
+// services that the backend server calls, and that a refused call gives it back.
+func TestRepeatNeedsBudgetOfCalledServices(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	budget := &callBudget{left: 1}
+	gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Calls: budget})
+	defer gate.Close()
+	target := &backend.Target{Service: "quotes", Address: server.Listener.Addr().String(), Slots: 9}
+	send := func(repeated bool) call.Reason {
+		r := httptest.NewRequest(http.MethodPost, "/orders", http.NoBody)
+		r.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderDeadline: {"5000"}}
+		if repeated {
+			r.Header[call.HeaderRepeated] = []string{call.Yes}
+		}
+		resp, err := gate.RoundTrip(r)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		return call.Reason(resp.Header.Get(call.HeaderReason))
+	}
+	leaving := *target
+	leaving.Leaving = true
+	gate.SetTarget(&leaving)
+	require.Equal(t, call.ReasonLeaving, send(true))
+	require.Equal(t, callBudget{left: 1}, *budget, "it did not run")
+	gate.SetTarget(target)
+	require.Empty(t, send(true))
+	require.Equal(t, callBudget{runs: 1}, *budget)
+	require.Equal(t, call.ReasonBudget, send(true))
+	require.Empty(t, send(false))
+	require.Equal(t, callBudget{runs: 2}, *budget)
+}
--- a/mesh/call/budget.go
+++ b/mesh/call/budget.go
@@ -58,13 +58,17 @@
 
 // Withdraw withdraws the credit for one extra attempt. It returns false when
 // there is not enough.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.WithdrawPercent(attemptCost) }
+
+// WithdrawPercent withdraws the given percentage of an attempt, which may exceed 100, as
+// Withdraw does.
+func (b *Budget) WithdrawPercent(percent int) bool {
 	for {
 		credit := b.credit.Load()
-		if credit < attemptCost {
+		if credit < int64(percent) {
 			return false
 		}
-		if b.credit.CompareAndSwap(credit, credit-attemptCost) {
+		if b.credit.CompareAndSwap(credit, credit-int64(percent)) {
 			return true
 		}
 	}
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -18,6 +18,8 @@
 	HeaderDeadline = "Caroblift-Deadline" // remaining time, in ms
 	HeaderAttempt  = "Caroblift-Attempt"  // number of the attempt, from 1
 	HeaderRepeat   = "Caroblift-Repeat"   // Yes when the call may run more than once
+	HeaderRepeated = "Caroblift-Repeated" // Yes when an earlier attempt of the call may have reached a backend server
+	HeaderNested   = "Caroblift-Nested"   // Yes in the answer to a call that a backend server made while it ran another
 	HeaderEmpty    = "Caroblift-Empty"    // Yes when the call has no body
 	HeaderRefused  = "Caroblift-Refused"  // the Reason for which the call was not run
 	HeaderProof    = "Caroblift-Proof"    // the Proof that the call was not run; between nodes only
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -64,6 +64,7 @@
 	ReasonNoServer   Reason = "no-server"   // no backend server offers the service
 	ReasonBusy       Reason = "busy"        // all slots are in use and the call can't be queued
 	ReasonLimited    Reason = "limited"     // the backend server takes fewer requests a second
+	ReasonBudget     Reason = "budget"      // a service that the backend server calls has no retry budget for another run
 	ReasonOverload   Reason = "overload"    // a service that the backend server calls lacks slots for more urgent calls
 	ReasonLate       Reason = "late"        // the call could not start before its deadline
 	ReasonLeaving    Reason = "leaving"     // the node or the backend server is stopping
@@ -117,7 +118,7 @@
 	switch r {
 	case ReasonNotReady, ReasonNoServer:
 		return retryAfterStart
-	case ReasonBusy, ReasonLimited, ReasonOverload, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
+	case ReasonBusy, ReasonLimited, ReasonBudget, ReasonOverload, ReasonLate, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved:
 		return retryAfterBusy
 	}
 	return 0
@@ -127,7 +128,7 @@
 // have reached the backend server. An attempt that a gate refused has not.
 func (r Reason) MayHaveArrived() bool {
 	switch r {
-	case ReasonBusy, ReasonLimited, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
+	case ReasonBusy, ReasonLimited, ReasonBudget, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
 		return false
 	}
 	return true
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -41,7 +41,7 @@
 
 // budgetPercent returns the share of one call, in percent, that is paid into a
 // retry or hedge budget. A limit shared by all nodes overrides the policy.
-func (s *service) budgetPercent(extra ExtraAttempts, policy record.Budget) int {
+func budgetPercent(extra ExtraAttempts, policy record.Budget) int {
 	switch {
 	case extra != ExtraAttempts{}:
 		return extra.Percent
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -50,9 +51,10 @@
 	immediateAttempts int           // attempts that ask for a free slot and may not be queued
 	backlog           time.Duration // expected wait that the last gate reported
 	attempts          int
-	arrivals          int     // attempts that may have reached a backend server, hedges included
-	queuedAttempts    int     // attempts that may be queued
-	answer            *result // the last result if it succeeded; else nil
+	arrivals          int         // attempts that may have reached a backend server, hedges included
+	queuedAttempts    int         // attempts that may be queued
+	answer            *result     // the last result if it succeeded; else nil
+	nested            atomic.Bool // a gate recognized it as a call of the backend server of this instance
 }
 
 // result is the result of one attempt.
@@ -75,7 +77,7 @@
 // serve makes attempts until one succeeds or no further one is allowed, and
 // answers the caller.
 func (x *exchange) serve() {
-	x.service.retryBudget.Deposit(x.service.budgetPercent(x.proxy.config.ExtraAttempts, x.service.policy.Retry))
+	x.service.retryBudget.Deposit(budgetPercent(x.proxy.config.ExtraAttempts, x.service.policy.Retry))
 	last := &result{verdict: call.NotRun(call.ReasonNoServer, call.ProofNotSent)}
 	for {
 		instance := x.pick()
@@ -101,6 +103,7 @@
 		}
 		x.proxy.metrics.retries.Inc(1)
 	}
+	x.proxy.fanOut.AddCall(x.route.Name, x.target, x.nested.Load(), time.Now())
 	x.finish(last)
 }
 
--- a/mesh/caller/hedge.go
+++ b/mesh/caller/hedge.go
@@ -16,7 +16,7 @@
 func (x *exchange) sendHedged(i *call.Instance) *result {
 	hedge := x.service.policy.Hedge
 	if x.service.hedgeBudget != x.service.retryBudget {
-		x.service.hedgeBudget.Deposit(x.service.budgetPercent(x.proxy.config.ExtraAttempts, hedge))
+		x.service.hedgeBudget.Deposit(budgetPercent(x.proxy.config.ExtraAttempts, hedge))
 	}
 	delay, ok := x.service.latencies.HedgeDelay(hedge.Delay)
 	if !ok {
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -112,7 +112,7 @@
 	}
 	longest := time.Duration(float64(left) / retryAfterDivisor)
 	switch reason {
-	case call.ReasonBusy, call.ReasonLimited, call.ReasonOverload, call.ReasonLate, call.ReasonShed:
+	case call.ReasonBusy, call.ReasonLimited, call.ReasonBudget, call.ReasonOverload, call.ReasonLate, call.ReasonShed:
 		after = backlog + time.Duration(random*float64(max(longest-backlog, 0)))
 	case call.ReasonLeaving, call.ReasonDial, call.ReasonRefused, call.ReasonMoved:
 		after = minRetryAfter + time.Duration(random*float64(longest)/2)
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -68,6 +68,7 @@
 	directory atomic.Pointer[directory]
 	mu        sync.Mutex // guards retained, and the replacement of directory and of its services
 	retained  retainedState
+	fanOut    call.FanOut // of the backend server of this instance
 }
 
 // New returns a proxy that serves calls as config says.
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -90,6 +90,7 @@
 		call.ReasonNoServer: refusedByGate(refuseWith(call.NotRun(call.ReasonNoServer, call.ProofNotSent))),
 		call.ReasonBusy:     refusedByGate(refuseWith(call.NotRun(call.ReasonBusy, call.ProofNotSent))),
 		call.ReasonLimited:  refusedByGate(refuseWith(call.NotRun(call.ReasonLimited, call.ProofNotSent))),
+		call.ReasonBudget:   refusedByGate(refuseWith(call.NotRun(call.ReasonBudget, call.ProofNotSent))),
 		call.ReasonOverload: refusedByGate(refuseWith(call.NotRun(call.ReasonOverload, call.ProofNotSent))),
 		call.ReasonLate:     refusedByGate(refuseWith(call.NotRun(call.ReasonLate, call.ProofNotSent))),
 		call.ReasonLeaving:  refusedByEntry(func(p *Proxy, _ *http.Request) { p.leaving.Store(true) }),
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -130,6 +130,9 @@
 	if stated := i.Memory.Stated().Format(); stated != "" {
 		req.Header[call.HeaderStated] = []string{stated}
 	}
+	if x.arrivals > 0 {
+		req.Header[call.HeaderRepeated] = []string{call.Yes}
+	}
 	if attempt > 1 || x.inExtraAttempt {
 		req.Header[call.HeaderAttempt] = []string{strconv.Itoa(max(2, attempt))}
 	}
@@ -149,6 +152,9 @@
 		wait, _ := call.ParseTimeLeft(resp.Header.Get(call.HeaderLink))
 		i.RecordLinkWait(wait, now)
 	}
+	if resp.Header[call.HeaderNested] != nil {
+		x.nested.Store(true)
+	}
 	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
 		report(x.target, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
 	}
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -36,6 +36,7 @@
 	if shared := n.settings.GetShared(); shared.GetOn() {
 		proxy.ExtraAttempts = caller.ExtraAttempts{Percent: int(shared.GetPercent()), Burst: int(shared.GetSlack())}
 	}
+	gate.Calls = callBudget{n}
 	announcer := backend.AnnouncerConfig{
 		Log:   n.sinks.ForPart("backend").Log,
 		Lease: ms(s.GetLease()), OnChange: n.onAnnouncement, IsLocal: backend.HostMatcher(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
@@ -49,6 +50,13 @@
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
+// callBudget is the CallBudget of a node's gate, by the proxy, which is created after it.
+type callBudget struct{ node *Node }
+
+func (b callBudget) AddRun() { b.node.Proxy.AddRun() }
+
+func (b callBudget) TakeRepeat() (func(), bool) { return b.node.Proxy.TakeRepeat() }
+
 // ownShare returns the share of the known instances that run a service.
 func (n *Node) ownShare(service string) float64 {
 	v := n.Members.View()
