Show the limit of a node's backend server to operators

The limit in force was in the logs only. carobctl status names it with its age and its source, and carobctl explain says by which limit a gate refused a call, and shows changes of the limit and of the leaving around it; it also has texts for the reasons limited, budget and overload.

TestStatusShowsLimit, TestExplain/refused_by_a_limit.

--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -17,6 +17,9 @@
 	call.ReasonNoRoute:    "no route of the table in force matches its host and path",
 	call.ReasonNoServer:   "no node that was tried has a backend server of the service",
 	call.ReasonBusy:       "every node that was tried had no free slot, and no place in its queue that would be served in time",
+	call.ReasonLimited:    "every node that was tried had a backend server that takes fewer requests a second",
+	call.ReasonBudget:     "it would have run again, and a service that the backend server calls has no retry budget left",
+	call.ReasonOverload:   "a service that the backend server calls lacks slots for more urgent calls",
 	call.ReasonLate:       "it could not have been answered before its deadline",
 	call.ReasonLeaving:    "the node or the chosen backend server was stopping",
 	call.ReasonDial:       "connecting to the node or the backend server failed",
@@ -59,6 +62,9 @@
 		out = append(out, o)
 	}
 	for _, l := range e.Calls {
+		if l.Message == telemetry.CallLimited {
+			out = append(out, limitInForce(l))
+		}
 		if l.Message == telemetry.GateFailed {
 			out = append(out, fmt.Sprintf("%s, beside the backend server, saw: %s, after %d ms in the queue and %d ms at the server %v%s",
 				l.Instance, reasonText[call.Reason(l.Reason)], l.intAttr("queued"), l.intAttr("took"), l.Attributes["detail"], answerReceived(l)))
@@ -67,6 +73,16 @@
 	return append(out, e.circumstances(end, lines, from, to)...)
 }
 
+// limitInForce describes the limit of a backend server that a gate applied to the call.
+func limitInForce(l logLine) string {
+	decision := "refused it"
+	if sent, _ := l.Attributes["sent"].(bool); sent {
+		decision = "sent it"
+	}
+	return fmt.Sprintf("%s %s by the limit of its backend server, %v requests a second, in force for %d ms (source: %v), tokens left: %.3v",
+		l.Instance, decision, l.Attributes["limit"], l.intAttr("age"), l.Attributes["source"], l.Attributes["tokens"])
+}
+
 // answerReceived describes the answer that a gate received, or returns "" if it
 // received none.
 func answerReceived(l logLine) string {
@@ -171,7 +187,7 @@
 func countLoadRefusals(end logLine, lines []logLine, from, to time.Time) int {
 	n := 0
 	for _, l := range lines {
-		load := l.Reason == string(call.ReasonBusy) || l.Reason == string(call.ReasonLate)
+		load := l.Reason == string(call.ReasonBusy) || l.Reason == string(call.ReasonLate) || l.Reason == string(call.ReasonLimited)
 		if l.Message == telemetry.CallRefused && load && l.Attributes["service"] == end.Attributes["service"] && !l.Time.Before(from) && !l.Time.After(to) {
 			n++
 		}
--- a/carobctl/explain_test.go
+++ b/carobctl/explain_test.go
@@ -24,6 +24,10 @@
 `
 	crossedLog = `{"time":"2026-05-27T10:00:08.1Z","level":"INFO","msg":"gate failed","instance":"b-2","call":"5481","service":"quotes","server":"i-2","reason":"crossed","ran":"unknown","proof":"","detail":"503 Full","queued":0,"took":2,"conn":7,"carried":3,"status":503,"answer":"5480"}
 {"time":"2026-05-27T10:00:08.2Z","level":"INFO","msg":"call lost","instance":"a-1","call":"5481","path":"/q","service":"quotes","reason":"crossed","ran":"unknown","tried":["b-2"],"arrivals":1}
+`
+	limitedLog = `{"time":"2026-05-27T10:00:08.1Z","level":"INFO","msg":"server limit","instance":"b-2","server":"i-2","source":"5400","named":true,"limit":6.4,"before":0,"held":0,"refused":0}
+{"time":"2026-05-27T10:00:08.9Z","level":"INFO","msg":"call limited","instance":"b-2","call":"5482","server":"i-2","sent":false,"attempt":"","remote":true,"limit":6.4,"age":800,"source":"5400","tokens":0.256}
+{"time":"2026-05-27T10:00:08.9Z","level":"INFO","msg":"call refused","instance":"a-1","call":"5482","path":"/q","service":"quotes","reason":"limited","ran":"no","tried":["b-2"],"arrivals":0}
 `
 	slowLog = `{"time":"2026-05-27T10:00:09Z","level":"INFO","msg":"call slow","instance":"a-1","call":"99aa","service":"quotes","took":700,"spent":600,"queued":450,"objective":300,"tried":["b-2"],"arrivals":1}
 `
@@ -56,6 +60,10 @@
 			id: "5481", log: crossedLog,
 			want: []string{"may have run", `(the answer, status 503, names call "5480"; its connection 7 had carried 3 before)`},
 		},
+		"refused by a limit": {
+			id: "5482", log: limitedLog,
+			want: []string{"takes fewer requests a second", "has not run and never will", "b-2 refused it by the limit of its backend server, 6.4 requests a second, in force for 800 ms (source: 5400), tokens left: 0.256", "server limit"},
+		},
 		"slow":          {id: "99aa", log: slowLog, want: []string{"450 ms in the queue of the last node, 150 ms at its server, 100 ms on the way", "nothing changed at a-1, b-2"}},
 		"only the gate": {id: "5480", log: strings.SplitAfter(lostLog, "\n")[0], want: []string{"no line about its end"}},
 		"unknown":       {id: "0000", log: lostLog, want: []string{"no line names call 0000 in 3 lines"}, code: exitRefused},
--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/node"
 	"caroblift.dev/mesh/operator"
@@ -228,6 +229,22 @@
 	require.Contains(t, status(), "\nplatform in era 5, came back from an older copy in era 4\n")
 }
 
+// TestStatusShowsLimit checks that status names the limit of the node's backend server.
+func TestStatusShowsLimit(t *testing.T) {
+	var limit call.LimitState
+	server := httptest.NewServer(operator.New(operator.Config{
+		Holder: &revision.Holder{}, ConfirmedAt: func() int64 { return 0 }, PlatformAnswers: func() bool { return true },
+		View:        func() *member.View { return &member.View{Self: &wire.Member{Name: "n"}} },
+		FleetReport: func(context.Context) *wire.Report { return &wire.Report{} },
+		ServerLimit: func() call.LimitState { return limit },
+	}).Handler())
+	defer server.Close()
+	status := func() string { return carobctl(strings.TrimPrefix(server.URL, "http://"), "", "status").out }
+	require.NotContains(t, status(), "requests a second")
+	limit = call.LimitState{NamedLimit: call.NamedLimit{Rate: 6.4, Named: true}, Age: 3 * time.Second, Source: "c1"}
+	require.Contains(t, status(), "\nits backend server takes 6.4 requests a second, for 3000 ms (source: c1)\n")
+}
+
 func TestHelpNamesEveryExitCode(t *testing.T) {
 	got := carobctl("", "", "--help")
 	require.Zero(t, got.code)
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -45,6 +45,7 @@
 	fmt.Fprintf(a.out, "revision %d in force on node %s, newest known %d, %d live nodes\n", m.GetRevision(), a.Node, m.GetHead(), m.GetNodes())
 	fmt.Fprintf(a.out, "confirmed by the platform %s\n", formatAge(m.GetChecked()))
 	a.printEra(resp.Header())
+	a.printLimit(resp.Header())
 	t := a.newTableWriter()
 	fmt.Fprintln(t, "\nDOMAIN\tREVISION\tNODES")
 	for _, n := range m.GetReport().GetCounts() {
@@ -75,6 +76,14 @@
 	}
 }
 
+// printLimit prints the limit that the backend server of the node names, if any.
+func (a *app) printLimit(h http.Header) {
+	if limit := h.Get(operator.HeaderLimit); limit != "" {
+		fmt.Fprintf(a.out, "its backend server takes %s requests a second, for %s ms (source: %s)\n",
+			limit, h.Get(operator.HeaderLimitAge), h.Get(operator.HeaderLimitSource))
+	}
+}
+
 // formatAge returns the time since at, in Unix ms, or "never" if at is 0.
 func formatAge(at int64) string {
 	if at == 0 {
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -154,7 +154,7 @@
 	n.operator = operator.New(operator.Config{
 		Store:  n.store, // outside the budget, since operators make few calls whatever the size of the fleet
 		Holder: n.Holder, View: n.Members.View, ConfirmedAt: n.Distributor.ConfirmedAt, PlatformAnswers: n.platformReader.Reachable,
-		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, Eras: n.eras, SingleDocument: n.platform != nil,
+		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, Eras: n.eras, ServerLimit: n.Gate.LimitState, SingleDocument: n.platform != nil,
 	})
 }
 
--- a/mesh/operator/service.go
+++ b/mesh/operator/service.go
@@ -14,13 +14,15 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/revision"
 	"caroblift.dev/mesh/store"
 	"caroblift.dev/wire"
 )
 
-// Config configures a Service. Every field but Metrics and Eras is required.
+// Config configures a Service. Every field but Metrics, Eras and
+// ServerLimit is required.
 type Config struct {
 	Store           store.Store
 	Holder          *revision.Holder
@@ -30,6 +32,7 @@
 	PlatformAnswers func() bool                        // whether the platform answers
 	Metrics         http.Handler                       // serves /metrics; may be nil
 	Eras            *store.Eras                        // of the platform; nil if it has none
+	ServerLimit     func() call.LimitState             // of the backend server of this instance; nil if it can name none
 	SingleDocument  bool                               // the configuration comes as one document, so records are neither written nor read
 }
 
--- a/mesh/operator/status.go
+++ b/mesh/operator/status.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"strings"
 
 	"connectrpc.com/connect"
 
+	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/member"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/mesh/store"
@@ -22,6 +24,9 @@
 		resp.Header().Set(HeaderEra, strconv.FormatUint(eras.Current, 10))
 		resp.Header().Set(HeaderPreviousEra, strconv.FormatUint(eras.Previous, 10))
 	}
+	if s.config.ServerLimit != nil {
+		setLimit(resp.Header(), s.config.ServerLimit())
+	}
 	return resp, nil
 }
 
@@ -31,6 +36,23 @@
 	HeaderPreviousEra = "Platform-Era-Previous" // before the last rise that this node saw; the same if it saw none
 )
 
+// Headers of the response to Status. They are missing if the backend server of this
+// instance names no limit.
+const (
+	HeaderLimit       = "Backend-Limit"        // requests a second that the backend server takes
+	HeaderLimitAge    = "Backend-Limit-Age"    // ms since the limit came into force
+	HeaderLimitSource = "Backend-Limit-Source" // ID of the call whose answer brought it, or else "health" or "node"
+)
+
+// setLimit sets the headers that describe a limit in force.
+func setLimit(h http.Header, l call.LimitState) {
+	if l.Named {
+		h.Set(HeaderLimit, strconv.FormatFloat(l.Rate, 'g', -1, 64))
+		h.Set(HeaderLimitAge, strconv.FormatInt(l.Age.Milliseconds(), 10))
+		h.Set(HeaderLimitSource, l.Source)
+	}
+}
+
 func (s *Service) status(ctx context.Context, req *wire.StatusRequest) *wire.StatusResponse {
 	table := s.config.Holder.Table()
 	resp := &wire.StatusResponse{
