Hear of a platform's return within a second where a watch stays silent

Operators of a platform that came back from an older copy missed meeting points for up to 10 s: a node that made no call while the platform was away heard of the return only when its watch ended, if the platform neither answered nor ended that watch (docs/design/store-era.md, not covered).

TestLostMeetingPointWithoutOtherCalls: the point is back within 2.5 s after three looks at most, none while other calls are answered; without the look it is not.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -231,10 +231,11 @@
 	if n.platform != nil {
 		meetingStore = n.store // outside the budget like the source: a starting node does not know the fleet yet
 	}
+	looker, _ := n.pollStore.(store.Looker) // the built-in protocol has one era and no such look
 	n.meetingPoints = store.NewMeetingPoints(store.MeetingPointsConfig{
 		Store: meetingStore, Self: func() *wire.Member { return n.Members.View().Self },
 		IsAlive: func(name string) bool { return n.Members.View().Members[name] != nil }, MembersKnown: n.Members.Joined,
-		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Sinks: n.sinks.ForPart("platform"),
+		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Looker: looker, Sinks: n.sinks.ForPart("platform"),
 	})
 	if n.platform != nil {
 		n.assembleSource(n.platform)
--- a/mesh/store/era.go
+++ b/mesh/store/era.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,7 @@
 	mu    sync.Mutex
 	known bool
 	state EraState
+	heard time.Time     // when the platform last answered
 	rose  chan struct{} // closed and replaced at each rise
 }
 
@@ -46,6 +48,7 @@
 func (e *Eras) Observe(era uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.heard = time.Now()
 	switch {
 	case !e.known:
 		e.known, e.state = true, EraState{Current: era, Previous: era}
@@ -69,6 +72,13 @@
 	e.sinks.Scope.Tagged(map[string]string{"which": "previous"}).Gauge("era").Update(float64(e.state.Previous))
 }
 
+// SinceHeard returns how long ago the platform last answered this node.
+func (e *Eras) SinceHeard() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.heard)
+}
+
 // State returns the era and its history.
 func (e *Eras) State() EraState {
 	if e == nil {
--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -349,6 +349,47 @@
 	})
 }
 
+// lookStore counts looks, which name the era of the platform.
+type lookStore struct {
+	platform *storetest.Store
+	eras     *store.Eras
+	looks    int
+}
+
+// Look implements store.Looker.
+func (s *lookStore) Look(context.Context, string, string) error {
+	s.looks++
+	return s.eras.Observe(s.platform.Era())
+}
+
+// TestLostMeetingPointWithoutOtherCalls guards against a node that hears of a return of the
+// platform only when a watch ends that the platform has neither answered nor ended.
+func TestLostMeetingPointWithoutOtherCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform, eras := storetest.New(), store.NewEras(telemetry.Sinks{})
+		looker := &lookStore{platform: platform, eras: eras}
+		m := store.NewMeetingPoints(store.MeetingPointsConfig{
+			Store: platform, Eras: eras, Looker: looker, PointsPerDomain: 4,
+			Self:    func() *wire.Member { return &wire.Member{Name: "n", Domain: "d", Peer: "10.0.0.1:1"} },
+			IsAlive: func(string) bool { return true }, MembersKnown: func() bool { return true },
+		})
+		require.NoError(t, eras.Observe(platform.Era()))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = m.Run(ctx) }()
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			require.NoError(t, eras.Observe(platform.Era()))
+		}
+		require.Zero(t, looker.looks, "the platform answers other calls")
+		platform.Restore(time.Hour)
+		time.Sleep(2500 * time.Millisecond)
+		require.Len(t, platform.PeekAll(store.KindMember), 1)
+		require.LessOrEqual(t, looker.looks, 3)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestEras checks that an era is known by its latest answer, whichever client of the
 // node received it.
 func TestEras(t *testing.T) {
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -27,8 +27,14 @@
 	meetingInterval      = 2 * time.Minute  // after each later one
 )
 
-// MeetingPointsConfig configures a MeetingPoints. Every field but Eras and Sinks is
-// required.
+// Looker is implemented by stores that answer a look at an object at little cost, from
+// a copy that may be old. The answer tells the era of the platform, nothing else.
+type Looker interface {
+	Look(ctx context.Context, kind, name string) error
+}
+
+// MeetingPointsConfig configures a MeetingPoints. Every field but Eras, Looker and Sinks
+// is required.
 type MeetingPointsConfig struct {
 	Store           Store
 	Self            func() *wire.Member
@@ -36,6 +42,7 @@
 	MembersKnown    func() bool            // whether this node knows the members of the fleet
 	PointsPerDomain int                    // wanted number of meeting points in each failure domain
 	Eras            *Eras                  // of the platform; nil if it has none
+	Looker          Looker                 // nil if the platform has no eras, or no such look
 	Sinks           telemetry.Sinks
 }
 
@@ -143,17 +150,44 @@
 	if !m.owns {
 		rose = nil
 	}
-	timer := time.NewTimer(d)
+	timer, ticker := time.NewTimer(d), time.NewTicker(lookInterval)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-rose:
-		m.config.Sinks.Log.Info("looking for own meeting point after the platform came back", "era", m.config.Eras.State().Current)
-		pause(ctx, jitter(rewriteSpread))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-ticker.C:
+			m.look(ctx)
+		case <-rose:
+			m.config.Sinks.Log.Info("looking for own meeting point after the platform came back", "era", m.config.Eras.State().Current)
+			pause(ctx, jitter(rewriteSpread))
+			return
+		}
 	}
 }
 
+// lookInterval is the longest time without an answer of the platform for a node whose
+// meeting point may be lost. A watch that the platform neither answers nor ends at its
+// return would let the node hear of it only when its wait is over.
+const lookInterval = time.Second
+
+// look asks the platform for its era if it has not answered for lookInterval.
+func (m *MeetingPoints) look(ctx context.Context) {
+	if !m.owns || m.config.Looker == nil || m.config.Eras.SinceHeard() < lookInterval {
+		return
+	}
+	name := pointName(m.config.Self().GetName())
+	if err := m.config.Looker.Look(ctx, KindMember, name); err != nil && ctx.Err() == nil {
+		m.config.Sinks.Log.Info("no answer to a look at the own meeting point", "error", err.Error())
+	}
+}
+
+// pointName returns the name of the object that is a node's meeting point.
+func pointName(node string) string { return strings.ReplaceAll(node, "/", "-") }
+
 // maintain writes the meeting point of this node if it is needed, and deletes
 // that of at most one dead node.
 func (m *MeetingPoints) maintain(ctx context.Context) error {
@@ -179,7 +213,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode meeting point")
 	}
-	name := strings.ReplaceAll(want.Name, "/", "-")
+	name := pointName(want.Name)
 	old, exists := listed[name]
 	if p, ok := decodePoint(old); exists && ok && p == want {
 		m.owns = true
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -37,7 +37,7 @@
 var messageBursts = map[string]int{
 	CallRefused: maxCallLines, CallLost: maxCallLines, CallSlow: maxCallLines / 5, CallGone: maxCallLines / 5,
 	CallRetried: maxCallLines / 5, GateFailed: maxCallLines, ServerError: maxCallLines / 5,
-	CallLimited: maxCallLines / 5, "server limit": maxCallLines / 5,
+	CallLimited: maxCallLines, "server limit": maxCallLines / 5,
 	"member found": maxCallLines / 5, "member changed": maxCallLines / 5, "member lost": maxCallLines / 5,
 }
 
