Keep to the number of connections that a service's servers accept

A server whose service names fewer connections than the usual 110 (maxConns) could get calls on more, and resets those beyond: found by the audit of what peers may state (docs/design/stated.md). The number was decoded into the table and nothing decided by it.

The gate admits no more calls at once than ten elevenths of it, as many as the 100 of 110 before. TestConnectionsOfServiceAreKept: 30 slots with 22 connections without the change, 20 with it.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -36,6 +36,7 @@
 // GateConfig configures a Gate.
 type GateConfig struct {
 	Policy         func(service string) record.Policy // in force for a service
+	MaxConns       func(service string) int           // connections that a backend server of the service accepts; zero means unknown, and so does a nil function
 	SilenceTimeout time.Duration                      // shortest silence after which a reused connection counts as broken; zero means 400 ms
 	AbortGrace     time.Duration                      // time in which the backend server ends a call that was broken off; zero means 20 ms
 	// Dialect maps calls for the backend server; nil means the Caroblift-*
@@ -87,7 +88,7 @@
 }
 
 const (
-	// maxServerConns bounds the connections to the backend server, which accepts
+	// maxServerConns bounds the connections to a backend server, of which most accept
 	// 110; the rest are left for other clients.
 	maxServerConns = 100
 	// idleConnTimeout is how long an unused connection is kept. It is short: a
@@ -279,10 +280,21 @@
 	if p.Slots > 0 {
 		l.Slots = p.Slots
 	}
-	l.Slots = min(l.Slots, maxServerConns) // each call in progress uses a connection
+	l.Slots = min(l.Slots, g.usableConns(t.Service)) // each call in progress uses a connection
 	return l
 }
 
+// usableConns returns the number of connections to a backend server of a service that
+// calls may use: all but an eleventh, which is left for other clients.
+func (g *Gate) usableConns(service string) int {
+	if g.config.MaxConns != nil {
+		if n := g.config.MaxConns(service); n > 0 {
+			return max(1, min(n*10/11, maxServerConns))
+		}
+	}
+	return maxServerConns
+}
+
 // releaseSlot returns the slot of a call that ended with result.
 func (g *Gate) releaseSlot(w *call.Waiter, result call.Result) {
 	g.mu.Lock()
--- a/mesh/backend/gate_test.go
+++ b/mesh/backend/gate_test.go
@@ -165,3 +165,27 @@
 	require.Empty(t, send(false))
 	require.Equal(t, callBudget{runs: 2}, *budget)
 }
+
+// TestConnectionsOfServiceAreKept guards against more calls at a server than it accepts
+// connections, where the configuration names fewer than usual.
+func TestConnectionsOfServiceAreKept(t *testing.T) {
+	for name, c := range map[string]struct{ conns, slots int }{
+		"unknown": {0, 30}, "usual": {110, 30}, "few": {22, 20}, "very few": {3, 2}, "one": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gate := backend.NewGate(backend.GateConfig{
+				Policy: func(string) record.Policy { return record.Policy{} }, MaxConns: func(string) int { return c.conns }, Warmup: -1,
+			})
+			defer gate.Close()
+			gate.SetTarget(&backend.Target{Service: "quotes", Address: "127.0.0.1:1", Slots: 30})
+			r := httptest.NewRequest(http.MethodPost, "/orders", http.NoBody)
+			r.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderDeadline: {"5000"}}
+			resp, err := gate.RoundTrip(r)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			load, ok := call.ParseLoadReport(resp.Header.Get(call.HeaderLoad))
+			require.True(t, ok)
+			require.Equal(t, c.slots, load.Slots)
+		})
+	}
+}
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -24,8 +24,8 @@
 	n.hopTransport.HTTP2.MaxReceiveBufferPerStream = maxStreamBuffer
 	n.hopTransport.HTTP2.SendPingTimeout = silent / 2 // detects a lost connection after 1.5 times calls.silent
 	gate := backend.GateConfig{
-		Policy:         func(service string) record.Policy { return n.Holder.Table().Policy(service) },
-		SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
+		Policy:   func(service string) record.Policy { return n.Holder.Table().Policy(service) },
+		MaxConns: n.maxConns, SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
 		OwnShare: n.ownShare, ServerLeaving: func(t *backend.Target) { n.announcer.RecordLeaving(t.Server, t.Epoch) },
 	}
 	proxy := caller.Config{
@@ -57,6 +57,15 @@
 
 func (b callBudget) TakeRepeat() (func(), bool) { return b.node.Proxy.TakeRepeat() }
 
+// maxConns returns the number of connections that a backend server of a service accepts by
+// the table in force, or 0 if it does not say.
+func (n *Node) maxConns(service string) int {
+	if s := n.Holder.Table().Services[service]; s != nil {
+		return s.MaxConns
+	}
+	return 0
+}
+
 // ownShare returns the share of the known instances that run a service.
 func (n *Node) ownShare(service string) float64 {
 	v := n.Members.View()
