--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -227,6 +227,9 @@
 	require.Contains(t, status(), "\nplatform in era 4\n")
 	require.NoError(t, eras.Observe(5))
 	require.Contains(t, status(), "\nplatform in era 5, came back from an older copy in era 4\n")
+	got := carobctl(strings.TrimPrefix(server.URL, "http://"), "", "--json", "status").out
+	require.Contains(t, got, `"era":"5"`)
+	require.Contains(t, got, `"previousEra":"4"`)
 }
 
 // TestStatusShowsLimit checks that status names the limit of the node's backend server.
@@ -243,6 +246,7 @@
 	require.NotContains(t, status(), "requests a second")
 	limit = call.LimitState{NamedLimit: call.NamedLimit{Rate: 6.4, Named: true}, Age: 3 * time.Second, Source: "c1"}
 	require.Contains(t, status(), "\nits backend server takes 6.4 requests a second, for 3000 ms (source: c1)\n")
+	require.Contains(t, carobctl(strings.TrimPrefix(server.URL, "http://"), "", "--json", "status").out, `"limit":"6.4","limitAge":"3000","limitSource":"c1"`)
 }
 
 func TestHelpNamesEveryExitCode(t *testing.T) {
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -3,11 +3,14 @@
 // This file implements status and members.
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"text/tabwriter"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protojson"
+
 	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
@@ -15,7 +18,8 @@
 
 const statusHelp = `Prints the revision in force on the queried node and, as far as that node knows,
 the number of nodes at each revision by failure domain. Nodes that are behind and
-records that are held back are listed with the reason.
+records that are held back are listed with the reason. So are the era of a platform
+that has one, and the limit that the node's backend server names.
 
 $ carobctl status
 $ carobctl status --json`
@@ -40,7 +44,7 @@
 	}
 	m := resp.Msg
 	if a.JSON {
-		return a.printJSON(m)
+		return a.printStatusJSON(m, resp.Header())
 	}
 	fmt.Fprintf(a.out, "revision %d in force on node %s, newest known %d, %d live nodes\n", m.GetRevision(), a.Node, m.GetHead(), m.GetNodes())
 	fmt.Fprintf(a.out, "confirmed by the platform %s\n", formatAge(m.GetChecked()))
@@ -63,6 +67,30 @@
 	return nil
 }
 
+// statusHeaders maps the headers of the response to Status to fields of its JSON form.
+var statusHeaders = map[string]string{
+	operator.HeaderEra: "era", operator.HeaderPreviousEra: "previousEra",
+	operator.HeaderLimit: "limit", operator.HeaderLimitAge: "limitAge", operator.HeaderLimitSource: "limitSource",
+}
+
+// printStatusJSON prints a status with what the headers of its response say, as text.
+func (a *app) printStatusJSON(m *wire.StatusResponse, h http.Header) error {
+	data, err := protojson.Marshal(m)
+	if err != nil {
+		return err
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	for header, field := range statusHeaders {
+		if value := h.Get(header); value != "" {
+			fields[field] = value
+		}
+	}
+	return a.printLine(fields)
+}
+
 // printEra prints the era of the platform and, if the node saw it rise, the one
 // before. It prints nothing if the platform names no era.
 func (a *app) printEra(h http.Header) {
