End the limit in log and metric when its server is replaced

Operators saw the limit of the server before in caroblift_backend_limit until the next change, as a new incarnation reset it without a line. The reset now goes the way of every change. TestStatementEndsWithIncarnation reads the metric: 0 in place of -1 without the change.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -136,7 +136,7 @@
 	}
 	old := g.target.Swap(t)
 	if !t.sameServer(old) {
-		g.admission.ResetLimit()
+		g.resetLimit(old)
 		g.adoptForeseen(t)
 	}
 	now := time.Now()
@@ -212,7 +212,7 @@
 	if demand := header.Get(call.HeaderDemand); demand != "" {
 		w.Demand = call.ParseDemand(demand, time.Now())
 	}
-	if g.refusesLeaving(header, t) {
+	if g.adoptStated(header, t) {
 		return nil, w, call.ReasonLeaving
 	}
 	giveBack := func() {}
--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -58,10 +58,20 @@
 	g.changeLimit(t, source, l, func(now time.Time) (bool, []*call.Waiter) { return g.admission.AdoptLimit(l, source, now) })
 }
 
-// Sources of a limit other than the ID of a call.
+// resetLimit ends the limit, since another backend server follows, or none. The caller
+// holds g.mu.
+func (g *Gate) resetLimit(old *Target) {
+	if g.admission.LimitState(time.Now()).Named {
+		g.changeLimit(old, sourceReplaced, call.NamedLimit{}, func(time.Time) (bool, []*call.Waiter) { return true, nil })
+	}
+	g.admission.ResetLimit()
+}
+
+// Sources of a limit, or of its end, other than the ID of a call.
 const (
-	sourceHealth = "health" // the answer to a health check
-	sourceNode   = "node"   // another node, which had passed it on
+	sourceHealth   = "health"   // the answer to a health check
+	sourceNode     = "node"     // another node, which had passed it on
+	sourceReplaced = "replaced" // another backend server is in force, or none
 )
 
 // foreseenLimit is a limit named by a server that is not in force yet.
@@ -93,9 +103,9 @@
 	}
 }
 
-// refusesLeaving adopts what the entry node of a call has heard of the server, and
-// reports whether the call must be refused since the server is leaving.
-func (g *Gate) refusesLeaving(header http.Header, t *Target) bool {
+// adoptStated adopts what the entry node of a call has heard of the server, and reports
+// whether that is that the server is leaving.
+func (g *Gate) adoptStated(header http.Header, t *Target) bool {
 	stated := call.ParseStated(header.Get(call.HeaderStated))
 	if !stated.Concerns(t.Server, t.Epoch) {
 		return false
@@ -126,7 +136,8 @@
 }
 
 // recordLeaving records that a backend server has stated that it is leaving, in the answer
-// to a call with the given ID or as another source says. That is final for the incarnation, whatever it announces.
+// to a call with the given ID or as another source says. That is final for the
+// incarnation, whatever it announces.
 func (g *Gate) recordLeaving(t *Target, source string) {
 	g.mu.Lock()
 	current := g.target.Load()
