--- a/mesh/backend/gate_test.go
+++ b/mesh/backend/gate_test.go
@@ -133,8 +133,7 @@
 	return func() { b.left++ }, true
 }
 
-// TestRepeatNeedsBudgetOfCalledServices checks which calls take from the budget of the
-// services that the backend server calls, and that a refused call gives it back.
+// TestRepeatNeedsBudgetOfCalledServices checks who takes from that budget and gives it back.
 func TestRepeatNeedsBudgetOfCalledServices(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
@@ -166,8 +165,7 @@
 	require.Equal(t, callBudget{runs: 2}, *budget)
 }
 
-// TestConnectionsOfServiceAreKept guards against more calls at a server than it accepts
-// connections, where the configuration names fewer than usual.
+// TestConnectionsOfServiceAreKept guards against more calls at a server than connections.
 func TestConnectionsOfServiceAreKept(t *testing.T) {
 	for name, c := range map[string]struct{ conns, slots int }{
 		"unknown": {0, 30}, "usual": {110, 30}, "few": {22, 20}, "very few": {3, 2}, "one": {1, 1},
--- a/mesh/call/fanout_test.go
+++ b/mesh/call/fanout_test.go
@@ -9,8 +9,7 @@
 	"caroblift.dev/mesh/call"
 )
 
-// TestFanOut checks the number of calls in a run that is measured, from when a class of
-// calls is recognized as nested.
+// TestFanOut checks the measured calls in a run, once a class is recognized as nested.
 func TestFanOut(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var f call.FanOut
--- a/mesh/call/ratelimit_test.go
+++ b/mesh/call/ratelimit_test.go
@@ -39,8 +39,7 @@
 	return most
 }
 
-// TestLimitBoundsEveryWindow checks that no four seconds see more calls than the
-// platform's rule allows, and that the limit is used.
+// TestLimitBoundsEveryWindow checks any four seconds against the platform's rule, and the use.
 func TestLimitBoundsEveryWindow(t *testing.T) {
 	for _, limit := range []float64{0, 0.1, 0.2, 0.5, 1, 2.5, 6.4, 7, 20, 100} {
 		random := rand.New(rand.NewPCG(1, 2))
@@ -108,8 +107,7 @@
 	}
 }
 
-// TestLimitKeepsTokenForUrgentCalls checks that less urgent calls leave a token, and
-// that they may use it up where no more urgent ones come.
+// TestLimitKeepsTokenForUrgentCalls checks that less urgent calls leave a token to others.
 func TestLimitKeepsTokenForUrgentCalls(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := &call.Admission{}
@@ -129,8 +127,7 @@
 	require.Equal(t, call.Rejected, enter(2))
 }
 
-// TestLimitEmptiesQueue checks that calls which wait for a slot when a limit comes are
-// refused at once where it leaves no room for them, the least urgent first.
+// TestLimitEmptiesQueue checks that a limit refuses queued calls at once, least urgent first.
 func TestLimitEmptiesQueue(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := &call.Admission{}
--- a/mesh/call/stated_test.go
+++ b/mesh/call/stated_test.go
@@ -10,8 +10,7 @@
 	"caroblift.dev/mesh/call"
 )
 
-// TestStatedFormat checks that what was stated is parsed as it was formatted, and that
-// other texts state nothing.
+// TestStatedFormat checks that what was stated is parsed as formatted, and nothing else.
 func TestStatedFormat(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := call.Stated{
@@ -71,8 +70,7 @@
 	}
 }
 
-// TestAdoptedLimitIsReplacedByOwnEvidence checks that a limit heard from others counts only
-// until the gate has an answer of the server, and gives no token at first.
+// TestAdoptedLimitIsReplacedByOwnEvidence checks how long a limit heard from others counts.
 func TestAdoptedLimitIsReplacedByOwnEvidence(t *testing.T) {
 	now := time.Unix(1000, 0)
 	two, five := call.NamedLimit{Rate: 2, Named: true}, call.NamedLimit{Rate: 5, Named: true}
--- a/mesh/caller/chainbudget_test.go
+++ b/mesh/caller/chainbudget_test.go
@@ -143,8 +143,7 @@
 	}
 }
 
-// TestRepeatedRunsDrawOnTheBudgetOfCalledServices guards against more extra arrivals at a
-// service than its budget, where the runs of repeated calls elsewhere call it again.
+// TestRepeatedRunsDrawOnTheBudgetOfCalledServices guards against uncounted calls of repeats.
 func TestRepeatedRunsDrawOnTheBudgetOfCalledServices(t *testing.T) {
 	c := newChain(t)
 	var wg sync.WaitGroup
--- a/mesh/caller/memory_test.go
+++ b/mesh/caller/memory_test.go
@@ -14,8 +14,7 @@
 	"caroblift.dev/wire"
 )
 
-// TestMemoryOutlivesNode guards against forgetting what a backend server has stated when the
-// node beside it starts again, which has heard nothing.
+// TestMemoryOutlivesNode guards against forgetting a statement when the node starts again.
 func TestMemoryOutlivesNode(t *testing.T) {
 	now := time.Now()
 	agent := member.New(member.Config{Heartbeat: time.Second, SuspicionTimeout: time.Second}, &wire.Member{Name: "entry", Domain: "xitun", State: wire.State_STATE_ALIVE}, now)
--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -362,8 +362,7 @@
 	return s.eras.Observe(s.platform.Era())
 }
 
-// TestLostMeetingPointWithoutOtherCalls guards against a node that hears of a return of the
-// platform only when a watch ends that the platform has neither answered nor ended.
+// TestLostMeetingPointWithoutOtherCalls guards against hearing of a return by a silent watch only.
 func TestLostMeetingPointWithoutOtherCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		platform, eras := storetest.New(), store.NewEras(telemetry.Sinks{})
