End a limit by two successful answers without it, not by any one

A server that still names its limit in other answers would have lost it by one answer that lacks the header for another reason, such as a failure or a rejection, and would have got calls without a limit until the next one that names it.

Only a success may raise or end a limit, and two in a row end it.

--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -20,7 +20,7 @@
 
 // observe records the statement in the answer to an attempt. It must be the answer of
 // the server that the attempt was sent to. A limit that can't be read leaves the one in
-// force as it is.
+// force as it is, and only a success may raise or end it.
 func (g *Gate) observe(e *evidence, s Statement) {
 	if s.Leaving {
 		g.recordLeaving(e.target, e.call)
@@ -29,11 +29,15 @@
 		g.config.Sinks.Log.Warn("server limit not readable", "server", e.target.Server, "call", e.call, "limit", s.Invalid)
 		return
 	}
+	sentAt := e.sentAt
+	if e.status >= http.StatusMultipleChoices {
+		sentAt = time.Time{}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target.Load().sameServer(e.target) {
 		g.changeLimit(e.target, e.call, s.Limit, func(now time.Time) (bool, []*call.Waiter) {
-			return g.admission.ObserveLimit(s.Limit, e.call, e.sentAt, now)
+			return g.admission.ObserveLimit(s.Limit, e.call, sentAt, now)
 		})
 	}
 }
--- a/mesh/call/ratelimit.go
+++ b/mesh/call/ratelimit.go
@@ -23,6 +23,9 @@
 	burstTime = 500 * time.Millisecond
 	// minBurst is the smallest burst: a token for an urgent call and one for others.
 	minBurst = 2
+	// endingAnswers is the number of answers in a row without a limit that end it: one may
+	// lack the header for another reason.
+	endingAnswers = 2
 	// urgentFor is how long the most urgent priority is remembered without a call.
 	urgentFor = 5 * time.Second
 	// minRate is the rate, in requests a second, below which no limit is kept. A server
@@ -42,6 +45,7 @@
 	since   time.Time     // when the limit came into force
 	source  string        // ID of the call whose answer brought it
 	heard   bool          // an answer to a call was observed
+	unnamed int           // answers without a limit since the last one that named it, of calls sent after that
 	bucket  *rate.Limiter // nil without a limit
 
 	urgent     int       // lowest priority of the calls since the last one of that priority is urgentFor ago
@@ -49,7 +53,8 @@
 }
 
 // Observe records what the answer to a call says about the limit, and reports whether
-// that changes the limit in force. sentAt is when the call was sent.
+// that changes the limit in force. sentAt is when the call was sent; the zero time stands
+// for an answer that may only lower the limit. It takes endingAnswers to end one.
 func (l *RateLimit) Observe(in NamedLimit, source string, sentAt, now time.Time) bool {
 	l.heard = true
 	return l.change(in, source, sentAt, now)
@@ -73,9 +78,11 @@
 		return false
 	}
 	if in.Named {
-		l.namedAt = now
+		l.namedAt, l.unnamed = now, 0
+	} else {
+		l.unnamed++
 	}
-	if in == l.named {
+	if in == l.named || !in.Named && l.unnamed < endingAnswers {
 		return false
 	}
 	l.named, l.since, l.source = in, now, source
