Look at the platform only while other calls to it succeed

A node whose calls to the platform fail makes them again within a second by itself, and hears of a return by these; the look added a priced call a second to them in every outage. TestLostMeetingPointWithoutOtherCalls: none while other calls fail.

--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -235,7 +235,7 @@
 	n.meetingPoints = store.NewMeetingPoints(store.MeetingPointsConfig{
 		Store: meetingStore, Self: func() *wire.Member { return n.Members.View().Self },
 		IsAlive: func(name string) bool { return n.Members.View().Members[name] != nil }, MembersKnown: n.Members.Joined,
-		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Looker: looker, Sinks: n.sinks.ForPart("platform"),
+		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Looker: looker, Reachable: func() bool { return n.platformReader.Reachable() }, Sinks: n.sinks.ForPart("platform"),
 	})
 	if n.platform != nil {
 		n.assembleSource(n.platform)
--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -367,8 +368,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		platform, eras := storetest.New(), store.NewEras(telemetry.Sinks{})
 		looker := &lookStore{platform: platform, eras: eras}
+		var reachable atomic.Bool
+		reachable.Store(true)
 		m := store.NewMeetingPoints(store.MeetingPointsConfig{
-			Store: platform, Eras: eras, Looker: looker, PointsPerDomain: 4,
+			Store: platform, Eras: eras, Looker: looker, Reachable: reachable.Load, PointsPerDomain: 4,
 			Self:    func() *wire.Member { return &wire.Member{Name: "n", Domain: "d", Peer: "10.0.0.1:1"} },
 			IsAlive: func(string) bool { return true }, MembersKnown: func() bool { return true },
 		})
@@ -384,6 +387,10 @@
 		time.Sleep(2500 * time.Millisecond)
 		require.Len(t, platform.PeekAll(store.KindMember), 1)
 		require.LessOrEqual(t, looker.looks, 3)
+		looks := looker.looks
+		reachable.Store(false)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, looks, looker.looks, "other calls are made again soon")
 		cancel()
 		synctest.Wait()
 	})
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -43,6 +43,7 @@
 	PointsPerDomain int                    // wanted number of meeting points in each failure domain
 	Eras            *Eras                  // of the platform; nil if it has none
 	Looker          Looker                 // nil if the platform has no eras, or no such look
+	Reachable       func() bool            // whether the platform answered the node's last other call; required with Looker
 	Sinks           telemetry.Sinks
 }
 
@@ -174,9 +175,10 @@
 // return would let the node hear of it only when its wait is over.
 const lookInterval = time.Second
 
-// look asks the platform for its era if it has not answered for lookInterval.
+// look asks the platform for its era if it has not answered for lookInterval, unless other
+// calls of the node fail: those are made again soon.
 func (m *MeetingPoints) look(ctx context.Context) {
-	if !m.owns || m.config.Looker == nil || m.config.Eras.SinceHeard() < lookInterval {
+	if !m.owns || m.config.Looker == nil || !m.config.Reachable() || m.config.Eras.SinceHeard() < lookInterval {
 		return
 	}
 	name := pointName(m.config.Self().GetName())
