--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -354,12 +354,12 @@
 type lookStore struct {
 	platform *storetest.Store
 	eras     *store.Eras
-	looks    int
+	looks    atomic.Int32
 }
 
 // Look implements store.Looker.
 func (s *lookStore) Look(context.Context, string, string) error {
-	s.looks++
+	s.looks.Add(1)
 	return s.eras.Observe(s.platform.Era())
 }
 
@@ -382,15 +382,15 @@
 			time.Sleep(100 * time.Millisecond)
 			require.NoError(t, eras.Observe(platform.Era()))
 		}
-		require.Zero(t, looker.looks, "the platform answers other calls")
+		require.Zero(t, looker.looks.Load(), "the platform answers other calls")
 		platform.Restore(time.Hour)
 		time.Sleep(2500 * time.Millisecond)
 		require.Len(t, platform.PeekAll(store.KindMember), 1)
-		require.LessOrEqual(t, looker.looks, 3)
-		looks := looker.looks
+		require.LessOrEqual(t, looker.looks.Load(), int32(3))
+		looks := looker.looks.Load()
 		reachable.Store(false)
 		time.Sleep(5 * time.Second)
-		require.Equal(t, looks, looker.looks, "other calls are made again soon")
+		require.Equal(t, looks, looker.looks.Load(), "other calls are made again soon")
 		cancel()
 		synctest.Wait()
 	})
