--- a/mesh/call/ratelimit.go
+++ b/mesh/call/ratelimit.go
@@ -48,7 +48,7 @@
 	unnamed int           // answers without a limit since the last one that named it, of calls sent after that
 	bucket  *rate.Limiter // nil without a limit
 
-	urgent     int       // lowest priority of the calls since the last one of that priority is urgentFor ago
+	urgent     int       // most urgent priority seen, forgotten when no call of it came for urgentFor
 	urgentSeen time.Time // when a call of that priority last came
 }
 
