--- a/carobctl/explain.go
+++ b/carobctl/explain.go
@@ -24,26 +24,45 @@
 
 $ carobctl explain 548bf2009646c1bc /var/log/caroblift/*.log
 $ carobctl explain 548bf2009646c1bc --before 30s < all.log
+$ carobctl explain --summary /var/log/caroblift/*.log
+
+With --summary it prints, instead of one call, how many calls of each route were
+refused, lost, slow or given up, for which reason, and the mean ms in each stage.
 
 It exits with 3 if no line contains the call ID: the call succeeded within its
 objective, its lines were omitted (look for "repeated" and "log lines lost"), or
 the logs of its nodes are not among the files.`
 
 type explainCommand struct {
-	app    *app
-	Before time.Duration `long:"before" default:"10s" description:"how long before the call to look for state changes"`
-	Args   struct {
-		ID    string   `positional-arg-name:"ID" required:"yes"`
+	app     *app
+	Before  time.Duration `long:"before" default:"10s" description:"how long before the call to look for state changes"`
+	Summary bool          `long:"summary" description:"sum up all calls that were not answered in time; there is no ID"`
+	Args    struct {
+		ID    string   `positional-arg-name:"ID"`
 		Files []string `positional-arg-name:"FILE"`
 	} `positional-args:"yes"`
 }
 
-// Execute prints the explanation of the call.
+// Execute prints the explanation of the call, or the summary of all.
 func (c *explainCommand) Execute([]string) error {
-	lines, err := c.read()
+	files := c.Args.Files
+	switch {
+	case c.Summary && c.Args.ID != "":
+		files = append([]string{c.Args.ID}, files...)
+	case !c.Summary && c.Args.ID == "":
+		return exitf(exitUsage, "name the ID of a call, or use --summary")
+	}
+	lines, err := c.read(files)
 	if err != nil {
 		return exitf(exitUsage, "%s", err)
 	}
+	if c.Summary {
+		losses := newSummary(lines)
+		if c.app.JSON {
+			return json.NewEncoder(c.app.out).Encode(losses)
+		}
+		return printSummary(c.app.out, losses)
+	}
 	e := newExplanation(c.Args.ID, lines, c.Before)
 	if len(e.Calls) == 0 {
 		return exitf(exitRefused, "no line names call %s in %d lines", c.Args.ID, len(lines))
@@ -55,13 +74,13 @@
 	return nil
 }
 
-// read returns the log lines of all files, or of standard input if none is given.
-func (c *explainCommand) read() ([]logLine, error) {
-	if len(c.Args.Files) == 0 {
+// read returns the log lines of files, or of standard input if none is given.
+func (c *explainCommand) read(files []string) ([]logLine, error) {
+	if len(files) == 0 {
 		return readLog(c.app.in, "standard input")
 	}
 	var all []logLine
-	for _, path := range c.Args.Files {
+	for _, path := range files {
 		f, err := os.Open(path)
 		if err != nil {
 			return nil, err
--- a/carobctl/explain_test.go
+++ b/carobctl/explain_test.go
@@ -92,3 +92,25 @@
 	}
 	require.Equal(t, exitUsage, carobctl("127.0.0.1:1", "", "explain", "1", "no-such-file").code)
 }
+
+// TestSummary checks how calls that were not answered in time are summed up.
+func TestSummary(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	repeated := strings.Replace(refusedLog, `"instances":6}`, `"instances":6,"repeated":40}`, 1)
+	require.NoError(t, os.WriteFile(path, []byte(refusedLog+lostLog+slowLog+repeated), 0o600))
+	got := carobctl("127.0.0.1:1", "", "explain", "--summary", path)
+	require.Zero(t, got.code, got.err)
+	var rows []string
+	for line := range strings.Lines(got.out) {
+		rows = append(rows, strings.Join(strings.Fields(line), " "))
+	}
+	require.Equal(t, []string{
+		"route message reason calls arrived took way queued server",
+		"- call refused busy 2 0 0 0 0 0",
+		"- call slow - 1 1 700 100 450 150",
+		"r call refused busy 41 0 0 0 0 0",
+		"r call lost broken 1 1 0 0 0 0",
+	}, rows)
+	require.Contains(t, carobctl("127.0.0.1:1", refusedLog, "--json", "explain", "--summary").out, `"route":"r","message":"call refused","reason":"busy","calls":1,`)
+	require.Equal(t, exitUsage, carobctl("127.0.0.1:1", "", "explain").code)
+}
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -308,9 +308,10 @@
 	time.AfterFunc(g.config.AbortGrace, func() { g.releaseSlot(w, result) })
 }
 
-// RecordShortages records the shortages that a service reported to a call of the
-// backend server.
-func (g *Gate) RecordShortages(service string, shortages []call.Shortage) {
+// RecordShortages records the shortages that the gate of a member reported to a call of
+// the backend server.
+func (g *Gate) RecordShortages(service, member string, shortages []call.Shortage) {
+	g.config.Sinks.Log.Info(telemetry.ShortageReported, "service", service, "member", member, "shortages", call.FormatShortages(shortages))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admission.RecordShortages(service, shortages, time.Now())
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -29,16 +29,16 @@
 	Table              func() *revision.Table
 	Ready              func() bool // whether the table may be used for calls
 	View               func() *member.View
-	Local              http.RoundTripper                               // sends to this node's own backend server; nil if it is called like those of other nodes
-	Remote             http.RoundTripper                               // sends to other nodes
-	ReportReachability func(name string, reached bool)                 // reports to membership whether a node was reached
-	ReportShortages    func(service string, shortages []call.Shortage) // receives those that a service reports to calls of this node's own server; may be nil
-	Timeout            time.Duration                                   // of a call whose route has none
-	Policy             call.Policy                                     // nil means DefaultPolicy
-	Service            string                                          // name of the service on this instance, which is the caller; may be empty
-	Dialect            Dialect                                         // nil means the Caroblift headers
-	BufferLimit        int64                                           // size in bytes up to which an answer is buffered before it is forwarded; zero means none
-	ExtraAttempts      ExtraAttempts                                   // limit of extra attempts, instead of the policies'; zero means none
+	Local              http.RoundTripper                                       // sends to this node's own backend server; nil if it is called like those of other nodes
+	Remote             http.RoundTripper                                       // sends to other nodes
+	ReportReachability func(name string, reached bool)                         // reports to membership whether a node was reached
+	ReportShortages    func(service, member string, shortages []call.Shortage) // receives those that a gate of a service reports to calls of this node's own server; may be nil
+	Timeout            time.Duration                                           // of a call whose route has none
+	Policy             call.Policy                                             // nil means DefaultPolicy
+	Service            string                                                  // name of the service on this instance, which is the caller; may be empty
+	Dialect            Dialect                                                 // nil means the Caroblift headers
+	BufferLimit        int64                                                   // size in bytes up to which an answer is buffered before it is forwarded; zero means none
+	ExtraAttempts      ExtraAttempts                                           // limit of extra attempts, instead of the policies'; zero means none
 	Sinks              telemetry.Sinks
 }
 
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -156,7 +156,7 @@
 		x.nested.Store(true)
 	}
 	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
-		report(x.target, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
+		report(x.target, i.Name, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
 	}
 	i.Memory.Record(call.ParseStated(resp.Header.Get(call.HeaderStated)), resp.Header.Get(call.HeaderReason) == "", now.Add(-took), now)
 	if resp.Header.Get(call.HeaderReason) != "" {
