--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,8 +37,8 @@
 }
 
 // sim is a discrete-event simulation of calls to the backend servers of some
-// services. Callers' calls enter at one node, which runs no server. The calls of
-// servers enter at the server's own node.
+// services. Callers' calls enter at some nodes, which run no server. The calls of
+// servers enter at the server's own node if there are several of these nodes.
 type sim struct {
 	now      time.Duration
 	events   events
@@ -46,19 +47,34 @@
 	stats    map[string]*callerStats
 
 	ignoreShortages bool // the gates don't learn of shortages at services that their servers call
+	entries         int  // nodes at which callers' calls enter, of which each knows only its own calls
 }
 
 // simService is the backend servers of one service.
 type simService struct {
-	name     string
-	gates    []*gate
-	balancer *call.Balancer
+	name      string
+	gates     []*gate
+	balancers map[any]*call.Balancer // by entry node: a number, or the gate beside the server that calls
+}
+
+// balancer returns what an entry node knows of the service.
+func (s *simService) balancer(entry any) *call.Balancer {
+	b := s.balancers[entry]
+	if b == nil {
+		b = &call.Balancer{}
+		for i, g := range s.gates {
+			b.Near = append(b.Near, call.NewInstance(strconv.Itoa(i), g.slots))
+		}
+		s.balancers[entry] = b
+	}
+	return b
 }
 
 // callerStats counts the results of the calls of a class. failed counts those that
 // were run in vain, since a nested call was refused; heldRefused counts those that
-// were refused after their objective.
-type callerStats struct{ asked, inTime, late, refused, failed, heldRefused int }
+// were refused after their objective, and yielded those that were refused for more
+// urgent ones at a service that their server calls.
+type callerStats struct{ asked, inTime, late, refused, failed, heldRefused, yielded int }
 
 // served returns the share of the calls that were answered.
 func (s *callerStats) served() float64 { return float64(s.inTime+s.late) / float64(max(1, s.asked)) }
@@ -68,7 +84,6 @@
 	admission call.Admission
 	slots     int
 	speed     float64 // factor of the duration of a call
-	instance  *call.Instance
 	waiting   map[*call.Waiter]func() // continuations of queued calls
 }
 
@@ -88,19 +103,18 @@
 
 // newSim returns a simulation with one gate for each speed.
 func newSim(slots int, speeds ...float64) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, services: map[string]*simService{}}
+	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, services: map[string]*simService{}, entries: 1}
 	s.addService("", slots, speeds...)
 	return s
 }
 
 // addService adds a service with one gate for each speed.
 func (s *sim) addService(name string, slots int, speeds ...float64) {
-	service := &simService{name: name, balancer: &call.Balancer{}}
-	for i, speed := range speeds {
-		g := &gate{slots: slots, speed: speed, instance: call.NewInstance(string(rune('a'+i)), slots), waiting: map[*call.Waiter]func(){}}
+	service := &simService{name: name, balancers: map[any]*call.Balancer{}}
+	for _, speed := range speeds {
+		g := &gate{slots: slots, speed: speed, waiting: map[*call.Waiter]func(){}}
 		g.admission.SetLimits(call.Limits{Slots: slots, Warmup: -1}, s.time())
 		service.gates = append(service.gates, g)
-		service.balancer.Near = append(service.balancer.Near, g.instance)
 	}
 	s.services[name] = service
 }
@@ -147,8 +161,9 @@
 // simCall is one call in progress.
 type simCall struct {
 	*class
-	start time.Duration
-	done  func(answered bool)
+	start    time.Duration
+	instance *call.Instance // the last one tried, as the entry node knows it
+	done     func(answered bool)
 }
 
 // call places one call as an entry node does: it tries up to three instances for
@@ -165,14 +180,17 @@
 	if parent == nil {
 		caller = s.randomCaller()
 	}
+	balancer := service.balancer(s.entry(parent))
 	var tried []*call.Instance
 	for attempt := 0; ; attempt++ {
 		wait := attempt == 3 || len(tried) == len(service.gates)
 		if wait {
 			tried = nil
 		}
-		i, _ := service.balancer.PickLowestCost(false, c.objective, tried, s.time(), s.rand.IntN)
-		g := service.gates[i.Name[0]-'a']
+		i, _ := balancer.PickLowestCost(false, c.objective, tried, s.time(), s.rand.IntN)
+		n, _ := strconv.Atoi(i.Name)
+		g := service.gates[n]
+		x.instance = i
 		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{}), Outside: caller != c.service, Repeated: attempt > 0}
 		w.Demand = call.Demand{Class: c.name, Priority: c.priority, Objective: s.time().Add(c.objective), NoWait: !wait}
 		verdict := g.admission.Enter(w, s.time())
@@ -194,6 +212,9 @@
 			})
 			return
 		}
+		if w.Reason() == call.ReasonOverload {
+			stats.yielded++
+		}
 		if wait || w.Reason() == call.ReasonOverload {
 			s.refuse(x)
 			return
@@ -202,6 +223,18 @@
 	}
 }
 
+// entry returns the node at which a call enters that the server beside parent makes, or
+// a caller if parent is nil.
+func (s *sim) entry(parent *gate) any {
+	if s.entries == 1 {
+		return 0
+	}
+	if parent != nil {
+		return parent
+	}
+	return s.rand.IntN(s.entries)
+}
+
 // randomCaller returns the service of a random instance, where a caller's call
 // enters.
 func (s *sim) randomCaller() string {
@@ -278,7 +311,7 @@
 		stats.late++
 	}
 	decided := g.admission.Finish(w, result, s.time())
-	g.instance.RecordLoad(g.admission.Report(s.time()), s.time())
+	x.instance.RecordLoad(g.admission.Report(s.time()), s.time())
 	s.resume(g, decided)
 	x.done(answered)
 }
