Judge the shortage of a called service by all its gates, not by one

Cause: a gate reported the share that it refuses of the calls sent to it, and the newest report of any gate stood for its service. Near its slots a gate refuses most of that while others have room; a call that three gates reject before the fourth serves it counted as refused. Its averages counted decisions, not seconds. Class of fault: the view of one node taken for the state of a service.

Now gates report tallies of calls, each counted once where it was decided, and the node whose server calls sums them up over the gates that answered it. That is what the service refuses, whichever gates are full.

The other tests of shortages pass unchanged but for the format of the header. A node of an earlier version ignores the new header, and its reports are ignored.

--- a/carobctl/explain.go
+++ b/carobctl/explain.go
@@ -177,7 +177,8 @@
 	"backend server": true, "backend server lost": true, "backend server checked": true, "announcement refused": true,
 	"server limit": true, "server limit not readable": true, "backend server says that it leaves": true,
 	"member found": true, "member changed": true, "member lost": true, "instance ejected": true,
-	"table in force": true, "configuration refused": true, "store lost": true, "store answers": true,
+	"called service short": true,
+	"table in force":       true, "configuration refused": true, "store lost": true, "store answers": true,
 }
 
 // newExplanation selects the lines of a call, and the state changes of the nodes
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -54,7 +54,7 @@
 		g.metrics.countRefusal(reason)
 		resp := g.refusalAnswer(id, reason)
 		resp.Header[call.HeaderAfter] = []string{strconv.FormatInt(g.expectedWait(slot).Milliseconds(), 10)}
-		g.markNested(resp, slot)
+		markNested(resp, slot)
 		return resp
 	}
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
@@ -69,21 +69,14 @@
 		c.logServerError(resp.StatusCode, attempt)
 		resp = c.prepareAnswer(resp, remote)
 	}
-	g.markNested(resp, slot)
+	markNested(resp, slot)
 	return resp
 }
 
-// markNested marks the answer to a nested call and adds the shortages of the service.
-func (g *Gate) markNested(resp *http.Response, w *call.Waiter) {
-	if w == nil || !w.Nested() {
-		return
-	}
-	resp.Header[call.HeaderNested] = []string{call.Yes}
-	g.mu.Lock()
-	shortages := g.admission.Shortages(time.Now())
-	g.mu.Unlock()
-	if len(shortages) > 0 {
-		resp.Header[call.HeaderShortage] = []string{call.FormatShortages(shortages)}
+// markNested marks the answer to a nested call.
+func markNested(resp *http.Response, w *call.Waiter) {
+	if w != nil && w.Nested() {
+		resp.Header[call.HeaderNested] = []string{call.Yes}
 	}
 }
 
@@ -200,12 +193,15 @@
 
 // setAnswerHeaders sets the headers that every answer of a node carries.
 func (g *Gate) setAnswerHeaders(resp *http.Response, id string) {
-	report, link, _ := g.load()
+	report, tallies, link := g.load()
 	resp.Header[call.HeaderID] = []string{id}
 	if wait := link.Milliseconds(); wait > 0 {
 		resp.Header[call.HeaderLink] = []string{strconv.FormatInt(wait, 10)}
 	}
 	resp.Header[call.HeaderLoad] = []string{report.String()}
+	if tallies != "" {
+		resp.Header[call.HeaderTally] = []string{tallies}
+	}
 	if stated := g.stated().Format(); stated != "" {
 		resp.Header[call.HeaderStated] = []string{stated}
 	}
@@ -242,8 +238,7 @@
 	if !o.repeatable || g.config.Dialect != nil {
 		return g.send(ctx, g.pooled, o.request)
 	}
-	_, _, work := g.load()
-	o.watchForSilence(max(g.config.SilenceTimeout, silenceFactor*work))
+	o.watchForSilence(max(g.config.SilenceTimeout, silenceFactor*g.meanDuration()))
 	resp, failure := g.send(ctx, g.pooled, o.request)
 	if o.stopWatch() {
 		return resp, failure
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -48,23 +48,25 @@
 	OwnShare  func(service string) float64 // returns the share of instances that run a service; nil means unknown
 	SentBytes func() int64                 // returns all bytes that the instance has sent over the link so far; with nil only large answers count
 	Sinks     telemetry.Sinks
-	// Calls limits the runs of repeated calls by the budgets of the services that the backend
-	// server calls; nil means no limit.
-	Calls CallBudget
+	// Calls accounts for the calls that the backend server makes; nil means that it makes none.
+	Calls Callees
 	// ServerLeaving is called when the backend server, as it was set, states in an answer
 	// that it is leaving; it may be nil. The gate admits no new call to it from then on.
 	ServerLeaving func(*Target)
 }
 
-// CallBudget accounts for the calls that the backend server makes in its runs. Its methods
-// may be called concurrently.
-type CallBudget interface {
+// Callees is the services that the backend server calls in its runs. Its methods may be
+// called concurrently.
+type Callees interface {
 	// AddRun counts a call that the backend server runs.
 	AddRun()
 	// TakeRepeat takes what another run of a call costs from the budgets of the services
 	// that the server calls. It returns false if one of them has not enough, and otherwise
 	// a function that gives all back.
 	TakeRepeat() (giveBack func(), ok bool)
+	// YieldShare returns the share of the calls of a priority to refuse before they run, so
+	// that the called services have room for more urgent calls.
+	YieldShare(priority int) float64
 }
 
 // Gate admits calls to the backend server and forwards them. Every call to the
@@ -215,6 +217,9 @@
 	if g.adoptStated(header, t) {
 		return nil, w, call.ReasonLeaving
 	}
+	if g.config.Calls != nil {
+		w.YieldShare = g.config.Calls.YieldShare(w.Priority)
+	}
 	giveBack := func() {}
 	if g.config.Calls != nil && header[call.HeaderRepeated] != nil {
 		var ok bool
@@ -308,15 +313,6 @@
 	time.AfterFunc(g.config.AbortGrace, func() { g.releaseSlot(w, result) })
 }
 
-// RecordShortages records the shortages that the gate of a member reported to a call of
-// the backend server.
-func (g *Gate) RecordShortages(service, member string, shortages []call.Shortage) {
-	g.config.Sinks.Log.Info(telemetry.ShortageReported, "service", service, "member", member, "shortages", call.FormatShortages(shortages))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.admission.RecordShortages(service, shortages, time.Now())
-}
-
 // recordResult records whether the backend server answered a call whose duration
 // must not count.
 func (g *Gate) recordResult(good bool) {
@@ -338,11 +334,18 @@
 	return max(g.admission.ExpectedWait(now), g.link.ExpectedSendTime(w.Class, now), g.admission.LimitWait(w, now))
 }
 
-// load returns the load that is reported in answers, how long another large
-// answer would wait for the link, and the average duration of calls.
-func (g *Gate) load() (report call.LoadReport, link, work time.Duration) {
+// load returns the load and the tallies that are reported in answers, and how long
+// another large answer would wait for the link.
+func (g *Gate) load() (report call.LoadReport, tallies string, link time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return g.admission.Report(now), g.link.QueueDelay(now), g.admission.MeanDuration()
+	return g.admission.Report(now), g.admission.Tallies(now), g.link.QueueDelay(now)
+}
+
+// meanDuration returns the average duration of calls.
+func (g *Gate) meanDuration() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.MeanDuration()
 }
--- a/mesh/backend/gate_test.go
+++ b/mesh/backend/gate_test.go
@@ -120,24 +120,26 @@
 	}
 }
 
-// callBudget is a backend.CallBudget with a number of repeats left.
-type callBudget struct{ runs, left int }
+// callees is a backend.Callees with a number of repeats left.
+type callees struct{ runs, left int }
 
-func (b *callBudget) AddRun() { b.runs++ }
+func (c *callees) AddRun() { c.runs++ }
 
-func (b *callBudget) TakeRepeat() (func(), bool) {
-	if b.left == 0 {
+func (c *callees) TakeRepeat() (func(), bool) {
+	if c.left == 0 {
 		return nil, false
 	}
-	b.left--
-	return func() { b.left++ }, true
+	c.left--
+	return func() { c.left++ }, true
 }
 
+func (c *callees) YieldShare(int) float64 { return 0 }
+
 // TestRepeatNeedsBudgetOfCalledServices checks who takes from that budget and gives it back.
 func TestRepeatNeedsBudgetOfCalledServices(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
-	budget := &callBudget{left: 1}
+	budget := &callees{left: 1}
 	gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Calls: budget})
 	defer gate.Close()
 	target := &backend.Target{Service: "quotes", Address: server.Listener.Addr().String(), Slots: 9}
@@ -156,13 +158,13 @@
 	leaving.Leaving = true
 	gate.SetTarget(&leaving)
 	require.Equal(t, call.ReasonLeaving, send(true))
-	require.Equal(t, callBudget{left: 1}, *budget, "it did not run")
+	require.Equal(t, callees{left: 1}, *budget, "it did not run")
 	gate.SetTarget(target)
 	require.Empty(t, send(true))
-	require.Equal(t, callBudget{runs: 1}, *budget)
+	require.Equal(t, callees{runs: 1}, *budget)
 	require.Equal(t, call.ReasonBudget, send(true))
 	require.Empty(t, send(false))
-	require.Equal(t, callBudget{runs: 2}, *budget)
+	require.Equal(t, callees{runs: 2}, *budget)
 }
 
 // TestConnectionsOfServiceAreKept guards against more calls at a server than connections.
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -38,6 +38,10 @@
 	Outside  bool          // the call entered the mesh at an instance of another service
 	Repeated bool          // another gate has refused the call before
 
+	// YieldShare is the share of calls like this one to refuse for more urgent ones at a
+	// service that the backend server calls, as the function YieldShare returns it.
+	YieldShare float64
+
 	nested        bool      // a backend server makes the call while it runs another
 	remote        bool      // the response is sent to another instance
 	expectedBytes float64   // response size that the link was told to expect
@@ -71,11 +75,11 @@
 	failureRate    decayingRate
 	link           *Link
 	origins        origins
-	ownShare       float64         // share of instances that run the service
-	nestedSlots    float64         // moving average of the slots that nested calls hold
-	nestedProgress int             // nested calls that hold a slot
-	shortages      shortageMeter   // of this service
-	called         shortageLimiter // by the shortages of the services that the server calls
+	ownShare       float64 // share of instances that run the service
+	nestedSlots    float64 // moving average of the slots that nested calls hold
+	nestedProgress int     // nested calls that hold a slot
+	tallies        tallyMeter
+	yieldCarry     map[int]float64 // by priority: sum of the yield shares since the last call that yielded
 	rateLimit      RateLimit       // that the server names
 }
 
@@ -137,7 +141,7 @@
 	case !w.Deadline.IsZero() && !now.Before(w.Deadline):
 		w.reject(ReasonLate)
 	case a.yields(w, now):
-		a.refuse(w, ReasonOverload, now)
+		w.reject(ReasonOverload)
 	case a.linkTooSlow(w, now):
 		w.reject(ReasonBusy)
 	case a.limited(w, now):
@@ -172,8 +176,10 @@
 		a.nestedProgress++
 	}
 	w.state, w.admittedAt = Admitted, now
-	if !w.nested && !w.Objective.IsZero() {
-		a.shortages.add(w.Priority, false, now)
+	if w.counts() {
+		if t := a.tallies.of(w.Priority, now); t != nil {
+			t.Served++
+		}
 	}
 	if w.remote {
 		w.expectedBytes = a.link.Begin(w.Class)
--- a/mesh/call/choice.go
+++ b/mesh/call/choice.go
@@ -27,6 +27,20 @@
 // Len returns the number of instances.
 func (b *Balancer) Len() int { return len(b.Near) + len(b.Far) }
 
+// Tallies returns the sums of the tallies that the instances reported of late, and how
+// many of them did.
+func (b *Balancer) Tallies(now time.Time) (sums []Tally, reported int) {
+	for _, from := range [][]*Instance{b.Near, b.Far} {
+		for _, i := range from {
+			if r := i.tallies.Load(); r != nil && now.Sub(r.at) <= maxTallyAge {
+				sums = AddTallies(sums, r.tallies)
+				reported++
+			}
+		}
+	}
+	return sums, reported
+}
+
 // pickBufferSize is the number of candidates that a pick holds without a heap
 // allocation.
 const pickBufferSize = 32
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -33,7 +33,7 @@
 	HeaderCaller   = "Caroblift-Caller"   // service of the instance at which the call entered the mesh
 	HeaderAfter    = "Caroblift-After"    // ms after which the caller of a refused call may retry
 	HeaderStated   = "Caroblift-Stated"   // what the backend server has stated, as Stated formats it; between nodes in both directions, absent when nothing
-	HeaderShortage = "Caroblift-Shortage" // shortages of the called service, as FormatShortages formats them; absent when none
+	HeaderTally    = "Caroblift-Tally"    // calls that the gate has served and refused, as FormatTallies formats them; absent when none
 	HeaderRevision = "Caroblift-Revision" // configuration revision by which the call was routed
 )
 
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -83,10 +83,11 @@
 	reportedDuration average       // average duration of a call as last reported, in seconds
 	reportedFailures average       // failure rate as last reported
 	transit          [2]average    // time on the network, in seconds; the second is for large responses
-	linkWait         average       // wait for its network link as last reported, in seconds
-	ejectedUntil     atomic.Int64  // end of the ejection, in Unix ns
-	limitedUntil     atomic.Int64  // until when the backend server's limit is expected to leave no room, in Unix ns
-	ejections        atomic.Int32  // consecutive ejections
+	tallies          atomic.Pointer[tallyReport]
+	linkWait         average      // wait for its network link as last reported, in seconds
+	ejectedUntil     atomic.Int64 // end of the ejection, in Unix ns
+	limitedUntil     atomic.Int64 // until when the backend server's limit is expected to leave no room, in Unix ns
+	ejections        atomic.Int32 // consecutive ejections
 }
 
 // average is an exponentially weighted moving average with the time of its last
@@ -151,6 +152,17 @@
 	i.packedReport.Store(packReport(r.InProgress, i.Outstanding(), now))
 }
 
+// tallyReport is the tallies in the last answer of an instance that had any.
+type tallyReport struct {
+	tallies []Tally
+	at      time.Time
+}
+
+// RecordTallies records the tallies that a response reported.
+func (i *Instance) RecordTallies(tallies []Tally, now time.Time) {
+	i.tallies.Store(&tallyReport{tallies, now})
+}
+
 // A packed report holds the reported number of calls, the number of this node's
 // calls at that time, and the time in ms, so that a single atomic covers all
 // three.
--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -37,8 +37,8 @@
 }
 
 // sim is a discrete-event simulation of calls to the backend servers of some
-// services. Callers' calls enter at some nodes, which run no server. The calls of
-// servers enter at the server's own node if there are several of these nodes.
+// services. There is a node beside each server. Callers' calls enter at any of them, and
+// those of a server at its own.
 type sim struct {
 	now      time.Duration
 	events   events
@@ -47,27 +47,53 @@
 	stats    map[string]*callerStats
 
 	ignoreShortages bool // the gates don't learn of shortages at services that their servers call
-	entries         int  // nodes at which callers' calls enter, of which each knows only its own calls
+	separate        bool // each node knows only what its own calls have shown, instead of what all have
 }
 
 // simService is the backend servers of one service.
 type simService struct {
 	name      string
 	gates     []*gate
-	balancers map[any]*call.Balancer // by entry node: a number, or the gate beside the server that calls
+	knowledge map[*gate]*knowledge // by the gate of the node; by nil what all nodes know
 }
 
-// balancer returns what an entry node knows of the service.
-func (s *simService) balancer(entry any) *call.Balancer {
-	b := s.balancers[entry]
-	if b == nil {
-		b = &call.Balancer{}
-		for i, g := range s.gates {
-			b.Near = append(b.Near, call.NewInstance(strconv.Itoa(i), g.slots))
+// knowledge is what a node knows of a service by the answers to its calls.
+type knowledge struct {
+	balancer   call.Balancer
+	starvation call.Starvation
+	shortages  []call.Shortage
+	at         time.Time // of the shortages
+}
+
+// known returns what the node of a gate knows of a service.
+func (s *sim) known(service *simService, g *gate) *knowledge {
+	if !s.separate {
+		g = nil
+	}
+	k := service.knowledge[g]
+	if k == nil {
+		k = &knowledge{}
+		for i, g := range service.gates {
+			k.balancer.Near = append(k.balancer.Near, call.NewInstance(strconv.Itoa(i), g.slots))
 		}
-		s.balancers[entry] = b
+		service.knowledge[g] = k
+	}
+	return k
+}
+
+// yieldShare returns the share of a class of calls that a gate must refuse for more urgent
+// ones at the service that the server calls, as caller.Proxy does.
+func (s *sim) yieldShare(c *class, g *gate) float64 {
+	if c.nested == nil || s.ignoreShortages {
+		return 0
 	}
-	return b
+	called := s.known(s.services[c.nested.service], g)
+	if s.time().Sub(called.at) >= 100*time.Millisecond {
+		called.at = s.time()
+		sums, _ := called.balancer.Tallies(s.time())
+		called.shortages = called.starvation.Update(sums, s.time())
+	}
+	return call.YieldShare(c.priority, called.shortages)
 }
 
 // callerStats counts the results of the calls of a class. failed counts those that
@@ -83,7 +109,7 @@
 type gate struct {
 	admission call.Admission
 	slots     int
-	speed     float64 // factor of the duration of a call
+	speed     float64                 // factor of the duration of a call
 	waiting   map[*call.Waiter]func() // continuations of queued calls
 }
 
@@ -103,14 +129,14 @@
 
 // newSim returns a simulation with one gate for each speed.
 func newSim(slots int, speeds ...float64) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, services: map[string]*simService{}, entries: 1}
+	s := &sim{rand: rand.New(rand.NewPCG(7, 9)), stats: map[string]*callerStats{}, services: map[string]*simService{}}
 	s.addService("", slots, speeds...)
 	return s
 }
 
 // addService adds a service with one gate for each speed.
 func (s *sim) addService(name string, slots int, speeds ...float64) {
-	service := &simService{name: name, balancers: map[any]*call.Balancer{}}
+	service := &simService{name: name, knowledge: map[*gate]*knowledge{}}
 	for _, speed := range speeds {
 		g := &gate{slots: slots, speed: speed, waiting: map[*call.Waiter]func(){}}
 		g.admission.SetLimits(call.Limits{Slots: slots, Warmup: -1}, s.time())
@@ -168,8 +194,8 @@
 
 // call places one call as an entry node does: it tries up to three instances for
 // a free slot, then queues at the best one. The call enters at the node of parent,
-// the gate of the server that makes it, or at a node of one of the services if
-// parent is nil. It calls done when the call has ended.
+// the gate of the server that makes it, or at any node if parent is nil. It calls
+// done when the call has ended.
 func (s *sim) call(c *class, caller string, parent *gate, done func(answered bool)) {
 	if s.stats[c.name] == nil {
 		s.stats[c.name] = &callerStats{}
@@ -178,9 +204,9 @@
 	x := &simCall{class: c, start: s.now, done: done}
 	stats.asked++
 	if parent == nil {
-		caller = s.randomCaller()
+		caller, parent = s.randomEntry()
 	}
-	balancer := service.balancer(s.entry(parent))
+	balancer := &s.known(service, parent).balancer
 	var tried []*call.Instance
 	for attempt := 0; ; attempt++ {
 		wait := attempt == 3 || len(tried) == len(service.gates)
@@ -191,13 +217,11 @@
 		n, _ := strconv.Atoi(i.Name)
 		g := service.gates[n]
 		x.instance = i
-		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{}), Outside: caller != c.service, Repeated: attempt > 0}
-		w.Demand = call.Demand{Class: c.name, Priority: c.priority, Objective: s.time().Add(c.objective), NoWait: !wait}
+		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{}), Outside: caller != c.service, Repeated: attempt > 0, YieldShare: s.yieldShare(c, g)}
+		w.Demand = call.Demand{Class: c.name, Priority: c.priority, Objective: s.time().Add(c.objective), NoWait: !wait, Last: wait}
 		verdict := g.admission.Enter(w, s.time())
 		i.RecordLoad(g.admission.Report(s.time()), s.time())
-		if parent != nil && w.Nested() && !s.ignoreShortages {
-			parent.admission.RecordShortages(c.service, g.admission.Shortages(s.time()), s.time())
-		}
+		i.RecordTallies(call.ParseTallies(g.admission.Tallies(s.time())), s.time())
 		switch verdict {
 		case call.Admitted:
 			s.hold(g, w, x)
@@ -223,21 +247,9 @@
 	}
 }
 
-// entry returns the node at which a call enters that the server beside parent makes, or
-// a caller if parent is nil.
-func (s *sim) entry(parent *gate) any {
-	if s.entries == 1 {
-		return 0
-	}
-	if parent != nil {
-		return parent
-	}
-	return s.rand.IntN(s.entries)
-}
-
-// randomCaller returns the service of a random instance, where a caller's call
+// randomEntry returns the service and the gate of a random node, where a caller's call
 // enters.
-func (s *sim) randomCaller() string {
+func (s *sim) randomEntry() (string, *gate) {
 	var names []string
 	for name, service := range s.services {
 		for range service.gates {
@@ -245,7 +257,8 @@
 		}
 	}
 	slices.Sort(names)
-	return names[s.rand.IntN(len(names))]
+	n := s.rand.IntN(len(names))
+	return names[n], s.services[names[n]].gates[n-slices.Index(names, names[n])]
 }
 
 // refuse ends a call that was refused.
--- a/mesh/call/nested_test.go
+++ b/mesh/call/nested_test.go
@@ -62,11 +62,11 @@
 	require.Less(t, quotes.failed, quotes.asked/20, "run in vain: %+v %+v", quotes, books)
 }
 
-// TestShortagesFormat checks that ParseShortages reverses FormatShortages and skips
-// what it can't read.
-func TestShortagesFormat(t *testing.T) {
-	shortages := []call.Shortage{{Priority: 1, Refused: 0.39}, {Priority: 0, Refused: 0.05}}
-	require.Equal(t, shortages, call.ParseShortages(call.FormatShortages(shortages)))
-	require.Equal(t, shortages[:1], call.ParseShortages("x:1,1:39,2,3:-4"))
-	require.Empty(t, call.ParseShortages(""))
+// TestTalliesFormat checks that ParseTallies reverses FormatTallies and skips what it
+// can't read, among it what nodes of earlier versions sent.
+func TestTalliesFormat(t *testing.T) {
+	tallies := []call.Tally{{Priority: 1, Served: 38.5, Refused: 2.1}, {Priority: 0, Served: 5, Yielded: 0.3}}
+	require.Equal(t, tallies, call.ParseTallies(call.FormatTallies(tallies)))
+	require.Equal(t, tallies[:1], call.ParseTallies("x:1:2,1:38.5:2.1,2,3:-4:1,4:39,5:NaN:1,6:1:Inf,7:1:2:3:4"))
+	require.Empty(t, call.ParseTallies(""))
 }
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -19,14 +19,29 @@
 	Priority  int       // 0 is the most urgent
 	Objective time.Time // time by which a response has its full value; zero when the route sets none
 	NoWait    bool      // reject rather than queue, since the entry node can try other gates
+	Last      bool      // no other gate is asked if this one refuses the call
 }
 
-// Format returns the value of HeaderDemand: priority, ms until the objective,
-// "now" or "wait", and class, separated by slashes.
+// Modes of a demand: whether the call may wait, and whether it is the last attempt.
+// Nodes of earlier versions know the first two, and take all others for the first.
+const (
+	modeWait     = "wait"
+	modeNow      = "now"
+	modeLastWait = "last"
+	modeLastNow  = "lastnow"
+)
+
+// Format returns the value of HeaderDemand: priority, ms until the objective, mode and
+// class, separated by slashes.
 func (d Demand) Format(now time.Time) string {
-	mode := "wait"
-	if d.NoWait {
-		mode = "now"
+	mode := modeWait
+	switch {
+	case d.NoWait && d.Last:
+		mode = modeLastNow
+	case d.NoWait:
+		mode = modeNow
+	case d.Last:
+		mode = modeLastWait
 	}
 	left := d.Objective.Sub(now).Milliseconds()
 	return strconv.Itoa(d.Priority) + "/" + strconv.FormatInt(left, 10) + "/" + mode + "/" + d.Class
@@ -45,7 +60,7 @@
 		return Demand{}
 	}
 	return Demand{
-		Class: parts[3], Priority: priority, NoWait: parts[2] == "now",
+		Class: parts[3], Priority: priority, NoWait: parts[2] == modeNow || parts[2] == modeLastNow, Last: parts[2] == modeLastWait || parts[2] == modeLastNow,
 		Objective: now.Add(time.Duration(left) * time.Millisecond),
 	}
 }
--- a/mesh/call/shortage.go
+++ b/mesh/call/shortage.go
@@ -4,189 +4,249 @@
 // a service whose slots are needed by both callers' calls and nested ones. Since
 // nested calls go first there, less urgent calls elsewhere could take all its slots
 // from more urgent ones. So while most of those are refused, a service that calls it
-// refuses, before they run, nearly the same share of its own less urgent calls.
+// refuses, before they run, nearly the same share of its own less urgent calls. What a service refuses is the sum over its gates: a gate by itself sees only the
+// calls that were sent to it.
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// Shortage is the share of calls of a priority that a service refuses for want of
-// slots.
-type Shortage struct {
+// Tally counts the decisions of gates about the calls of a priority, nested ones left
+// out. Each call counts once: at the gate that ran it, or at the last one that refused
+// it. Decisions lose weight with time, so the counts aren't whole.
+type Tally struct {
 	Priority int
-	Refused  float64 // from 0 to 1
+	Served   float64 // got a slot
+	Refused  float64 // got none
+	Yielded  float64 // refused for more urgent calls at a service that the backend server calls
 }
 
-// FormatShortages returns the value of HeaderShortage: for each shortage its priority
-// and its share in percent, separated by a colon, and commas between them.
-func FormatShortages(shortages []Shortage) string {
-	var out []byte
-	for i, s := range shortages {
+// RefusedShare returns the share of the calls that found no slot, of those that asked for
+// one.
+func (t Tally) RefusedShare() float64 {
+	if t.Served+t.Refused <= 0 {
+		return 0
+	}
+	return t.Refused / (t.Served + t.Refused)
+}
+
+const (
+	// maxPriorities bounds the priorities that are tracked.
+	maxPriorities = 16
+	// tallyTime is the time constant with which decisions lose weight in a Tally. It is
+	// long enough for some tens of decisions at the gates of a busy service.
+	tallyTime = 2 * time.Second
+	// maxTallyAge is the age from which the tallies of a gate are ignored.
+	maxTallyAge = 3 * time.Second
+)
+
+// FormatTallies returns the value of HeaderTally: for each priority the priority, the
+// calls served, refused and, if there are any, yielded, separated by colons, and commas
+// between them.
+func FormatTallies(tallies []Tally) string {
+	var buffer [64]byte
+	out := buffer[:0]
+	for i, t := range tallies {
 		if i > 0 {
 			out = append(out, ',')
 		}
-		out = strconv.AppendInt(out, int64(s.Priority), 10)
-		out = append(out, ':')
-		out = strconv.AppendInt(out, int64(100*s.Refused+0.5), 10)
+		out = strconv.AppendInt(out, int64(t.Priority), 10)
+		out = strconv.AppendFloat(append(out, ':'), t.Served, 'f', 1, 64)
+		out = strconv.AppendFloat(append(out, ':'), t.Refused, 'f', 1, 64)
+		if t.Yielded > 0 {
+			out = strconv.AppendFloat(append(out, ':'), t.Yielded, 'f', 1, 64)
+		}
 	}
 	return string(out)
 }
 
-// ParseShortages parses the value of HeaderShortage. It skips invalid items.
-func ParseShortages(text string) []Shortage {
-	var out []Shortage
+// ParseTallies parses the value of HeaderTally. It skips invalid items.
+func ParseTallies(text string) []Tally {
+	if text == "" {
+		return nil
+	}
+	var out []Tally
 	for item := range strings.SplitSeq(text, ",") {
-		left, right, _ := strings.Cut(item, ":")
-		priority, err := strconv.Atoi(left)
-		percent, percentErr := strconv.ParseUint(right, 10, 8)
-		if err == nil && percentErr == nil && len(out) < maxPriorities {
-			out = append(out, Shortage{priority, min(float64(percent)/100, 1)})
+		if t, ok := parseTally(item); ok && len(out) < maxPriorities {
+			out = append(out, t)
 		}
 	}
 	return out
 }
 
-const (
-	// maxPriorities bounds the priorities that are tracked.
-	maxPriorities = 16
-	// recentWeight and lastingWeight are the weights of a decision in the averages of
-	// the share of refused calls. At 30 decisions a second their time constants are
-	// 1 and 10 s.
-	recentWeight  = 0.03
-	lastingWeight = 0.003
-	// starvedShare is the lasting share from which a shortage is reported, and
-	// shortageTolerance the part of it that is not passed on. Nested calls are short,
-	// so that the calls which make them get more answers out of each slot of the
-	// called service than those that they displace. They make room only where more
-	// urgent calls are starved.
-	starvedShare      = 0.5
-	shortageTolerance = 0.15
-	// shortageLifetime is how long a reported shortage holds without a newer report.
-	// It is renewed with each nested call's answer.
-	shortageLifetime = time.Second
-)
+func parseTally(item string) (Tally, bool) {
+	first, counts, _ := strings.Cut(item, ":")
+	priority, err := strconv.Atoi(first)
+	if err != nil {
+		return Tally{}, false
+	}
+	var values [3]float64
+	n := 0
+	for count := range strings.SplitSeq(counts, ":") {
+		v, err := strconv.ParseFloat(count, 64)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) || n == len(values) {
+			return Tally{}, false
+		}
+		values[n] = v
+		n++
+	}
+	return Tally{Priority: priority, Served: values[0], Refused: values[1], Yielded: values[2]}, n >= 2
+}
 
-// shortageMeter measures the shares of calls that are refused, by priority. The zero
-// value is ready for use.
-type shortageMeter struct{ shares []refusedShare }
+// AddTallies adds tallies to those of other gates, by priority, and returns the sums.
+func AddTallies(sums, tallies []Tally) []Tally {
+	for _, t := range tallies {
+		i := slices.IndexFunc(sums, func(s Tally) bool { return s.Priority == t.Priority })
+		if i < 0 {
+			sums = append(sums, t)
+			continue
+		}
+		sums[i].Served += t.Served
+		sums[i].Refused += t.Refused
+		sums[i].Yielded += t.Yielded
+	}
+	return sums
+}
 
-// refusedShare holds moving averages over the calls of one priority.
-type refusedShare struct {
-	priority        int
-	recent, lasting float64
-	updated         time.Time
+// tallyMeter counts the decisions of one gate. The zero value is ready for use.
+type tallyMeter struct {
+	tallies []Tally
+	at      time.Time // to which the weights belong
 }
 
-// add records the decision about a call.
-func (m *shortageMeter) add(priority int, refused bool, now time.Time) {
-	i := slices.IndexFunc(m.shares, func(s refusedShare) bool { return s.priority == priority })
+// of returns the tally of a priority at a time, or nil if too many are tracked.
+func (m *tallyMeter) of(priority int, now time.Time) *Tally {
+	m.decay(now)
+	i := slices.IndexFunc(m.tallies, func(t Tally) bool { return t.Priority == priority })
 	if i < 0 {
-		if len(m.shares) == maxPriorities {
-			return
+		if len(m.tallies) == maxPriorities {
+			return nil
 		}
-		i = len(m.shares)
-		m.shares = append(m.shares, refusedShare{priority: priority})
+		i = len(m.tallies)
+		m.tallies = append(m.tallies, Tally{Priority: priority})
 	}
-	s, result := &m.shares[i], 0.0
-	if refused {
-		result = 1
-	}
-	s.recent += recentWeight * (result - s.recent)
-	s.lasting += lastingWeight * (result - s.lasting)
-	s.updated = now
+	return &m.tallies[i]
 }
 
-// current returns the priorities of which a share worth reporting was refused for
-// some time and still is.
-func (m *shortageMeter) current(now time.Time) []Shortage {
-	var out []Shortage
-	for _, s := range m.shares {
-		if min(s.recent, s.lasting) >= starvedShare && now.Sub(s.updated) <= shortageLifetime {
-			out = append(out, Shortage{s.priority, min(s.recent, s.lasting) - shortageTolerance})
-		}
+// decay brings the weights to a time.
+func (m *tallyMeter) decay(now time.Time) {
+	factor := math.Exp(-float64(max(0, now.Sub(m.at))) / float64(tallyTime))
+	m.at = now
+	for i := range m.tallies {
+		t := &m.tallies[i]
+		t.Served, t.Refused, t.Yielded = t.Served*factor, t.Refused*factor, t.Yielded*factor
 	}
-	return out
 }
 
-// shortageLimiter refuses calls by the shortages of the services to which the backend
-// server's nested calls go. The zero value refuses none. Its size is bounded by the
-// services that the server calls.
-type shortageLimiter struct {
-	reports map[string]shortageReport // by service
-	carry   map[int]float64           // by priority: sum of the shares since the last refusal
+// current returns the tallies at a time. The caller must not keep them.
+func (m *tallyMeter) current(now time.Time) []Tally {
+	m.decay(now)
+	return m.tallies
 }
 
-type shortageReport struct {
-	shortages []Shortage
-	at        time.Time
-}
+// Tallies returns the tallies to be sent with responses, as FormatTallies formats them.
+func (a *Admission) Tallies(now time.Time) string { return FormatTallies(a.tallies.current(now)) }
 
-// record stores the newest report of a service.
-func (l *shortageLimiter) record(service string, shortages []Shortage, now time.Time) {
-	if l.reports == nil {
-		l.reports = map[string]shortageReport{}
-	}
-	l.reports[service] = shortageReport{shortages, now}
-}
+// counts reports whether the decision about a waiter counts in the tallies.
+func (w *Waiter) counts() bool { return !w.nested && !w.Objective.IsZero() }
 
-// share returns the share of the calls of a priority to refuse: the largest share
-// that any called service refuses of more urgent ones.
-func (l *shortageLimiter) share(priority int, now time.Time) float64 {
-	share := 0.0
-	for _, r := range l.reports {
-		if now.Sub(r.at) > shortageLifetime {
-			continue
-		}
-		for _, s := range r.shortages {
-			if s.Priority < priority {
-				share = max(share, s.Refused)
-			}
-		}
+// refuse rejects a waiter for want of a slot.
+func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
+	w.reject(reason)
+	if !w.Last || !w.counts() {
+		return
+	}
+	if t := a.tallies.of(w.Priority, now); t != nil {
+		t.Refused++
 	}
-	return share
 }
 
-// refuses decides whether to refuse the next call of a priority. It spreads the
-// refusals evenly over the calls.
-func (l *shortageLimiter) refuses(priority int, now time.Time) bool {
-	share := l.share(priority, now)
-	if share == 0 {
+// yields decides whether a call must make room for more urgent ones at a service that
+// the backend server calls. It spreads these refusals evenly over the calls. Only the
+// first gate that is asked decides it.
+func (a *Admission) yields(w *Waiter, now time.Time) bool {
+	if w.YieldShare <= 0 || w.Repeated || !w.counts() {
 		return false
 	}
-	if l.carry == nil || len(l.carry) > maxPriorities {
-		l.carry = map[int]float64{}
+	if a.yieldCarry == nil || len(a.yieldCarry) > maxPriorities {
+		a.yieldCarry = map[int]float64{}
 	}
-	l.carry[priority] += share
-	if l.carry[priority] < 1 {
+	a.yieldCarry[w.Priority] += w.YieldShare
+	if a.yieldCarry[w.Priority] < 1 {
 		return false
 	}
-	l.carry[priority]--
+	a.yieldCarry[w.Priority]--
+	if t := a.tallies.of(w.Priority, now); t != nil {
+		t.Yielded++
+	}
 	return true
 }
 
-// RecordShortages records the shortages that a service reported to a nested call of
-// the backend server.
-func (a *Admission) RecordShortages(service string, shortages []Shortage, now time.Time) {
-	a.called.record(service, shortages, now)
+// Shortage is the share of the calls of a priority that a service refuses for want of
+// slots.
+type Shortage struct {
+	Priority int
+	Refused  float64 // from 0 to 1
 }
 
-// Shortages returns the shortages to report to nested calls; nil if there are none.
-func (a *Admission) Shortages(now time.Time) []Shortage { return a.shortages.current(now) }
+const (
+	// starvedShare is the share from which refused calls count as starved. Nested calls
+	// are short, so that the calls which make them get more answers out of each slot of
+	// the called service than those that they displace. They make room only where more
+	// urgent calls are starved.
+	starvedShare = 0.5
+	// shortageTolerance is the part of a shortage that is not passed on.
+	shortageTolerance = 0.15
+	// lastingTime is the time constant of the average by which a shortage counts as
+	// lasting.
+	lastingTime = 10 * time.Second
+	// maxShortageGap bounds the time for which a new share counts in that average.
+	maxShortageGap = time.Second
+	// minShortageCalls is the weight of the decisions below which they show nothing.
+	minShortageCalls = 5
+)
+
+// Starvation tells which calls a service starves, by the sums of its gates' tallies. The
+// zero value has seen none. It is not safe for concurrent use.
+type Starvation struct {
+	lasting map[int]float64 // average share refused, by priority
+	at      time.Time
+}
 
-// refuse rejects a waiter for want of slots, here or at a service that the backend
-// server calls.
-func (a *Admission) refuse(w *Waiter, reason Reason, now time.Time) {
-	w.reject(reason)
-	if !w.nested && !w.Objective.IsZero() {
-		a.shortages.add(w.Priority, true, now)
+// Update takes the sums at a time and returns the priorities of which more than
+// starvedShare was refused for some time and still is.
+func (s *Starvation) Update(sums []Tally, now time.Time) []Shortage {
+	if s.lasting == nil || len(s.lasting) > maxPriorities {
+		s.lasting = map[int]float64{}
 	}
+	weight := 1 - math.Exp(-float64(min(max(0, now.Sub(s.at)), maxShortageGap))/float64(lastingTime))
+	s.at = now
+	var out []Shortage
+	for _, t := range sums {
+		if t.Served+t.Refused < minShortageCalls {
+			continue
+		}
+		share := t.RefusedShare()
+		s.lasting[t.Priority] += weight * (share - s.lasting[t.Priority])
+		if share = min(share, s.lasting[t.Priority]); share >= starvedShare {
+			out = append(out, Shortage{t.Priority, share})
+		}
+	}
+	return out
 }
 
-// yields reports whether a call must make room for more urgent ones at a service that
-// the backend server calls. Only the first gate that is asked decides it.
-func (a *Admission) yields(w *Waiter, now time.Time) bool {
-	return !w.nested && !w.Repeated && !w.Objective.IsZero() && a.called.refuses(w.Priority, now)
+// YieldShare returns the share of the calls of a priority to refuse before they run, by
+// the shortages of the services that they lead to.
+func YieldShare(priority int, shortages []Shortage) float64 {
+	share := 0.0
+	for _, s := range shortages {
+		if s.Priority < priority {
+			share = max(share, s.Refused-shortageTolerance)
+		}
+	}
+	return share
 }
--- a/mesh/call/shortage_test.go
+++ b/mesh/call/shortage_test.go
@@ -11,7 +11,7 @@
 // each of which knows only of its own calls. Some servers of the second service are slow.
 func newLargeChain(quoteServers, dispatchServers, slow int) (s *sim, quote, book class) {
 	s, quote, book = newChain(1)
-	s.entries = quoteServers + dispatchServers
+	s.separate = true
 	s.addService("quotes", 12, largeSpeeds(quoteServers, 0)...)
 	s.addService("dispatch", 12, largeSpeeds(dispatchServers, slow)...)
 	s.shareInstances()
--- a/mesh/caller/chainbudget_test.go
+++ b/mesh/caller/chainbudget_test.go
@@ -105,7 +105,7 @@
 	t.Cleanup(server.Close)
 	n.gate = backend.NewGate(backend.GateConfig{
 		Policy: func(string) record.Policy { return record.Policy{} }, OwnShare: func(string) float64 { return 0.5 }, Warmup: -1,
-		Calls: chainCallBudget{n},
+		Calls: chainCallees{n},
 	})
 	t.Cleanup(n.gate.Close)
 	n.gate.SetTarget(&backend.Target{Service: service, Address: server.Listener.Addr().String(), Slots: 50})
@@ -117,12 +117,14 @@
 	t.Cleanup(n.entry.Close)
 }
 
-// chainCallBudget is the budget of a node's gate, whose proxy is created after it.
-type chainCallBudget struct{ node *chainNode }
+// chainCallees is the Callees of a node's gate, whose proxy is created after it.
+type chainCallees struct{ node *chainNode }
 
-func (b chainCallBudget) AddRun() { b.node.proxy.AddRun() }
+func (c chainCallees) AddRun() { c.node.proxy.AddRun() }
 
-func (b chainCallBudget) TakeRepeat() (func(), bool) { return b.node.proxy.TakeRepeat() }
+func (c chainCallees) TakeRepeat() (func(), bool) { return c.node.proxy.TakeRepeat() }
+
+func (c chainCallees) YieldShare(priority int) float64 { return c.node.proxy.YieldShare(priority) }
 
 // serve runs a call. A server of the front calls the back, and names the calls of its
 // repeated runs.
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -33,10 +33,13 @@
 }
 
 // serviceState is the state of a service that is kept when the members change:
-// the budgets of extra attempts and the latency estimate for hedging.
+// the budgets of extra attempts, the latency estimate for hedging and, guarded by
+// Proxy.shortageMu, what is starved there.
 type serviceState struct {
 	retryBudget, hedgeBudget *call.Budget
 	latencies                call.LatencyQuantile
+	starvation               call.Starvation
+	starved                  int // priorities of which calls are starved
 }
 
 // budgetPercent returns the share of one call, in percent, that is paid into a
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -51,9 +51,19 @@
 		return nil
 	}
 	x.tried = append(x.tried, chosen)
+	x.demand.Last = x.body.Streamed() || x.queuedAttempts == maxQueuedAttempts && !x.mayAskMore(now)
 	return chosen
 }
 
+// mayAskMore reports whether another gate may be asked for a free slot.
+func (x *exchange) mayAskMore(now time.Time) bool {
+	if x.immediateAttempts == maxImmediateAttempts || x.service.balancer.Len() == 1 {
+		return false
+	}
+	untried, _ := x.service.balancer.PickLowestCost(x.route.Bulk, x.route.LatencyObjective, x.tried, now, rand.IntN)
+	return untried != nil
+}
+
 // excludeFailed excludes the instance of a failed attempt from further attempts.
 // A gate that only had no free slot may still queue the call.
 func (x *exchange) excludeFailed(res *result) {
--- a/mesh/caller/place_test.go
+++ b/mesh/caller/place_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/record"
 )
 
@@ -23,11 +24,12 @@
 	}
 	x := &exchange{
 		route:   &record.Route{LatencyObjective: 300 * time.Millisecond},
+		body:    &hop.Body{},
 		service: &service{balancer: &call.Balancer{Near: []*call.Instance{near}, Far: []*call.Instance{far, farther}}},
 	}
 	type step struct {
-		name string
-		now  bool
+		name      string
+		now, last bool
 	}
 	var steps []step
 	for {
@@ -35,11 +37,13 @@
 		if i == nil {
 			break
 		}
-		steps = append(steps, step{i.Name, x.demand.NoWait})
+		steps = append(steps, step{i.Name, x.demand.NoWait, x.demand.Last})
 		x.excludeFailed(&result{instance: i, verdict: call.NotRun(call.ReasonBusy, call.ProofNotSent)})
 	}
-	require.Equal(t, []step{{"near", true}, {"near", false}}, steps[:2])
-	require.ElementsMatch(t, []step{{"far", true}, {"farther", true}}, steps[2:])
+	require.Equal(t, []step{{"near", true, false}, {"near", false, false}}, steps[:2])
+	require.Len(t, steps, 4)
+	require.ElementsMatch(t, []string{"far", "farther"}, []string{steps[2].name, steps[3].name})
+	require.Equal(t, []bool{true, true, false, true}, []bool{steps[2].now, steps[3].now, steps[2].last, steps[3].last})
 }
 
 // TestRetryAfter checks that the retry delay of a refused caller leaves time for
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -23,22 +23,20 @@
 	"caroblift.dev/mesh/telemetry"
 )
 
-// Config configures a Proxy. The fields up to Timeout are required, except Local
-// and ReportShortages.
+// Config configures a Proxy. The fields up to Timeout are required, except Local.
 type Config struct {
 	Table              func() *revision.Table
 	Ready              func() bool // whether the table may be used for calls
 	View               func() *member.View
-	Local              http.RoundTripper                                       // sends to this node's own backend server; nil if it is called like those of other nodes
-	Remote             http.RoundTripper                                       // sends to other nodes
-	ReportReachability func(name string, reached bool)                         // reports to membership whether a node was reached
-	ReportShortages    func(service, member string, shortages []call.Shortage) // receives those that a gate of a service reports to calls of this node's own server; may be nil
-	Timeout            time.Duration                                           // of a call whose route has none
-	Policy             call.Policy                                             // nil means DefaultPolicy
-	Service            string                                                  // name of the service on this instance, which is the caller; may be empty
-	Dialect            Dialect                                                 // nil means the Caroblift headers
-	BufferLimit        int64                                                   // size in bytes up to which an answer is buffered before it is forwarded; zero means none
-	ExtraAttempts      ExtraAttempts                                           // limit of extra attempts, instead of the policies'; zero means none
+	Local              http.RoundTripper               // sends to this node's own backend server; nil if it is called like those of other nodes
+	Remote             http.RoundTripper               // sends to other nodes
+	ReportReachability func(name string, reached bool) // reports to membership whether a node was reached
+	Timeout            time.Duration                   // of a call whose route has none
+	Policy             call.Policy                     // nil means DefaultPolicy
+	Service            string                          // name of the service on this instance, which is the caller; may be empty
+	Dialect            Dialect                         // nil means the Caroblift headers
+	BufferLimit        int64                           // size in bytes up to which an answer is buffered before it is forwarded; zero means none
+	ExtraAttempts      ExtraAttempts                   // limit of extra attempts, instead of the policies'; zero means none
 	Sinks              telemetry.Sinks
 }
 
@@ -69,6 +67,9 @@
 	mu        sync.Mutex // guards retained, and the replacement of directory and of its services
 	retained  retainedState
 	fanOut    call.FanOut // of the backend server of this instance
+
+	shortage   atomic.Pointer[shortageState]
+	shortageMu sync.Mutex // guards the replacement of shortage, and the starvation of all services
 }
 
 // New returns a proxy that serves calls as config says.
--- a/mesh/caller/repeat.go
+++ b/mesh/caller/repeat.go
@@ -11,10 +11,10 @@
 	"caroblift.dev/mesh/call"
 )
 
-// AddRun implements backend.CallBudget.
+// AddRun implements backend.Callees.
 func (p *Proxy) AddRun() { p.fanOut.AddRun(time.Now()) }
 
-// TakeRepeat implements backend.CallBudget.
+// TakeRepeat implements backend.Callees.
 func (p *Proxy) TakeRepeat() (giveBack func(), ok bool) {
 	type payment struct {
 		budget  *call.Budget
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -22,14 +22,15 @@
 	outcomes                   [call.OutcomeAnswered + 1]tally.Counter
 	retries, hedges, ejections tally.Counter
 	attempts                   tally.Counter
+	starved                    tally.Gauge // priorities that the called services starve
 	latency                    tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		scope: scope, retries: scope.Counter("retries"), hedges: scope.Counter("hedges"), ejections: scope.Counter("ejections"),
-		attempts: scope.Counter("attempts"),
-		latency:  scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
+		attempts: scope.Counter("attempts"), starved: scope.Gauge("starved"),
+		latency: scope.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 	}
 	for _, o := range []call.Outcome{call.OutcomeUnknown, call.OutcomeNotRun, call.OutcomeAnswered} {
 		m.outcomes[o] = scope.Tagged(map[string]string{"ran": o.String()}).Counter("calls")
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -155,8 +155,8 @@
 	if resp.Header[call.HeaderNested] != nil {
 		x.nested.Store(true)
 	}
-	if report := x.proxy.config.ReportShortages; report != nil && resp.Header[call.HeaderShortage] != nil {
-		report(x.target, i.Name, call.ParseShortages(resp.Header.Get(call.HeaderShortage)))
+	if tallies := call.ParseTallies(resp.Header.Get(call.HeaderTally)); tallies != nil {
+		i.RecordTallies(tallies, now)
 	}
 	i.Memory.Record(call.ParseStated(resp.Header.Get(call.HeaderStated)), resp.Header.Get(call.HeaderReason) == "", now.Add(-took), now)
 	if resp.Header.Get(call.HeaderReason) != "" {
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -36,7 +36,7 @@
 	if shared := n.settings.GetShared(); shared.GetOn() {
 		proxy.ExtraAttempts = caller.ExtraAttempts{Percent: int(shared.GetPercent()), Burst: int(shared.GetSlack())}
 	}
-	gate.Calls = callBudget{n}
+	gate.Calls = callees{n}
 	announcer := backend.AnnouncerConfig{
 		Log:   n.sinks.ForPart("backend").Log,
 		Lease: ms(s.GetLease()), OnChange: n.onAnnouncement, IsLocal: backend.HostMatcher(n.Addresses().Hop, n.Addresses().Peer, n.Addresses().Caller),
@@ -45,17 +45,19 @@
 		n.adaptToPlatform(&gate, &proxy, &announcer)
 	}
 	n.Gate = backend.NewGate(gate)
-	proxy.Local, proxy.ReportShortages = n.Gate, n.Gate.RecordShortages
+	proxy.Local = n.Gate
 	n.Proxy = caller.New(proxy)
 	n.announcer = backend.NewAnnouncer(announcer)
 }
 
-// callBudget is the CallBudget of a node's gate, by the proxy, which is created after it.
-type callBudget struct{ node *Node }
+// callees is the Callees of a node's gate, by the proxy, which is created after it.
+type callees struct{ node *Node }
 
-func (b callBudget) AddRun() { b.node.Proxy.AddRun() }
+func (c callees) AddRun() { c.node.Proxy.AddRun() }
 
-func (b callBudget) TakeRepeat() (func(), bool) { return b.node.Proxy.TakeRepeat() }
+func (c callees) TakeRepeat() (func(), bool) { return c.node.Proxy.TakeRepeat() }
+
+func (c callees) YieldShare(priority int) float64 { return c.node.Proxy.YieldShare(priority) }
 
 // maxConns returns the number of connections that a backend server of a service accepts by
 // the table in force, or 0 if it does not say.
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -28,9 +28,9 @@
 	CallLimited = "call limited" // the call was sent under a limit that the backend server names, or refused for it
 )
 
-// ShortageReported reports that a service which the backend server calls refuses more
-// urgent calls.
-const ShortageReported = "shortage reported"
+// ServiceShort reports that a service which the backend server calls begins or ends to
+// starve some calls.
+const ServiceShort = "called service short"
 
 // maxCallLines bounds the lines of each of these messages in an interval of ten
 // seconds: 50 lines/s of about 300 bytes, so 15 KB/s per message.
