Refuse less urgent calls only until they are served as often as starved ones

A gate refused the share that the called service refuses of more urgent calls, on top of what its own service refused for want of slots: nothing compared the two kinds.

Now the share to refuse follows from both sums: what the less urgent calls must lose to be served as often as the starved ones, and the tolerance more. TestYieldShare checks the share that is served in the end; without the own sums three of its nine cases fail.

--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -93,7 +93,8 @@
 		sums, _ := called.balancer.Tallies(s.time())
 		called.shortages = called.starvation.Update(sums, s.time())
 	}
-	return call.YieldShare(c.priority, called.shortages)
+	own, _ := s.known(s.services[c.service], g).balancer.Tallies(s.time())
+	return call.YieldShare(c.priority, called.shortages, own)
 }
 
 // callerStats counts the results of the calls of a class. failed counts those that
--- a/mesh/call/shortage.go
+++ b/mesh/call/shortage.go
@@ -4,7 +4,8 @@
 // a service whose slots are needed by both callers' calls and nested ones. Since
 // nested calls go first there, less urgent calls elsewhere could take all its slots
 // from more urgent ones. So while most of those are refused, a service that calls it
-// refuses, before they run, nearly the same share of its own less urgent calls. What a service refuses is the sum over its gates: a gate by itself sees only the
+// refuses some of its own less urgent calls before they run, until both fare alike.
+// What a service refuses is the sum over its gates: a gate by itself sees only the
 // calls that were sent to it.
 
 import (
@@ -239,14 +240,25 @@
 	return out
 }
 
-// YieldShare returns the share of the calls of a priority to refuse before they run, by
-// the shortages of the services that they lead to.
-func YieldShare(priority int, shortages []Shortage) float64 {
-	share := 0.0
+// YieldShare returns the share of a service's calls of a priority to refuse before they
+// run, by the shortages of the services that it calls and by its own sums. The calls are
+// served as often then as the more urgent ones that are starved most, and somewhat more
+// by shortageTolerance. Those that the service refuses in any case count.
+func YieldShare(priority int, shortages []Shortage, own []Tally) float64 {
+	wanted := 0.0
 	for _, s := range shortages {
 		if s.Priority < priority {
-			share = max(share, s.Refused-shortageTolerance)
+			wanted = max(wanted, s.Refused-shortageTolerance)
 		}
 	}
-	return share
+	refused := 0.0
+	for _, t := range own {
+		if t.Priority == priority {
+			refused = t.RefusedShare()
+		}
+	}
+	if wanted <= refused {
+		return 0
+	}
+	return (wanted - refused) / (1 - refused)
 }
--- a/mesh/caller/shortage.go
+++ b/mesh/caller/shortage.go
@@ -20,6 +20,7 @@
 type shortageState struct {
 	at        time.Time
 	shortages []call.Shortage // largest of the services that the backend server calls, by priority
+	own       []call.Tally    // sums of the service on this instance; nil without shortages
 }
 
 // YieldShare implements backend.Callees.
@@ -34,7 +35,7 @@
 	if state == nil || len(state.shortages) == 0 {
 		return 0
 	}
-	return call.YieldShare(priority, state.shortages)
+	return call.YieldShare(priority, state.shortages, state.own)
 }
 
 // evaluateShortages returns the state at a time, which replaces before. The caller holds
@@ -56,6 +57,9 @@
 		s.starved = len(shortages)
 		state.shortages = largestShortages(state.shortages, shortages)
 	}
+	if own := p.config.Service; len(state.shortages) > 0 && d.router.Table.Services[own] != nil {
+		state.own, _ = d.service(p, own).balancer.Tallies(now)
+	}
 	if before == nil || len(before.shortages) != len(state.shortages) {
 		p.metrics.starved.Update(float64(len(state.shortages)))
 	}
