Bound the header of a backend server's answer

Callers lost the node beside a server that sends bytes without end: bytes that are no header, a status line, header lines or interim answers took 37 to 73 MB a call, and a few calls ended a node of 184 MB. Cause: no transport set a bound, and net/http's is 10 MB, which it reads into buffers that double; health checks use the same transports. Class of fault: a read whose end only the peer decides.

Now headers are bounded to 64 KB, four times what configurations allow callers. Bodies, chunks and trailers were bounded before.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -115,6 +115,7 @@
 	g.pooled = &http.Transport{
 		DialContext: g.dialServer(hop.NewDialer(config.SilenceTimeout).DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: maxServerConns, MaxConnsPerHost: maxServerConns, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: hop.MaxHeaderBytes,
 	}
 	g.unpooled = g.pooled.Clone()
 	g.unpooled.DisableKeepAlives = true
