Bound what is read of the store's responses

Nodes would run out of memory on a store, or whatever answers at its address, that sends bytes without end: up to 173 MB for a header and 165 MB for a body, where nodes have 184. Cause: the header had net/http's bound of 10 MB, and the bound of a body was 64 MB, more than the platform's limits of an object (1 MB) and of a page (1 MB) call for.

--- a/mesh/store/outcome.go
+++ b/mesh/store/outcome.go
@@ -19,11 +19,12 @@
 	maxRetryAfter = time.Minute
 )
 
-// maxResponseBytes bounds the body of a response. The largest is a page of objects.
-const maxResponseBytes = 64 << 20
+// maxResponseBytes bounds the body of a response. The largest is a watch's after many
+// changes of a large object in a row; a client whose watch fails lists the objects.
+const maxResponseBytes = 16 << 20
 
 // ReadResponse reads the body of a response. It returns an error if the body is
-// longer than 64 MiB, since a part of it must not be taken for the whole.
+// longer than 16 MiB, since a part of it must not be taken for the whole.
 func ReadResponse(body io.Reader) ([]byte, error) { return readLimited(body, maxResponseBytes) }
 
 func readLimited(body io.Reader, limit int64) ([]byte, error) {
