Bound the header of requests to a node

A caller, a server's heartbeat or an operator that sends a request line or header lines without end took 5 to 14 MB for each connection. Cause: the servers of a node had net/http's default, 1 MB, read into buffers that double. The same class as the header of a server's answer.

Bodies, chunks and trailers were bounded before.

--- a/mesh/caller/listener.go
+++ b/mesh/caller/listener.go
@@ -1,13 +1,14 @@
 package caller
 
-// This file applies the header and idle timeouts of the current configuration
-// to the connections of callers.
+// This file bounds the headers of callers, and applies the header and idle timeouts
+// of the current configuration to their connections.
 
 import (
 	"net"
 	"net/http"
 	"time"
 
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/record"
 )
 
@@ -19,16 +20,17 @@
 	defaultIdleTimeout   = 24 * time.Hour   // to the next call; an idle connection costs only memory
 )
 
-// SetTimeouts sets the default timeouts of a server. A server that serves a
-// listener returned by NewListener must have them.
-func SetTimeouts(s *http.Server) {
+// SetLimits sets the default timeouts of a server and the bound of a header. A server
+// that serves a listener returned by NewListener must have them.
+func SetLimits(s *http.Server) {
 	s.ReadHeaderTimeout, s.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
+	s.MaxHeaderBytes = hop.MaxHeaderBytes
 }
 
 // NewListener returns a listener whose connections time out by the current
 // limits: HeaderTimeout bounds the wait for a header, and IdleTimeout the wait
 // for the next call. The limits are read when a wait begins, and apply to
-// HTTP/1.1 only. The server must have the timeouts that SetTimeouts sets.
+// HTTP/1.1 only. The server must have the timeouts that SetLimits sets.
 func NewListener(l net.Listener, limits func() record.CallerLimits) net.Listener {
 	return &listener{Listener: l, limits: limits}
 }
--- a/mesh/caller/listener_test.go
+++ b/mesh/caller/listener_test.go
@@ -65,7 +65,7 @@
 				current := record.CallerLimits{IdleTimeout: time.Nanosecond} // replaced before the first connection
 				p := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 				server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
-				caller.SetTimeouts(server)
+				caller.SetLimits(server)
 				go func() { _ = server.Serve(caller.NewListener(p, func() record.CallerLimits { return current })) }()
 				synctest.Wait()
 				current = c.limits
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -326,7 +326,7 @@
 		Handler: h, Protocols: peer.ServerProtocols(), HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: maxStreamBuffer},
 		ErrorLog: telemetry.NewErrorLog(n.sinks.Log, "http server"),
 	}
-	caller.SetTimeouts(server) // the same timeouts apply to connections of nodes and operators
+	caller.SetLimits(server) // the same limits apply to connections of nodes and operators
 	n.servers = append(n.servers, server)
 	n.tomb.Go(func() error {
 		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
