Bound the header of an answer between nodes

A node that answers another one with header fields or interim answers without end took 85 and 110 MB there. Cause: the transports between nodes had net/http's bound of a header list, 10 MB. Messages, settings and bytes that are no frames were bounded before.

--- a/mesh/peer/pool.go
+++ b/mesh/peer/pool.go
@@ -17,6 +17,7 @@
 
 	"connectrpc.com/connect"
 
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/wire/wireconnect"
 )
 
@@ -66,14 +67,15 @@
 
 // NewTransport returns an HTTP/2 transport without TLS. It pings a connection
 // that has been silent for the given time and closes it if the ping is not
-// answered within the same time. Bytes of all connections are added to counter.
+// answered within the same time. It accepts headers of up to hop.MaxHeaderBytes. Bytes of all connections are added to counter.
 func NewTransport(silent time.Duration, counter *ByteCounter) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: max(2*silent, time.Second)}
 	return &http.Transport{
-		Protocols: protocols,
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: silent, PingTimeout: silent},
+		Protocols:              protocols,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: silent, PingTimeout: silent},
+		MaxResponseHeaderBytes: hop.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
