Bound what carobctl reads of a response

carobctl read a message without end into memory until its timeout, 2.1 GB in 2 s, and headers of up to 10 MB. Cause: neither the client of the operator API nor its transport had a bound. Now 16 MB and 64 KB.

--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -21,10 +21,13 @@
 )
 
 // directClient ignores the proxy settings of the environment.
-var directClient = &http.Client{Transport: &http.Transport{}}
+var directClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: hop.MaxHeaderBytes}}
+
+// maxResponseBytes bounds the message of a response. The longest holds all records.
+const maxResponseBytes = 16 << 20
 
 func (a *app) client() wireconnect.OperatorClient {
-	return wireconnect.NewOperatorClient(directClient, "http://"+a.Node)
+	return wireconnect.NewOperatorClient(directClient, "http://"+a.Node, connect.WithReadMaxBytes(maxResponseBytes))
 }
 
 // callNode makes one call to the node, bounded by --timeout. A failure is returned
