--- a/carobctl/summary.go
+++ b/carobctl/summary.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
 	"text/tabwriter"
 
@@ -54,7 +53,7 @@
 		losses[key].add(l)
 	}
 	out := make([]loss, 0, len(losses))
-	for _, s := range slices.Collect(maps.Values(losses)) {
+	for _, s := range losses {
 		s.average()
 		out = append(out, *s)
 	}
