Join fleets that formed apart when their nodes started

A node that has joined asked no meeting point again, and knew nobody of the other fleet, so nothing led there. The order that all nodes take the points in only makes it unlikely: nodes whose links are cut while they start do the same in any order.

Change: a joined node reads the meeting points once more, 4 to 8 heartbeat intervals after it joined, and exchanges tables with up to 8 of the nodes that it does not know.

--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -44,6 +44,7 @@
 	queue       eventQueue
 	joinSearch  joinSearch
 	joinLimiter joinLimiter
+	fleetSearch fleetSearch
 
 	neighbours       Neighbours
 	lastActive       time.Time // last Tick, or end of the last pause if later
@@ -112,7 +113,7 @@
 	a.lastActive = now
 	a.queueChanges()
 	a.countDomains()
-	out := a.searchStep(now)
+	out := append(a.searchStep(now), a.fleetSearchDue(now)...)
 	if !now.Before(a.nextHeartbeat) {
 		a.nextHeartbeat = now.Add(a.config.Heartbeat)
 		a.heartbeatRound++
--- a/mesh/member/detect.go
+++ b/mesh/member/detect.go
@@ -55,6 +55,7 @@
 	if a.heartbeatRound%reconnectInterval == 0 || a.shouldRetryRecentLoss(now) {
 		out = append(out, a.contactLostMember(now)...)
 	}
+	out = append(out, a.contactUnmet(now)...)
 	for name, until := range a.avoidedUntil { // order does not matter
 		if now.After(until) {
 			a.stopAvoiding(name)
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -253,6 +253,7 @@
 func (a *Agent) finishSearch(now time.Time) {
 	if !a.joinSearch.joined {
 		a.joinedAt = now
+		a.scheduleFleetSearch(now)
 	}
 	a.joinSearch.awaitingAnswer, a.joinSearch.joined, a.joinSearch.alone, a.joinSearch.rounds = false, true, false, 0
 }
@@ -267,9 +268,14 @@
 
 // DiscoverDone handles the outcome of reading the platform's meeting points:
 // members are those that they name. All nodes ask them in the same order, since nodes
-// that start together and join through different ones could form separate fleets.
+// that start together and join through different ones form separate fleets until these
+// find each other.
 func (a *Agent) DiscoverDone(now time.Time, members []*wire.Member) {
 	a.detectPause(now)
+	if a.joinSearch.joined {
+		a.recordMeetingPoints(now, members)
+		return
+	}
 	a.joinSearch.awaitingAnswer = false
 	for _, m := range members {
 		if m.GetName() != a.table.self.GetName() {
--- a/mesh/member/world_test.go
+++ b/mesh/member/world_test.go
@@ -32,7 +32,9 @@
 	sent             int
 	platformDown     bool
 	seeds            []string
-	hasMeetingPoints bool // nodes have meeting points in place of seeds
+	hasMeetingPoints bool              // nodes have meeting points in place of seeds
+	points           []*wire.Member    // meeting points; nil for one joined node of each failure domain
+	onDiscover       func(name string) // called with each node that reads the meeting points; may be nil
 }
 
 // host is one simulated instance.
@@ -170,6 +172,9 @@
 		a.JoinDone(w.now, act, resp)
 		return nil
 	case Discover:
+		if w.onDiscover != nil {
+			w.onDiscover(from)
+		}
 		a.DiscoverDone(w.now, w.meetingPoints())
 		return nil
 	}
@@ -183,6 +188,9 @@
 // meetingPoints returns one member of each failure domain, as the platform's
 // meeting points do.
 func (w *world) meetingPoints() []*wire.Member {
+	if w.points != nil && !w.platformDown {
+		return w.points
+	}
 	var out []*wire.Member
 	domains := map[string]bool{}
 	for _, name := range w.names {
