Log what a node does by kind of work, and sum it up with carobctl work

Cause: what a node of a large fleet spends its processor time and its calls to the store on could not be told from its logs; a profile of one process shows functions, not kinds of work, and runs on another machine than the fleet.

Change: every ten seconds, and at its stop, a node logs its counters since the last such line, with processor time, wake-ups, allocations and collections of the process. carobctl work sums the lines of all nodes up by kind. Calls to the store are counted by object and purpose.

TestWork, TestLogWork.

--- a/carobctl/explain.go
+++ b/carobctl/explain.go
@@ -52,7 +52,7 @@
 	case !c.Summary && c.Args.ID == "":
 		return exitf(exitUsage, "name the ID of a call, or use --summary")
 	}
-	lines, err := c.read(files)
+	lines, err := c.app.readLogs(files)
 	if err != nil {
 		return exitf(exitUsage, "%s", err)
 	}
@@ -74,10 +74,10 @@
 	return nil
 }
 
-// read returns the log lines of files, or of standard input if none is given.
-func (c *explainCommand) read(files []string) ([]logLine, error) {
+// readLogs returns the log lines of files, or of standard input if none is given.
+func (a *app) readLogs(files []string) ([]logLine, error) {
 	if len(files) == 0 {
-		return readLog(c.app.in, "standard input")
+		return readLog(a.in, "standard input")
 	}
 	var all []logLine
 	for _, path := range files {
--- a/carobctl/main.go
+++ b/carobctl/main.go
@@ -132,6 +132,7 @@
 		{"status", "Print the configuration in force on the nodes", statusHelp, &statusCommand{app: a}},
 		{"members", "Print the instances and their backend servers", membersHelp, &membersCommand{app: a}},
 		{"explain", "Explain the outcome of a call from node logs", explainHelp, &explainCommand{app: a}},
+		{"work", "Sum up what nodes did by kind of work, from their logs", workHelp, &workCommand{app: a}},
 		{"completion", "Print a bash completion script", completionHelp, &completionCommand{app: a}},
 	}
 }
--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -75,7 +75,15 @@
 	if err != nil {
 		return err
 	}
+	work, endWork := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		metrics.LogWork(work, p.log, telemetry.WorkInterval)
+	}()
 	err = p.run(n)
+	endWork()
+	<-logged
 	ctx, cancel := context.WithTimeout(context.Background(), traceCloseTimeout)
 	defer cancel()
 	if closeErr := traces.Close(ctx); closeErr != nil {
--- a/mesh/telemetry/metric.go
+++ b/mesh/telemetry/metric.go
@@ -30,6 +30,7 @@
 	Scope tally.Scope
 
 	reporter promreporter.Reporter
+	gatherer prometheus.Gatherer
 	closer   io.Closer
 }
 
@@ -40,7 +41,7 @@
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
 	})
-	m := &Metrics{reporter: reporter}
+	m := &Metrics{reporter: reporter, gatherer: registry}
 	m.Scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "caroblift", CachedReporter: &boundedReporter{Reporter: reporter},
 		Separator: promreporter.DefaultSeparator, SanitizeOptions: &promreporter.DefaultSanitizerOpts,
