--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -25,6 +25,8 @@
 	call.ReasonDial:       "connecting to the node or the backend server failed",
 	call.ReasonRefused:    "the connection to the node closed before the node accepted the call",
 	call.ReasonBroken:     "the connection broke before the answer was complete",
+	call.ReasonEnded:      "the backend server's process ended while it ran the call",
+	call.ReasonCondemned:  "backend servers have ended while they ran the same request, so it is not run again for a while",
 	call.ReasonCrossed:    "the answer received belonged to another call",
 	call.ReasonDeadline:   "its deadline passed without an answer",
 	call.ReasonCanceled:   "its caller or its entry node canceled it",
@@ -122,6 +124,7 @@
 		instanceOf func(logLine) string // returns "" for lines that do not report the event
 	}{
 		{"leaving or stopping then", leavingInstance},
+		{"ended while it ran calls", forMessage("backend server ended", logLine.instance)},
 		{"lost then", lostInstance},
 		{"started then", forMessage("started", logLine.instance)},
 		{"ejected for failures", forMessage("instance ejected", logLine.member)},
--- a/carobctl/explain.go
+++ b/carobctl/explain.go
@@ -174,7 +174,7 @@
 // or in its view of the fleet.
 var changeMessages = map[string]bool{
 	"started": true, "stopping": true, "stopped": true, "drained": true, "readiness": true, "calls were cut": true,
-	"backend server": true, "backend server lost": true, "backend server checked": true, "announcement refused": true,
+	"backend server": true, "backend server ended": true, "backend server lost": true, "backend server checked": true, "announcement refused": true,
 	"server limit": true, "server limit not readable": true, "backend server says that it leaves": true,
 	"member found": true, "member changed": true, "member lost": true, "instance ejected": true,
 	"called service short": true,
--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -122,6 +122,20 @@
 	})
 }
 
+// RecordEnded records that the process of an incarnation of the backend server has ended.
+// The server is lost at once. An announcement that was sent before may still arrive, so the
+// next one takes effect only after a health check.
+func (a *Announcer) RecordEnded(name string, epoch uint64) {
+	a.updateLease(func(now time.Time) (bool, *Announcement, bool) {
+		if l := &a.lease; l.newest == nil || l.newest.Name != name || l.newest.Epoch != epoch || l.newest.Leaving {
+			return false, nil, false
+		}
+		a.lease.newest, a.healthCheck = nil, healthCheck{}
+		next, changed := a.lease.evaluate(now)
+		return true, next, changed
+	})
+}
+
 // LogRefused logs an announcement that was refused, with the reason.
 func (a *Announcer) LogRefused(err error) {
 	a.config.Log.Warn("announcement refused", "error", err.Error())
--- /dev/null
+++ b/mesh/backend/ended.go
@@ -0,0 +1,148 @@
+package backend
+
+// This file notices that the process of the backend server has ended while it ran calls.
+// Its connections break then, and it accepts no new one. A cut link, a server that resets
+// connections and one that leaves as planned look different.
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/call"
+)
+
+const (
+	// endedDialTimeout bounds the dial that shows whether the server accepts connections. It
+	// is on the same instance, so the answer takes less than a ms.
+	endedDialTimeout = 100 * time.Millisecond
+	// aliveTime is how long a server that was found to accept connections is not dialed
+	// again when further calls break off.
+	aliveTime = 100 * time.Millisecond
+)
+
+// run is a call that the backend server runs.
+type run struct {
+	target  *Target
+	suspect bool
+	end     *call.End // of the server, once it is known; guarded by runs.mu
+}
+
+// runs holds the calls that the backend server runs, as far as the gate knows. The zero
+// value has none.
+type runs struct {
+	mu      sync.Mutex
+	current map[*run]struct{}
+	aliveAt time.Time // when a server was last found to accept connections after a call broke off
+}
+
+// begin adds a call that is about to be sent.
+func (r *runs) begin(t *Target, suspect bool) *run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current == nil {
+		r.current = map[*run]struct{}{}
+	}
+	added := &run{target: t, suspect: suspect}
+	r.current[added] = struct{}{}
+	return added
+}
+
+// end removes a call whose answer or failure has come.
+func (r *runs) end(ended *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.current, ended)
+}
+
+// checkEnd checks whether a failed call was broken off by the end of the server's process.
+func (g *Gate) checkEnd(r *run, f *callFailure) {
+	switch f.verdict.Reason() {
+	case call.ReasonBroken:
+		if f.end = g.endOf(r); f.end != nil {
+			f.verdict = call.MayHaveRun(call.ReasonEnded)
+		}
+	case call.ReasonDial:
+		if f.refused {
+			g.withdraw(r.target)
+		}
+	}
+}
+
+// endOf returns how the end of the server's process concerns a call that broke off, or nil
+// if the process goes on, as far as can be seen, or was expected to end. The first call
+// that finds an end settles it for all that were running.
+func (g *Gate) endOf(r *run) *call.End {
+	end, found := g.noteEnd(r)
+	if found {
+		g.metrics.countEnd()
+		g.withdraw(r.target)
+	}
+	return end
+}
+
+// noteEnd sets the end of a run that broke off and of all others at the same server, and
+// reports whether this run is the first one to find it.
+func (g *Gate) noteEnd(r *run) (end *call.End, found bool) {
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	t, current := r.target, g.target.Load()
+	switch {
+	case r.end != nil, !t.sameServer(current), current.Leaving, time.Since(g.runs.aliveAt) < aliveTime:
+		return r.end, false
+	case !refusesConnections(t.Address):
+		g.runs.aliveAt = time.Now()
+		return nil, false
+	}
+	running, suspects := g.runs.setEnd(t, call.ServerHash(g.config.Instance, t.Server, t.Epoch))
+	g.config.Sinks.Log.Warn("backend server ended", "service", t.Service, "server", t.Server, "epoch", t.Epoch, "running", running, "suspects", suspects)
+	return r.end, true
+}
+
+// setEnd sets the end of all runs at a server, and returns how many there were and how
+// many of them were suspects. The caller holds r.mu.
+func (r *runs) setEnd(t *Target, server uint64) (running, suspects int) {
+	for other := range r.current {
+		if other.target.sameServer(t) {
+			running++
+			if other.suspect {
+				suspects++
+			}
+		}
+	}
+	for other := range r.current {
+		if !other.target.sameServer(t) {
+			continue
+		}
+		weight := call.WeightCrowd
+		switch {
+		case other.suspect && suspects == 1, running == 1:
+			weight = call.WeightAlone
+		case !other.suspect && suspects > 0:
+			weight = call.WeightBystander
+		}
+		other.end = &call.End{Server: server, Weight: weight, At: time.Now()}
+	}
+	return running, suspects
+}
+
+// refusesConnections reports whether nothing listens at an address.
+func refusesConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, endedDialTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// withdraw ends the announcement of a server that accepts no connections, so that nodes
+// stop to send calls to it. The next announcement that the server itself confirms brings
+// it back.
+func (g *Gate) withdraw(t *Target) {
+	if current := g.target.Load(); g.config.ServerEnded != nil && t.sameServer(current) && !current.Leaving {
+		g.config.ServerEnded(current)
+	}
+}
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,7 +61,12 @@
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
 	attempt := &evidence{call: id, target: target, sentAt: c.admittedAt}
+	running := g.runs.begin(target, slot.Suspect)
 	resp, failure := g.forward(withEvidence(ctx, attempt), r, header, target)
+	if failure != nil {
+		g.checkEnd(running, failure)
+	}
+	g.runs.end(running)
 	if failure != nil {
 		failure.evidence = attempt
 		g.releaseAfterFailure(slot, failure)
@@ -99,7 +105,11 @@
 	c.finish()
 	c.gate.metrics.countFailure(f.verdict.Reason())
 	c.logFailure(f)
-	return c.gate.failureAnswer(c.id, f.verdict)
+	resp := c.gate.failureAnswer(c.id, f.verdict)
+	if f.end != nil {
+		resp.Header[call.HeaderEnded] = []string{f.end.Format()}
+	}
+	return resp
 }
 
 // logFailure logs a call that was answered too late or not at all.
@@ -212,6 +222,8 @@
 	verdict  call.Verdict
 	detail   string    // for the log
 	evidence *evidence // nil if the call was not sent
+	refused  bool      // nothing listens at the server's address
+	end      *call.End // of the server while it ran the call; nil if it goes on, as far as is known
 }
 
 // refusalAnswer returns the answer to a call that was refused before it was sent.
@@ -391,7 +403,7 @@
 func (g *Gate) classify(ctx context.Context, err error) *callFailure {
 	switch {
 	case hop.IsDialError(err) && !gotConn(ctx):
-		return &callFailure{verdict: call.NotRun(call.ReasonDial, call.ProofNotSent), detail: err.Error()}
+		return &callFailure{verdict: call.NotRun(call.ReasonDial, call.ProofNotSent), detail: err.Error(), refused: errors.Is(err, syscall.ECONNREFUSED)}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &callFailure{verdict: call.MayHaveRun(call.ReasonDeadline)}
 	case ctx.Err() != nil:
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -53,6 +53,10 @@
 	// ServerLeaving is called when the backend server, as it was set, states in an answer
 	// that it is leaving; it may be nil. The gate admits no new call to it from then on.
 	ServerLeaving func(*Target)
+	// ServerEnded is called when the backend server, as it was set, accepts no connections
+	// any more although it has not said that it leaves; it may be nil.
+	ServerEnded func(*Target)
+	Instance    string // name of this instance, which identifies its servers to other nodes; may be empty
 }
 
 // Callees is the services that the backend server calls in its runs. Its methods may be
@@ -80,6 +84,7 @@
 	metrics  *metrics
 
 	connections atomic.Uint64 // opened to backend servers so far
+	runs        runs
 
 	mu        sync.Mutex // guards the fields below
 	admission call.Admission
@@ -207,7 +212,7 @@
 		return nil, nil, call.ReasonNoServer
 	}
 	caller := header.Get(call.HeaderCaller)
-	w := &call.Waiter{Outside: caller != "" && caller != t.Service, Repeated: header[call.HeaderAttempt] != nil}
+	w := &call.Waiter{Outside: caller != "" && caller != t.Service, Repeated: header[call.HeaderAttempt] != nil, Suspect: header[call.HeaderSuspect] != nil}
 	if remote {
 		w.MarkRemote()
 	}
--- a/mesh/backend/report.go
+++ b/mesh/backend/report.go
@@ -20,6 +20,7 @@
 	scope   tally.Scope
 	answers tally.Counter
 	silence tally.Counter   // reused connections found silent
+	ends    tally.Counter   // of the server's process while it ran calls
 	limit   tally.Gauge     // requests a second that the server takes; noLimit if it names none
 	work    tally.Histogram // time from getting a slot to the end of the answer
 	queued  tally.Histogram // time that admitted calls waited for a slot
@@ -30,6 +31,7 @@
 		scope:   scope,
 		answers: scope.Counter("answers"),
 		silence: scope.Counter("silent"),
+		ends:    scope.Counter("ends"),
 		limit:   scope.Gauge("limit"),
 		work:    scope.Histogram("work", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
 		queued:  scope.Histogram("queued", tally.MustMakeExponentialDurationBuckets(time.Millisecond/2, 2, 16)),
@@ -57,6 +59,8 @@
 
 func (m *metrics) countFailure(reason call.Reason) { m.count("failures", reason) }
 
+func (m *metrics) countEnd() { m.ends.Inc(1) }
+
 func (m *metrics) countSilent() { m.silence.Inc(1) }
 
 func (m *metrics) count(name string, reason call.Reason) {
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -37,6 +37,7 @@
 	Demand                 // the zero Demand waits first in, first out, within the Limits
 	Outside  bool          // the call entered the mesh at an instance of another service
 	Repeated bool          // another gate has refused the call before
+	Suspect  bool          // the request is suspected of ending backend servers: it gets a slot at once, and alone among suspects, or none
 
 	// YieldShare is the share of calls like this one to refuse for more urgent ones at a
 	// service that the backend server calls, as the function YieldShare returns it.
@@ -78,6 +79,7 @@
 	ownShare       float64 // share of instances that run the service
 	nestedSlots    float64 // moving average of the slots that nested calls hold
 	nestedProgress int     // nested calls that hold a slot
+	suspects       int     // suspects that hold a slot
 	tallies        tallyMeter
 	yieldCarry     map[int]float64 // by priority: sum of the yield shares since the last call that yielded
 	rateLimit      RateLimit       // that the server names
@@ -142,7 +144,7 @@
 		w.reject(ReasonLate)
 	case a.yields(w, now):
 		w.reject(ReasonOverload)
-	case a.linkTooSlow(w, now):
+	case a.linkTooSlow(w, now), a.keepsOut(w, now):
 		w.reject(ReasonBusy)
 	case a.limited(w, now):
 		a.refuse(w, ReasonLimited, now)
@@ -156,6 +158,12 @@
 	return w.state
 }
 
+// keepsOut reports whether a suspect gets no slot: another one holds a slot, or it would
+// have to wait.
+func (a *Admission) keepsOut(w *Waiter, now time.Time) bool {
+	return w.Suspect && (a.suspects > 0 || len(a.queue) > 0 || a.inProgress >= a.Slots(now))
+}
+
 // enqueue queues a waiter, or rejects it.
 func (a *Admission) enqueue(w *Waiter, now time.Time) {
 	switch {
@@ -175,6 +183,9 @@
 	if w.nested {
 		a.nestedProgress++
 	}
+	if w.Suspect {
+		a.suspects++
+	}
 	w.state, w.admittedAt = Admitted, now
 	if w.counts() {
 		if t := a.tallies.of(w.Priority, now); t != nil {
@@ -245,6 +256,9 @@
 	if w.nested {
 		a.nestedProgress--
 	}
+	if w.Suspect {
+		a.suspects--
+	}
 	if result == ResultInconclusive {
 		a.inProgress--
 		return a.admitWaiting(now)
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -74,6 +74,8 @@
 	ReasonCrossed    Reason = "crossed"     // the response belonged to another call, or the backend server did not produce it
 	ReasonDeadline   Reason = "deadline"    // the deadline passed
 	ReasonCanceled   Reason = "canceled"    // the caller canceled the call or disconnected
+	ReasonEnded      Reason = "ended"       // the backend server's process ended while it ran the call
+	ReasonCondemned  Reason = "condemned"   // backend servers have ended while they ran the same request
 	ReasonShed       Reason = "shed"        // the backend server itself refused with 503
 	ReasonUnproven   Reason = "unproven"    // the backend server's answer promises that it did not run a call, but does not state it of this one
 	ReasonMoved      Reason = "moved"       // the address belongs to another backend server than expected
@@ -99,7 +101,7 @@
 		return http.StatusNotImplemented
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case ReasonBroken, ReasonCrossed, ReasonUnproven:
+	case ReasonBroken, ReasonEnded, ReasonCrossed, ReasonUnproven:
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
@@ -128,7 +130,7 @@
 // have reached the backend server. An attempt that a gate refused has not.
 func (r Reason) MayHaveArrived() bool {
 	switch r {
-	case ReasonBusy, ReasonLimited, ReasonBudget, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused:
+	case ReasonBusy, ReasonLimited, ReasonBudget, ReasonOverload, ReasonLate, ReasonLeaving, ReasonNoServer, ReasonDial, ReasonRefused, ReasonCondemned:
 		return false
 	}
 	return true
--- a/mesh/call/subset.go
+++ b/mesh/call/subset.go
@@ -48,6 +48,22 @@
 	return near, highestRanked(self, far, size-len(near))
 }
 
+// probationServers is the number of backend servers of a service that run suspected
+// requests: the first one, and those that replace it until all nodes know that it ended.
+const probationServers = 3
+
+// Probation returns the offers of a service that run the requests suspected of ending
+// backend servers, in order of preference, which is the same on all nodes.
+func Probation(service string, offers []member.Offer) []member.Offer {
+	var all []member.Offer
+	for _, o := range offers {
+		if usable(o) {
+			all = append(all, o)
+		}
+	}
+	return rankedBy(service, all)[:min(probationServers, len(all))]
+}
+
 // usable reports whether new calls may be sent to an offer.
 func usable(o member.Offer) bool {
 	return o.Node.GetState() == wire.State_STATE_ALIVE && !o.Server.GetLeaving()
@@ -59,18 +75,24 @@
 	if len(offers) <= n {
 		return offers
 	}
+	return rankedBy(self, offers)[:n]
+}
+
+// rankedBy returns offers in the order of their rendezvous hashes for a name, highest
+// first.
+func rankedBy(name string, offers []member.Offer) []member.Offer {
 	type ranked struct {
 		rank  uint64
 		offer member.Offer
 	}
 	all := make([]ranked, len(offers))
 	for i, o := range offers {
-		all[i] = ranked{xxhash.Sum64String(self + "\x00" + o.Node.GetName()), o}
+		all[i] = ranked{xxhash.Sum64String(name + "\x00" + o.Node.GetName()), o}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.offer.Node.GetName(), b.offer.Node.GetName()))
 	})
-	out := make([]member.Offer, n)
+	out := make([]member.Offer, len(all))
 	for i := range out {
 		out[i] = all[i].offer
 	}
--- /dev/null
+++ b/mesh/call/suspects.go
@@ -0,0 +1,398 @@
+package call
+
+// This file remembers the requests during which backend servers ended, and decides which
+// requests end servers. It handles a request that crashes each server that runs it: its
+// callers and the nodes would send it to one server after the other, and every other call
+// at those servers is lost with it.
+//
+// No single call shows which request is at fault, since a server runs several at once. The
+// evidence is what recurs: a request that was running whenever servers ended, and that no
+// server has answered since. One that is merely frequent is answered elsewhere meanwhile.
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Standing says how a request is to be treated.
+type Standing int
+
+// The values of Standing.
+const (
+	Unsuspected Standing = iota
+	Suspected            // it runs only on probation: alone among suspects, and at few servers
+	Condemned            // it is refused
+)
+
+// End is the end of a backend server's process while a request ran there.
+type End struct {
+	Server uint64    // identifies the incarnation of the server
+	Weight int       // one of the weights below
+	At     time.Time // when it ended
+}
+
+// Weights of an end as evidence against a request that was running.
+const (
+	WeightBystander = 0 // a suspected request was running, and this one was not suspected
+	WeightCrowd     = 1 // others were running too
+	WeightAlone     = 2 // no other request that may be at fault was running
+)
+
+const (
+	// suspectedWeight is the evidence from which a request is suspected. One end among
+	// other requests is not enough: servers also end for reasons of their own.
+	suspectedWeight = 2
+	// condemnedWeight is the evidence from which a request is condemned. It takes at least
+	// two ends, each of which the request was alone to explain, or more of weaker ones.
+	condemnedWeight = 4
+	// maxEnds is the number of ends that are kept of a request, the latest ones.
+	maxEnds = 8
+	// suspicionTime is how long an end counts. Within it a faulty request is expected to
+	// come again, or its service to be released anew.
+	suspicionTime = 30 * time.Minute
+	// trialDelay is the time after which a condemned request may run again on probation,
+	// to learn whether its service was mended. It doubles with each further end, up to
+	// maxTrialDoublings times.
+	trialDelay        = time.Minute
+	maxTrialDoublings = 4
+	// maxSuspects bounds the requests that are remembered, some 200 bytes each.
+	maxSuspects = 512
+	// maxSuspectNews bounds the changes that wait to be passed on.
+	maxSuspectNews = 256
+)
+
+// Suspicion is what is known of a request during which servers ended.
+type Suspicion struct {
+	Request  Fingerprint
+	Ends     []End     // of distinct servers
+	Answered time.Time // when a server was last known to answer the request; zero if never
+}
+
+// weight returns the evidence against the request: the ends since it was last answered.
+func (s *Suspicion) weight(now time.Time) (weight int, last time.Time) {
+	for _, e := range s.Ends {
+		if e.At.After(s.Answered) && now.Sub(e.At) < suspicionTime {
+			weight += e.Weight
+			if e.At.After(last) {
+				last = e.At
+			}
+		}
+	}
+	return weight, last
+}
+
+// standing returns how the request is to be treated.
+func (s *Suspicion) standing(now time.Time) Standing {
+	weight, last := s.weight(now)
+	switch {
+	case weight < suspectedWeight:
+		return Unsuspected
+	case weight < condemnedWeight:
+		return Suspected
+	case now.Sub(last) >= trialDelay<<min(max(0, (weight-condemnedWeight)/WeightAlone), maxTrialDoublings):
+		return Suspected
+	}
+	return Condemned
+}
+
+// addEnd adds an end and reports whether it was news. Of a server's end the largest weight
+// counts, and the earliest time, since news of it take some time.
+func (s *Suspicion) addEnd(e End) bool {
+	for i := range s.Ends {
+		if known := &s.Ends[i]; known.Server == e.Server {
+			if e.At.Before(known.At) {
+				known.At = e.At
+			}
+			news := e.Weight > known.Weight
+			known.Weight = max(known.Weight, e.Weight)
+			return news
+		}
+	}
+	if len(s.Ends) == maxEnds {
+		oldest := 0
+		for i := range s.Ends {
+			if s.Ends[i].At.Before(s.Ends[oldest].At) {
+				oldest = i
+			}
+		}
+		if e.At.Before(s.Ends[oldest].At) {
+			return false
+		}
+		s.Ends = slices.Delete(s.Ends, oldest, oldest+1)
+	}
+	s.Ends = append(s.Ends, e)
+	return true
+}
+
+// Suspects holds the suspicions of a node, which learns of them from its own calls and
+// from other nodes. Its methods may be called concurrently; for a request without a
+// suspicion they take no lock and allocate nothing.
+type Suspects struct {
+	answers *answerTimes
+	known   atomic.Int32 // number of suspicions
+
+	mu        sync.Mutex
+	byRequest map[Fingerprint]*Suspicion
+	news      []Fingerprint // of suspicions that changed and were not taken yet
+}
+
+// NewSuspects returns Suspects without a suspicion.
+func NewSuspects(now time.Time) *Suspects {
+	return &Suspects{answers: &answerTimes{since: now}, byRequest: map[Fingerprint]*Suspicion{}}
+}
+
+// Standing returns how a request is to be treated now.
+func (s *Suspects) Standing(f Fingerprint, now time.Time) Standing {
+	if s.known.Load() == 0 {
+		return Unsuspected
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.byRequest[f]; known != nil {
+		return known.standing(now)
+	}
+	return Unsuspected
+}
+
+// RecordEnd records that a server ended while it ran a request, and returns how the request
+// is to be treated from now on.
+func (s *Suspects) RecordEnd(f Fingerprint, e End) Standing {
+	if e.Weight <= WeightBystander {
+		return s.Standing(f, e.At)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.get(f, e.At)
+	if known.addEnd(e) {
+		s.changed(f)
+	}
+	return known.standing(e.At)
+}
+
+// RecordAnswer records that a server answered a request whole. The ends before that no
+// longer count.
+func (s *Suspects) RecordAnswer(f Fingerprint, now time.Time) {
+	s.answers.record(f, now)
+	if s.known.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.byRequest[f]; known != nil {
+		s.recordAnswered(known, now)
+	}
+}
+
+// recordAnswered notes that a request with a suspicion was answered. That is news where it
+// takes the evidence away. The caller holds s.mu.
+func (s *Suspects) recordAnswered(known *Suspicion, at time.Time) bool {
+	before, _ := known.weight(at)
+	if at.After(known.Answered) {
+		known.Answered = at
+	}
+	if after, _ := known.weight(at); after == before {
+		return false
+	}
+	s.changed(known.Request)
+	return true
+}
+
+// Merge takes what another node knows, as of now. What is news to this node, or what it
+// knows better by its own answers, is to be passed on.
+func (s *Suspects) Merge(theirs []Suspicion, now time.Time) {
+	if len(theirs) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range theirs {
+		news := false
+		known := s.get(t.Request, now)
+		for _, e := range t.Ends {
+			if e.Weight > WeightBystander && now.Sub(e.At) < suspicionTime {
+				e.Weight = min(e.Weight, WeightAlone)
+				news = known.addEnd(e) || news
+			}
+		}
+		if t.Answered.After(known.Answered) {
+			news = s.recordAnswered(known, t.Answered) || news
+		}
+		if news {
+			s.changed(t.Request)
+		}
+		if len(known.Ends) == 0 {
+			s.remove(t.Request)
+		}
+	}
+}
+
+// get returns the suspicion of a request, which is new if there is none. The caller
+// holds s.mu.
+func (s *Suspects) get(f Fingerprint, now time.Time) *Suspicion {
+	if known := s.byRequest[f]; known != nil {
+		return known
+	}
+	if len(s.byRequest) >= maxSuspects {
+		s.evict(now)
+	}
+	known := &Suspicion{Request: f, Answered: s.answers.last(f)}
+	s.byRequest[f] = known
+	s.known.Store(int32(len(s.byRequest)))
+	return known
+}
+
+// evict removes the suspicion with the least evidence, and of these the oldest one. The
+// caller holds s.mu.
+func (s *Suspects) evict(now time.Time) {
+	var worst Fingerprint
+	var worstWeight int
+	var worstAt time.Time
+	first := true
+	for f, known := range s.byRequest {
+		weight, at := known.weight(now)
+		if first || cmp.Or(cmp.Compare(weight, worstWeight), at.Compare(worstAt)) < 0 {
+			first, worst, worstWeight, worstAt = false, f, weight, at
+		}
+	}
+	s.remove(worst)
+}
+
+// remove forgets a suspicion. The caller holds s.mu.
+func (s *Suspects) remove(f Fingerprint) {
+	delete(s.byRequest, f)
+	s.known.Store(int32(len(s.byRequest)))
+}
+
+// changed marks a suspicion as news. The oldest news are dropped if there are too many;
+// Strongest brings them later. The caller holds s.mu.
+func (s *Suspects) changed(f Fingerprint) {
+	if slices.Contains(s.news, f) {
+		return
+	}
+	if len(s.news) == maxSuspectNews {
+		s.news = s.news[1:]
+	}
+	s.news = append(s.news, f)
+}
+
+// TakeNews returns up to limit suspicions that changed since they were last taken.
+func (s *Suspects) TakeNews(limit int) []Suspicion {
+	if s.known.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Suspicion
+	for len(s.news) > 0 && len(out) < limit {
+		if known := s.byRequest[s.news[0]]; known != nil {
+			out = append(out, known.clone())
+		}
+		s.news = s.news[1:]
+	}
+	return out
+}
+
+// Strongest returns up to limit of the suspicions that make a difference, those with the
+// most evidence first, and forgets all that no longer count.
+func (s *Suspects) Strongest(limit int, now time.Time) []Suspicion {
+	if s.known.Load() == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	type ranked struct {
+		*Suspicion
+		weight int
+	}
+	var all []ranked
+	for f, known := range s.byRequest {
+		latest := known.Answered
+		for _, e := range known.Ends {
+			if e.At.After(latest) {
+				latest = e.At
+			}
+		}
+		if now.Sub(latest) >= suspicionTime {
+			s.remove(f)
+			continue
+		}
+		if weight, _ := known.weight(now); weight >= suspectedWeight {
+			all = append(all, ranked{known, weight})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), slices.Compare(a.Request[:], b.Request[:]))
+	})
+	var out []Suspicion
+	for _, r := range all[:min(limit, len(all))] {
+		out = append(out, r.clone())
+	}
+	return out
+}
+
+// Counts returns how many requests are suspected and how many are condemned.
+func (s *Suspects) Counts(now time.Time) (suspected, condemned int) {
+	if s.known.Load() == 0 {
+		return 0, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.byRequest {
+		switch known.standing(now) {
+		case Suspected:
+			suspected++
+		case Condemned:
+			condemned++
+		}
+	}
+	return suspected, condemned
+}
+
+func (s *Suspicion) clone() Suspicion {
+	out := *s
+	out.Ends = slices.Clone(s.Ends)
+	return out
+}
+
+// answerSlots is the number of answered requests whose time is remembered. A service's
+// popular requests keep their slots, since each answer takes its slot anew.
+const answerSlots = 2048
+
+// answerTimes remembers when requests were last answered, by their fingerprints. A
+// request may lose its slot to another one with the same remainder.
+type answerTimes struct {
+	since time.Time // to which the times below are relative, so that steps of the time of day don't matter
+	slots [answerSlots]struct{ request, at atomic.Uint64 }
+}
+
+// record remembers that a request was answered at a time.
+func (t *answerTimes) record(f Fingerprint, at time.Time) {
+	key := f.key()
+	slot := &t.slots[key%answerSlots]
+	slot.request.Store(0) // a reader between the two stores must not take the time for the other request's
+	slot.at.Store(uint64(max(0, at.Sub(t.since))))
+	slot.request.Store(key)
+}
+
+// last returns when a request was last answered, or the zero time if it is not known.
+func (t *answerTimes) last(f Fingerprint) time.Time {
+	key := f.key()
+	slot := &t.slots[key%answerSlots]
+	at := slot.at.Load()
+	if slot.request.Load() != key {
+		return time.Time{}
+	}
+	return t.since.Add(time.Duration(at))
+}
+
+// key returns a part of the fingerprint that is not 0, which means an unused slot.
+func (f Fingerprint) key() uint64 { return max(1, binary.BigEndian.Uint64(f[:8])) }
+
+// String returns the name of the standing in log lines.
+func (s Standing) String() string {
+	return [...]string{"unsuspected", "suspected", "condemned"}[s]
+}
--- /dev/null
+++ b/mesh/call/suspects_test.go
@@ -0,0 +1,226 @@
+package call
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func printOf(n int) Fingerprint {
+	return FingerprintOf("quotes", "h.example", "GET", fmt.Sprint("/quotes/", n), nil)
+}
+
+func TestFingerprint(t *testing.T) {
+	base := FingerprintOf("s", "h", "GET", "/a?b=1", nil)
+	require.Equal(t, base, FingerprintOf("s", "h", "GET", "/a?b=1", nil))
+	long := make([]byte, 4*fingerprintBuffer)
+	other := slices.Clone(long)
+	other[len(other)-1] = 1
+	seen := map[Fingerprint]string{base: "base"}
+	for name, f := range map[string]Fingerprint{
+		"service": FingerprintOf("t", "h", "GET", "/a?b=1", nil),
+		"host":    FingerprintOf("s", "i", "GET", "/a?b=1", nil),
+		"method":  FingerprintOf("s", "h", "PUT", "/a?b=1", nil),
+		"query":   FingerprintOf("s", "h", "GET", "/a?b=2", nil),
+		"body":    FingerprintOf("s", "h", "GET", "/a?b=1", []byte("x")),
+		"shifted": FingerprintOf("s", "hG", "ET", "/a?b=1", nil),
+		"long":    FingerprintOf("s", "h", "GET", "/a?b=1", long),
+		"other":   FingerprintOf("s", "h", "GET", "/a?b=1", other),
+		"target":  FingerprintOf("s", "h", "GET", "/"+string(long), nil),
+	} {
+		require.Empty(t, seen[f], name)
+		seen[f] = name
+	}
+}
+
+// TestRequestThatEndsServersIsCondemned checks how a request is treated after each end,
+// and that it may run again on probation after a while, later after each further end.
+func TestRequestThatEndsServersIsCondemned(t *testing.T) {
+	now, f := time.Now(), printOf(1)
+	s := NewSuspects(now)
+	require.Equal(t, Unsuspected, s.RecordEnd(f, End{Server: 1, Weight: WeightCrowd, At: now}))
+	require.Equal(t, Unsuspected, s.RecordEnd(f, End{Server: 1, Weight: WeightCrowd, At: now}), "a server ends once")
+	require.Equal(t, Suspected, s.RecordEnd(f, End{Server: 2, Weight: WeightCrowd, At: now}))
+	require.Equal(t, Suspected, s.RecordEnd(f, End{Server: 3, Weight: WeightBystander, At: now}))
+	require.Equal(t, Condemned, s.RecordEnd(f, End{Server: 4, Weight: WeightAlone, At: now}))
+	require.Equal(t, Unsuspected, s.Standing(printOf(2), now))
+	require.Equal(t, Condemned, s.Standing(f, now.Add(trialDelay-1)))
+	require.Equal(t, Suspected, s.Standing(f, now.Add(trialDelay)))
+	now = now.Add(trialDelay)
+	require.Equal(t, Condemned, s.RecordEnd(f, End{Server: 5, Weight: WeightAlone, At: now}))
+	require.Equal(t, Condemned, s.Standing(f, now.Add(2*trialDelay-1)))
+	require.Equal(t, Suspected, s.Standing(f, now.Add(2*trialDelay)))
+	s.RecordAnswer(f, now.Add(2*trialDelay))
+	require.Equal(t, Unsuspected, s.Standing(f, now.Add(2*trialDelay)), "its service was mended")
+	require.Empty(t, s.Strongest(10, now.Add(suspicionTime)))
+	suspected, condemned := s.Counts(now)
+	require.Zero(t, suspected+condemned)
+}
+
+// TestPopularRequestIsNotSuspected plays a request that is running at every end, since it
+// always runs somewhere, and is answered by the servers that go on.
+func TestPopularRequestIsNotSuspected(t *testing.T) {
+	for name, answeredBy := range map[string]int{"at this node": 0, "at another node": 1} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			nodes := []*Suspects{NewSuspects(now), NewSuspects(now)}
+			f := printOf(1)
+			for server := range uint64(200) {
+				nodes[answeredBy].RecordAnswer(f, now)
+				nodes[0].RecordEnd(f, End{Server: server, Weight: WeightCrowd, At: now.Add(time.Millisecond)})
+				now = now.Add(10 * time.Millisecond)
+				nodes[answeredBy].RecordAnswer(f, now)
+				nodes[1].Merge(nodes[0].TakeNews(100), now)
+				nodes[0].Merge(nodes[1].TakeNews(100), now)
+				for _, s := range nodes {
+					require.Equal(t, Unsuspected, s.Standing(f, now))
+				}
+			}
+		})
+	}
+}
+
+// TestEndsWithoutAFaultyRequestCondemnNobody plays servers that end for reasons of their
+// own, one in a hundred times that they run a batch of six requests, which is far more often than
+// the 1,600 restarts a day of the target. What ran there runs
+// again, on probation once it is suspected, unless it is refused.
+func TestEndsWithoutAFaultyRequestCondemnNobody(t *testing.T) {
+	r, now := rand.New(rand.NewPCG(1, 2)), time.Now()
+	s := NewSuspects(now)
+	next, ended, suspected := 0, 0, 0
+	var again, batch []Fingerprint
+	for server := range uint64(20000) {
+		now = now.Add(10 * time.Millisecond)
+		batch = batch[:0]
+		weight := WeightCrowd
+		for len(batch) < 6 && weight == WeightCrowd {
+			if len(again) == 0 {
+				next++
+				again = append(again, printOf(next))
+			}
+			f := again[0]
+			standing := s.Standing(f, now)
+			require.NotEqual(t, Condemned, standing)
+			if standing == Suspected {
+				suspected++
+				batch, weight = batch[:0], WeightAlone // the others run beside it as bystanders
+			}
+			again, batch = again[1:], append(batch, f)
+		}
+		if r.IntN(100) > 0 {
+			for _, f := range batch {
+				s.RecordAnswer(f, now)
+			}
+			continue
+		}
+		ended++
+		for _, f := range batch {
+			s.RecordEnd(f, End{Server: server, Weight: weight, At: now})
+		}
+		again = append(again, batch...)
+	}
+	require.Greater(t, ended, 150)
+	require.Greater(t, suspected, 5)
+}
+
+// TestManyRequestsFillNoMemory checks that requests without end neither take memory
+// without bound nor push out the one that is condemned.
+func TestManyRequestsFillNoMemory(t *testing.T) {
+	now := time.Now()
+	s := NewSuspects(now)
+	faulty := printOf(0)
+	s.RecordEnd(faulty, End{Server: 1, Weight: WeightAlone, At: now})
+	s.RecordEnd(faulty, End{Server: 2, Weight: WeightAlone, At: now})
+	for n := range 20 * maxSuspects {
+		now = now.Add(time.Millisecond)
+		f := printOf(n + 1)
+		require.Equal(t, Unsuspected, s.Standing(f, now))
+		s.RecordEnd(f, End{Server: uint64(n), Weight: WeightCrowd, At: now})
+	}
+	require.Len(t, s.byRequest, maxSuspects)
+	require.LessOrEqual(t, len(s.news), maxSuspectNews)
+	require.Equal(t, Condemned, s.Standing(faulty, now))
+	require.Equal(t, faulty, s.Strongest(1, now)[0].Request)
+}
+
+// TestSuspicionsAgree checks that nodes that hear of the same ends and answers, in any
+// order and more than once, come to the same standing.
+func TestSuspicionsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Now()
+		nodes := []*Suspects{NewSuspects(start), NewSuspects(start), NewSuspects(start)}
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+			s, f := rapid.SampledFrom(nodes).Draw(t, "node"), printOf(rapid.IntRange(0, 2).Draw(t, "request"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				s.RecordAnswer(f, now)
+			case 1:
+				rapid.SampledFrom(nodes).Draw(t, "to").Merge(s.TakeNews(10), now)
+			default:
+				s.RecordEnd(f, End{Server: rapid.Uint64Range(0, 6).Draw(t, "server"), Weight: rapid.IntRange(0, 2).Draw(t, "weight"), At: now})
+			}
+		}
+		for range 3 {
+			for _, from := range nodes {
+				var all []Suspicion
+				for _, known := range from.byRequest {
+					all = append(all, known.clone())
+				}
+				for _, to := range nodes {
+					to.Merge(all, now)
+				}
+			}
+		}
+		for n := range 3 {
+			for _, s := range nodes {
+				require.Equal(t, nodes[0].Standing(printOf(n), now), s.Standing(printOf(n), now))
+			}
+		}
+	})
+}
+
+// TestSuspectsRunAlone checks that a suspect gets a slot at once, beside other calls but
+// no other suspect, or none.
+func TestSuspectsRunAlone(t *testing.T) {
+	now := time.Now()
+	var a Admission
+	a.SetLimits(Limits{Slots: 3, Queue: 10, Wait: time.Second}, now)
+	enter := func(w *Waiter) *Waiter { a.Enter(w, now); return w }
+	first := enter(&Waiter{Suspect: true})
+	require.Equal(t, Admitted, first.State())
+	require.Equal(t, Admitted, enter(&Waiter{}).State())
+	second := enter(&Waiter{Suspect: true})
+	require.Equal(t, Rejected, second.State())
+	require.Equal(t, ReasonBusy, second.Reason())
+	a.Finish(first, ResultFailure, now)
+	second = enter(&Waiter{Suspect: true})
+	require.Equal(t, Admitted, second.State())
+	require.Equal(t, Admitted, enter(&Waiter{}).State())
+	require.Equal(t, Waiting, enter(&Waiter{}).State())
+	a.Finish(second, ResultInconclusive, now)
+	require.Equal(t, Rejected, enter(&Waiter{Suspect: true}).State(), "it isn't queued")
+}
+
+// BenchmarkSuspects measures the check of a call that is no suspect, while others are.
+func BenchmarkSuspects(b *testing.B) {
+	now := time.Now()
+	s := NewSuspects(now)
+	for n := range 10 {
+		s.RecordEnd(printOf(n), End{Server: 1, Weight: WeightAlone, At: now})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f := FingerprintOf("quotes", "zile24.example", "GET", "/govo321/8c7c24", nil)
+		if s.Standing(f, now) != Unsuspected {
+			b.Fatal("suspected")
+		}
+		s.RecordAnswer(f, now)
+	}
+}
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -29,6 +29,9 @@
 type service struct {
 	policy   record.Policy
 	balancer *call.Balancer
+	// probation holds the instances that run suspected requests, in order of preference.
+	// All nodes choose the same ones.
+	probation []*call.Instance
 	*serviceState
 }
 
@@ -170,6 +173,7 @@
 	self := d.view.Self
 	near, far := call.Subset(self.GetName(), self.GetDomain(), offers, s.policy.Subset)
 	s.balancer.Near, s.balancer.Far = p.instances(near), p.instances(far)
+	s.probation = p.instances(call.Probation(name, offers))
 	return s
 }
 
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -55,6 +55,9 @@
 	queuedAttempts    int         // attempts that may be queued
 	answer            *result     // the last result if it succeeded; else nil
 	nested            atomic.Bool // a gate recognized it as a call of the backend server of this instance
+	fingerprint       call.Fingerprint
+	onProbation       bool // the request is suspected of ending backend servers
+	endedServers      int  // servers that ended while they ran this call
 }
 
 // result is the result of one attempt.
@@ -110,6 +113,9 @@
 // pick returns the instance for the next attempt and records it as tried, or
 // returns nil if none is left. Without an objective, no instance is tried twice.
 func (x *exchange) pick() *call.Instance {
+	if x.onProbation {
+		return x.pickOnProbation()
+	}
 	if x.route.LatencyObjective > 0 {
 		return x.place()
 	}
@@ -143,6 +149,8 @@
 		return false
 	case last.Reason() == call.ReasonOverload: // other instances call the same service
 		return false
+	case !x.mayRunElsewhere(last):
+		return false
 	case !call.CanRetry(last.Outcome(), x.idempotent, x.inExtraAttempt):
 		return false
 	}
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -37,6 +37,7 @@
 	Dialect            Dialect                         // nil means the Caroblift headers
 	BufferLimit        int64                           // size in bytes up to which an answer is buffered before it is forwarded; zero means none
 	ExtraAttempts      ExtraAttempts                   // limit of extra attempts, instead of the policies'; zero means none
+	Suspects           *call.Suspects                  // requests suspected of ending backend servers; nil for suspects of the proxy's own
 	Sinks              telemetry.Sinks
 }
 
@@ -82,6 +83,9 @@
 	if config.Policy == nil {
 		config.Policy = DefaultPolicy()
 	}
+	if config.Suspects == nil {
+		p.config.Suspects = call.NewSuspects(time.Now())
+	}
 	p.SetPolicy(config.Policy)
 	return p
 }
@@ -236,6 +240,11 @@
 	if body.Empty() {
 		h[call.HeaderEmpty] = []string{call.Yes}
 	}
+	if reason := x.checkStanding(); reason != "" {
+		x.endContext()
+		x.span.End()
+		return reason
+	}
 	return ""
 }
 
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -106,6 +106,8 @@
 			cancel()
 			*r = *r.WithContext(ctx)
 		}},
+		call.ReasonEnded:      failed(refuseWith(call.MayHaveRun(call.ReasonEnded))),
+		call.ReasonCondemned:  refusedByEntry(condemn),
 		call.ReasonShed:       {hop: respondWith(http.StatusServiceUnavailable), message: telemetry.CallLost, counter: failures},
 		call.ReasonUnproven:   failed(refuseWith(call.MayHaveRun(call.ReasonUnproven))),
 		call.ReasonMoved:      refusedByGate(refuseWith(call.NotRun(call.ReasonMoved, call.ProofRejected))),
@@ -165,6 +167,14 @@
 	return all
 }
 
+// condemn makes a request one that is refused, since servers ended while they ran it.
+func condemn(p *Proxy, r *http.Request) {
+	f := call.FingerprintOf("quotes", r.Host, r.Method, r.RequestURI, nil)
+	for server := range uint64(2) {
+		p.config.Suspects.RecordEnd(f, call.End{Server: server, Weight: call.WeightAlone, At: time.Now()})
+	}
+}
+
 var reasonsTable = &revision.Table{
 	Number: 7, Services: map[string]*record.Service{"quotes": {Name: "quotes"}}, Policies: map[string]*record.Policy{},
 	Limits: record.CallerLimits{MaxHeaderBytes: 1000, MaxBodyBytes: 1000},
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -94,6 +94,9 @@
 	a.instance.End()
 	switch {
 	case err == io.EOF:
+		if res.verdict.Reason() == "" {
+			a.proxy.config.Suspects.RecordAnswer(a.fingerprint, time.Now())
+		}
 		a.recordResult(res, res.resp.StatusCode < http.StatusInternalServerError, time.Now())
 	case err != nil && a.req.Context().Err() == nil:
 		a.recordResult(res, false, time.Now())
@@ -163,6 +166,7 @@
 		x.backlog = parseBacklog(resp.Header)
 		_ = resp.Body.Close()
 		res := &result{instance: i, verdict: call.ParseVerdict(resp.Header)}
+		x.recordEnd(resp.Header, now)
 		x.recordFailure(res, now)
 		return res
 	}
@@ -190,7 +194,7 @@
 // not at fault.
 func (x *exchange) recordFailure(res *result, now time.Time) {
 	switch res.verdict.Reason() {
-	case call.ReasonLeaving, call.ReasonNoServer:
+	case call.ReasonLeaving, call.ReasonNoServer, call.ReasonEnded:
 		res.instance.Avoid(now)
 	case call.ReasonLimited:
 		res.instance.RecordLimited(x.backlog, len(x.directory.view.Names), now, rand.IntN)
--- /dev/null
+++ b/mesh/caller/suspect.go
@@ -0,0 +1,76 @@
+package caller
+
+// This file treats requests that are suspected of ending the backend servers that run
+// them.
+
+import (
+	"net/http"
+	"time"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/telemetry"
+)
+
+// maxEndedServers is the number of backend servers that may end while they run one call.
+// One may have ended for another reason.
+const maxEndedServers = 2
+
+// checkStanding decides how the call is treated by what is known of its request. It
+// returns the reason if the call is refused.
+func (x *exchange) checkStanding() call.Reason {
+	x.fingerprint = call.FingerprintOf(x.target, x.r.Host, x.r.Method, x.r.RequestURI, x.body.Buffered())
+	switch x.standing() {
+	case call.Condemned:
+		return call.ReasonCondemned
+	case call.Suspected:
+		x.onProbation = true
+		x.r.Header[call.HeaderSuspect] = []string{call.Yes}
+	}
+	return ""
+}
+
+func (x *exchange) standing() call.Standing {
+	return x.proxy.config.Suspects.Standing(x.fingerprint, time.Now())
+}
+
+// recordEnd records what a gate reports of the end of its backend server while it ran the
+// call.
+func (x *exchange) recordEnd(answer http.Header, now time.Time) {
+	end, ok := call.ParseEnd(answer.Get(call.HeaderEnded), now)
+	if !ok {
+		return
+	}
+	before := x.standing()
+	standing := x.proxy.config.Suspects.RecordEnd(x.fingerprint, end)
+	x.proxy.config.Sinks.Log.Info(telemetry.RequestSuspected, "call", x.id, "request", x.fingerprint.String(),
+		"weight", end.Weight, "before", before.String(), "standing", standing.String())
+}
+
+// pickOnProbation returns the instance for a suspected request: the first one that the
+// service has for these, or the next one if that has lost its server. It may not be
+// queued.
+func (x *exchange) pickOnProbation() *call.Instance {
+	if len(x.tried) >= len(x.service.probation) {
+		return nil
+	}
+	i := x.service.probation[len(x.tried)]
+	x.tried = append(x.tried, i)
+	x.demand.NoWait, x.demand.Last = true, true
+	return i
+}
+
+// mayRunElsewhere reports whether a call that failed may be sent to another backend
+// server, as far as its request's standing goes. A suspected one may only if it has not
+// met a server.
+func (x *exchange) mayRunElsewhere(last call.Verdict) bool {
+	switch last.Reason() {
+	case call.ReasonEnded:
+		x.endedServers++
+	case call.ReasonNoServer, call.ReasonLeaving, call.ReasonDial, call.ReasonRefused:
+		return true
+	}
+	if x.onProbation {
+		return false
+	}
+	return x.endedServers < maxEndedServers && (x.arrivals == 0 || x.standing() == call.Unsuspected)
+}
--- a/mesh/hop/body.go
+++ b/mesh/hop/body.go
@@ -43,6 +43,9 @@
 // Streamed reports whether the body can be sent only once.
 func (b *Body) Streamed() bool { return b.stream != nil }
 
+// Buffered returns the content of the body, or nil if it is empty or streamed.
+func (b *Body) Buffered() []byte { return b.buffered }
+
 // Empty reports whether there is no body.
 func (b *Body) Empty() bool { return b.stream == nil && len(b.buffered) == 0 }
 
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -30,6 +30,7 @@
 	JoinsPerSecond   int                      // joins served in a second; 0 for 8
 	HasMeetingPoints bool                     // the platform has meeting points; without seeds they are asked first
 	RevisionFloor    func(name string) uint64 // newest revision that an instance was seen to report; may be nil
+	Suspicions       Suspicions               // of requests; nil for none
 	Rand             *rand.Rand               // nil for a randomly seeded generator
 }
 
@@ -71,6 +72,9 @@
 	if config.Rand == nil {
 		config.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if config.Suspicions == nil {
+		config.Suspicions = noSuspicions{}
+	}
 	if config.JoinsPerSecond == 0 {
 		config.JoinsPerSecond = 8
 	}
@@ -208,21 +212,22 @@
 	return []Action{{Kind: Join, Addr: addr, IssuedAt: now, Join: &wire.JoinRequest{Member: a.table.self}}}
 }
 
-// flush returns the actions that send queued events to the live neighbours,
-// within the gossip rate.
+// flush returns the actions that send queued events and news of suspicions to the live
+// neighbours, within the gossip rate.
 func (a *Agent) flush(now time.Time) []Action {
-	if a.queue.len() == 0 {
-		return nil
-	}
 	to := a.currentNeighbours().Alive
-	events := a.queue.nextBatch(now, len(to))
-	if len(events) == 0 {
+	suspicions := a.suspicionNews(now, len(to))
+	var events []*wire.Member
+	if a.queue.len() > 0 {
+		events = a.queue.nextBatch(now, len(to))
+	}
+	if len(events) == 0 && len(suspicions) == 0 {
 		return nil
 	}
 	var out []Action
 	for _, name := range to {
 		act := a.newProbe(now, Gossip, name)
-		act.Probe.Events = events
+		act.Probe.Events, act.Probe.Suspicions = events, suspicions
 		out = append(out, act)
 	}
 	return out
@@ -272,6 +277,7 @@
 func (a *Agent) HandleProbe(now time.Time, req *wire.ProbeRequest) *wire.ProbeResponse {
 	a.detectPause(now)
 	before := a.table.self.GetIncarnation()
+	a.mergeSuspicions(now, req.GetSuspicions())
 	for _, m := range req.GetEvents() {
 		a.table.Merge(m, now)
 		if !a.joinSearch.joined && m.GetName() == req.GetName() && !IsVerdict(m) {
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -200,6 +200,7 @@
 		a.queueChanges()
 	}
 	resp.Members = a.table.AllEvents()
+	resp.Suspicions = a.config.Suspicions.Strongest(now, maxJoinSuspicions)
 	return resp
 }
 
@@ -238,6 +239,7 @@
 	a.finishSearch(now)
 	a.stale = false
 	a.raiseIncarnation(now, act, resp)
+	a.mergeSuspicions(now, resp.GetSuspicions())
 	a.queueChanges()
 	for _, m := range resp.GetMembers() {
 		a.table.Merge(m, now)
--- a/mesh/member/news.go
+++ b/mesh/member/news.go
@@ -109,11 +109,17 @@
 	return nil
 }
 
+// refill adds the tokens since the last refill and returns how many there are.
+func (q *eventQueue) refill(now time.Time) float64 {
+	q.budget = min(gossipBurstBytes, q.budget+now.Sub(q.refilledAt).Seconds()*gossipBytesPerSecond)
+	q.refilledAt = now
+	return q.budget
+}
+
 // nextBatch removes and returns the events of the next message, which goes to the
 // given number of neighbours.
 func (q *eventQueue) nextBatch(now time.Time, neighbours int) []*wire.Member {
-	q.budget = min(gossipBurstBytes, q.budget+now.Sub(q.refilledAt).Seconds()*gossipBytesPerSecond)
-	q.refilledAt = now
+	q.refill(now)
 	if neighbours == 0 {
 		return nil
 	}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -25,6 +25,7 @@
 	"gopkg.in/tomb.v2"
 
 	"caroblift.dev/mesh/backend"
+	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/caller"
 	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/peer"
@@ -58,6 +59,7 @@
 	eras           *store.Eras
 	budget         *store.Budget
 	meetingPoints  *store.MeetingPoints
+	suspects       *call.Suspects
 	pool           *peer.Pool
 	inboundBytes   peer.ByteCounter // control bytes of accepted connections
 	callBytes      peer.ByteCounter // bytes of calls to and from other nodes
@@ -90,7 +92,7 @@
 // NewWithPlatform is like New, for a platform with its own protocol. A nil
 // platform means the built-in protocol.
 func NewWithPlatform(p *Platform, s *wire.Settings, sinks telemetry.Sinks) (*Node, error) {
-	n := &Node{settings: s, Holder: &revision.Holder{}, platform: p, peerAhead: make(chan struct{}, 1)}
+	n := &Node{settings: s, Holder: &revision.Holder{}, platform: p, peerAhead: make(chan struct{}, 1), suspects: call.NewSuspects(time.Now())}
 	n.sinks = sinks.WithDefaults()
 	n.sinks.Log = telemetry.WithRevision(n.sinks.Log, func() uint64 { return n.Holder.Table().Number }).
 		With("instance", s.GetInstance().GetName(), "domain", s.GetInstance().GetDomain())
@@ -164,7 +166,7 @@
 	n.pool = peer.NewPool(peer.PoolConfig{PingTimeout: silent, ClientOptions: []connect.ClientOption{connect.WithInterceptors(peer.RevisionInterceptor(revisionTracker{n}))}})
 	n.Members = peer.NewMembers(peer.MembersConfig{
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), HeartbeatInterval: ms(s.GetPeers().GetBeat()),
-		SuspicionTimeout: ms(s.GetPeers().GetSuspect()), JoinsPerSecond: int(s.GetPeers().GetJoiners()), Sinks: n.sinks.ForPart("member"),
+		SuspicionTimeout: ms(s.GetPeers().GetSuspect()), JoinsPerSecond: int(s.GetPeers().GetJoiners()), Sinks: n.sinks.ForPart("member"), Suspicions: call.SuspectNews{Suspects: n.suspects},
 		ReportedRevision: func(name string) uint64 { return n.Distributor.ReportedRevision(name) }, RaiseFloor: n.Holder.RaiseFloor,
 		HasMeetingPoints:  n.platform != nil,
 		ReadMeetingPoints: func(ctx context.Context) ([]*wire.Member, error) { return n.meetingPoints.Read(ctx) },
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -122,6 +122,9 @@
 	for service, left := range n.Proxy.RemainingRetries() {
 		s.scope.Tagged(map[string]string{"service": service}).Gauge("budget").Update(float64(left))
 	}
+	suspected, condemned := n.suspects.Counts(time.Now())
+	s.setGauge("requests_suspected", float64(suspected))
+	s.setGauge("requests_condemned", float64(condemned))
 	s.updateMemberGauges()
 	s.updateTraffic()
 }
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -29,6 +29,7 @@
 	RaiseFloor        func(floor uint64)                                // raises the own floor to the revision that peers remember of this instance
 	ReadMeetingPoints func(ctx context.Context) ([]*wire.Member, error) // reads the meeting points on the platform
 	HasMeetingPoints  bool                                              // every node writes a meeting point, so seeds are not needed
+	Suspicions        member.Suspicions                                 // of requests; nil for none
 	Sinks             telemetry.Sinks
 }
 
@@ -58,7 +59,7 @@
 	}
 	m := &Members{config: config, freshPool: config.Pool.withoutKeepAlives()}
 	m.agent = member.New(member.Config{
-		Heartbeat: config.HeartbeatInterval, SuspicionTimeout: config.SuspicionTimeout, Seeds: config.Seeds, JoinsPerSecond: config.JoinsPerSecond, RevisionFloor: config.ReportedRevision, HasMeetingPoints: config.ReadMeetingPoints != nil && config.HasMeetingPoints,
+		Heartbeat: config.HeartbeatInterval, SuspicionTimeout: config.SuspicionTimeout, Seeds: config.Seeds, JoinsPerSecond: config.JoinsPerSecond, RevisionFloor: config.ReportedRevision, HasMeetingPoints: config.ReadMeetingPoints != nil && config.HasMeetingPoints, Suspicions: config.Suspicions,
 	}, config.Self, time.Now())
 	m.pauseThreshold = m.agent.PauseThreshold()
 	m.mu.Lock()
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -28,6 +28,10 @@
 	CallLimited = "call limited" // the call was sent under a limit that the backend server names, or refused for it
 )
 
+// RequestSuspected reports that a backend server ended while it ran a request, and how
+// the request is treated since.
+const RequestSuspected = "backend server ended in request"
+
 // ServiceShort reports that a service which the backend server calls begins or ends to
 // starve some calls.
 const ServiceShort = "called service short"
@@ -41,7 +45,8 @@
 var messageBursts = map[string]int{
 	CallRefused: maxCallLines, CallLost: maxCallLines, CallSlow: maxCallLines / 5, CallGone: maxCallLines / 5,
 	CallRetried: maxCallLines / 5, GateFailed: maxCallLines, ServerError: maxCallLines / 5,
-	CallLimited: maxCallLines, "server limit": maxCallLines / 5,
+	RequestSuspected: maxCallLines / 5,
+	CallLimited:      maxCallLines, "server limit": maxCallLines / 5,
 	"member found": maxCallLines / 5, "member changed": maxCallLines / 5, "member lost": maxCallLines / 5,
 }
 
--- a/mesh/telemetry/work.go
+++ b/mesh/telemetry/work.go
@@ -78,8 +78,10 @@
 		out[WorkProcessor], out[WorkKernel], out[WorkWakeups] = milliseconds(usage.Utime)+kernel, kernel, float64(usage.Nvcsw)
 	}
 	samples := []metrics.Sample{
-		{Name: "/gc/cycles/total:gc-cycles"}, {Name: "/cpu/classes/gc/total:cpu-seconds"},
-		{Name: "/gc/heap/allocs:objects"}, {Name: "/gc/heap/allocs:bytes"},
+		{Name: "/gc/cycles/total:gc-cycles"},
+		{Name: "/cpu/classes/gc/total:cpu-seconds"},
+		{Name: "/gc/heap/allocs:objects"},
+		{Name: "/gc/heap/allocs:bytes"},
 	}
 	metrics.Read(samples)
 	out[WorkCollections] = float64(samples[0].Value.Uint64())
