Read the meeting points once at a node's start instead of twice, and again at less cost

Cause: a starting node listed the meeting points for its own point, 50 ms later for the search for others, and once more 30 to 45 s later, each at full price.

Change: the search uses a list that was read within 200 ms. TestMeetingPointsAreReadOnceAStart; before, three lists at full price.

--- a/mesh/member/apart_test.go
+++ b/mesh/member/apart_test.go
@@ -72,8 +72,7 @@
 	for range 60 * beatTicks {
 		w.now = w.now.Add(testHeartbeat / beatTicks)
 		for _, act := range a.Tick(w.now) {
-			require.NotEqual(t, Discover, act.Kind, "the meeting points are read once more only")
-			require.NotEqual(t, Join, act.Kind)
+			require.NotContains(t, []ActionKind{Discover, DiscoverFleets, Join}, act.Kind, "the meeting points are read once more only")
 			if act.Kind == Sync && act.Name == "" {
 				asked[act.Addr]++
 				a.SyncDone(w.now, act, nil)
--- a/mesh/member/meet.go
+++ b/mesh/member/meet.go
@@ -47,7 +47,7 @@
 		return nil
 	}
 	a.fleetSearch.readAt = time.Time{}
-	return []Action{{Kind: Discover, IssuedAt: now}}
+	return []Action{{Kind: DiscoverFleets, IssuedAt: now}}
 }
 
 // recordMeetingPoints takes the members that the meeting points name, which are none if
--- a/mesh/member/world_test.go
+++ b/mesh/member/world_test.go
@@ -171,7 +171,7 @@
 		}
 		a.JoinDone(w.now, act, resp)
 		return nil
-	case Discover:
+	case Discover, DiscoverFleets:
 		if w.onDiscover != nil {
 			w.onDiscover(from)
 		}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -168,8 +168,13 @@
 		Pool: n.pool, Seeds: s.GetPeers().GetSeeds(), HeartbeatInterval: ms(s.GetPeers().GetBeat()),
 		SuspicionTimeout: ms(s.GetPeers().GetSuspect()), JoinsPerSecond: int(s.GetPeers().GetJoiners()), Sinks: n.sinks.ForPart("member"), Suspicions: call.SuspectNews{Suspects: n.suspects},
 		ReportedRevision: func(name string) uint64 { return n.Distributor.ReportedRevision(name) }, RaiseFloor: n.Holder.RaiseFloor,
-		HasMeetingPoints:  n.platform != nil,
-		ReadMeetingPoints: func(ctx context.Context) ([]*wire.Member, error) { return n.meetingPoints.Read(ctx) },
+		HasMeetingPoints: n.platform != nil,
+		ReadMeetingPoints: func(ctx context.Context, stale bool) ([]*wire.Member, error) {
+			if stale {
+				return n.meetingPoints.ReadStale(ctx)
+			}
+			return n.meetingPoints.ReadShared(ctx)
+		},
 		Self: &wire.Member{
 			Name: s.GetInstance().GetName(), Domain: s.GetInstance().GetDomain(), Region: s.GetInstance().GetRegion(),
 			Peer: addr.Peer, Hop: addr.Hop, Format: revision.NewestFormat,
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -23,13 +23,13 @@
 	Self              *wire.Member
 	Seeds             []string // peer addresses
 	HeartbeatInterval time.Duration
-	SuspicionTimeout  time.Duration                                     // how long a suspicion may be refuted
-	JoinsPerSecond    int                                               // join requests served per second
-	ReportedRevision  func(name string) uint64                          // newest revision that an instance is known to have reported
-	RaiseFloor        func(floor uint64)                                // raises the own floor to the revision that peers remember of this instance
-	ReadMeetingPoints func(ctx context.Context) ([]*wire.Member, error) // reads the meeting points on the platform
-	HasMeetingPoints  bool                                              // every node writes a meeting point, so seeds are not needed
-	Suspicions        member.Suspicions                                 // of requests; nil for none
+	SuspicionTimeout  time.Duration                                                 // how long a suspicion may be refuted
+	JoinsPerSecond    int                                                           // join requests served per second
+	ReportedRevision  func(name string) uint64                                      // newest revision that an instance is known to have reported
+	RaiseFloor        func(floor uint64)                                            // raises the own floor to the revision that peers remember of this instance
+	ReadMeetingPoints func(ctx context.Context, stale bool) ([]*wire.Member, error) // reads the meeting points on the platform; stale means that they may be seconds old
+	HasMeetingPoints  bool                                                          // every node writes a meeting point, so seeds are not needed
+	Suspicions        member.Suspicions                                             // of requests; nil for none
 	Sinks             telemetry.Sinks
 }
 
--- a/mesh/peer/message.go
+++ b/mesh/peer/message.go
@@ -52,8 +52,8 @@
 			a.JoinDone(now, act, resp)
 			return nil
 		})
-	case member.Discover:
-		members := m.readMeetingPoints(ctx)
+	case member.Discover, member.DiscoverFleets:
+		members := m.readMeetingPoints(ctx, act.Kind == member.DiscoverFleets)
 		return m.update(func(a *member.Agent, now time.Time) []member.Action {
 			a.DiscoverDone(now, members)
 			return nil
@@ -69,7 +69,7 @@
 // actionCounters holds the name of the counter of each kind of action.
 var actionCounters = map[member.ActionKind]string{
 	member.Heartbeat: "beat", member.FreshProbe: "fresh", member.IndirectProbe: "relay", member.Gossip: "news",
-	member.Sync: "sync", member.SyncPush: "return", member.Join: "join", member.Discover: "meet",
+	member.Sync: "sync", member.SyncPush: "return", member.Join: "join", member.Discover: "meet", member.DiscoverFleets: "meetagain",
 }
 
 func (m *Members) sendProbe(ctx context.Context, act member.Action) *wire.ProbeResponse {
@@ -112,11 +112,11 @@
 	return resp.Msg
 }
 
-func (m *Members) readMeetingPoints(ctx context.Context) []*wire.Member {
+func (m *Members) readMeetingPoints(ctx context.Context, stale bool) []*wire.Member {
 	if m.config.ReadMeetingPoints == nil {
 		return nil
 	}
-	members, err := m.config.ReadMeetingPoints(ctx)
+	members, err := m.config.ReadMeetingPoints(ctx, stale)
 	if err != nil {
 		m.config.Sinks.Log.Info("reading meeting points failed", "error", err.Error())
 	}
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -33,6 +34,12 @@
 	Look(ctx context.Context, kind, name string) error
 }
 
+// StaleLister is implemented by stores that list objects at little cost from a copy that
+// may be seconds old. Its method is like Store.List, but returns no version.
+type StaleLister interface {
+	ListStale(ctx context.Context, kind, after string) (objects []Object, more bool, err error)
+}
+
 // MeetingPointsConfig configures a MeetingPoints. Every field but Eras, Looker and Sinks
 // is required.
 type MeetingPointsConfig struct {
@@ -56,10 +63,12 @@
 // that had one, few in each failure domain, look for theirs and write it again.
 type MeetingPoints struct {
 	config MeetingPointsConfig
-	owns   bool // whether this node's point is on the platform, or may be; used by Run only
+	owns   bool      // whether this node's point is on the platform, or may be; used by Run only
+	usedAt time.Time // when Run last used a list; used by Run only
 
-	mu     sync.Mutex
-	listed map[string]Object // objects as last read, by name
+	mu       sync.Mutex
+	listed   map[string]Object // objects as last read, by name
+	listedAt time.Time
 }
 
 // meetingPoint is the JSON body of a meeting point.
@@ -86,12 +95,61 @@
 	for _, o := range objs {
 		listed[o.Name] = o
 	}
+	m.setListed(listed)
+	return m.Listed(), nil
+}
+
+func (m *MeetingPoints) setListed(listed map[string]Object) {
 	m.mu.Lock()
-	m.listed = listed
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.listed, m.listedAt = listed, time.Now()
+}
+
+// sharedListTime is how long a starting node's search for others uses what the
+// maintenance has read. Both begin at the start.
+const sharedListTime = 200 * time.Millisecond
+
+// ReadShared is like Read, but makes no call if the meeting points were read just now.
+func (m *MeetingPoints) ReadShared(ctx context.Context) ([]*wire.Member, error) {
+	if m.listAge() <= sharedListTime {
+		return m.Listed(), nil
+	}
+	return m.Read(ctx)
+}
+
+// ReadStale is like Read, but what it reads may be seconds old if the store lists such
+// objects at less cost.
+func (m *MeetingPoints) ReadStale(ctx context.Context) ([]*wire.Member, error) {
+	lister, ok := m.config.Store.(StaleLister)
+	if !ok {
+		return m.Read(ctx)
+	}
+	listed := map[string]Object{}
+	for after, more := "", true; more; {
+		var objs []Object
+		var err error
+		if objs, more, err = lister.ListStale(ctx, KindMember, after); err != nil {
+			return nil, errors.Wrap(err, "list meeting points")
+		}
+		for _, o := range objs {
+			listed[o.Name], after = o, o.Name
+		}
+		more = more && len(objs) > 0
+	}
+	m.setListed(listed)
 	return m.Listed(), nil
 }
 
+// listAge returns the time since the meeting points were read.
+func (m *MeetingPoints) listAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.listedAt.IsZero() {
+		return math.MaxInt64
+	}
+	return time.Since(m.listedAt)
+}
+
 // Listed returns the members that the meeting points named when they were last
 // read, in name order, or nil before that.
 func (m *MeetingPoints) Listed() []*wire.Member {
@@ -118,16 +176,17 @@
 // until the context ends.
 func (m *MeetingPoints) Run(ctx context.Context) error {
 	var retry backoff
-	wait := firstMeetingInterval
+	wait, fresh := firstMeetingInterval, true
 	for ctx.Err() == nil {
 		rose := m.config.Eras.Rose()
-		err := m.maintain(ctx)
+		err := m.maintain(ctx, fresh)
 		if err == nil {
 			retry.reset()
-			m.pauseUnlessLost(ctx, rose, wait+jitter(wait/2))
+			fresh = m.pauseUnlessLost(ctx, rose, wait+jitter(wait/2))
 			wait = meetingInterval
 			continue
 		}
+		fresh = true
 		if ctx.Err() == nil {
 			m.config.Sinks.Log.Info("meeting point not maintained", "error", err.Error())
 		}
@@ -139,6 +198,11 @@
 	return nil
 }
 
+// maxListAge is the age up to which the maintenance uses a list that the node has read
+// meanwhile for another purpose. A node that has joined reads one some seconds after its start, which
+// serves the first check after it.
+const maxListAge = 2 * firstMeetingInterval
+
 // rewriteSpread is the time over which the nodes of a fleet look for their meeting
 // points after the platform came back from an older copy, and the longest delay
 // between their attempts. Together with the longest delay until a node reaches the
@@ -146,8 +210,9 @@
 const rewriteSpread = time.Second
 
 // pauseUnlessLost waits for d, until the context ends, or for a part of
-// rewriteSpread after the era rises if the meeting point of this node may be lost.
-func (m *MeetingPoints) pauseUnlessLost(ctx context.Context, rose <-chan struct{}, d time.Duration) {
+// rewriteSpread after the era rises if the meeting point of this node may be lost, which
+// it reports.
+func (m *MeetingPoints) pauseUnlessLost(ctx context.Context, rose <-chan struct{}, d time.Duration) (lost bool) {
 	if !m.owns {
 		rose = nil
 	}
@@ -157,15 +222,15 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-timer.C:
-			return
+			return false
 		case <-ticker.C:
 			m.look(ctx)
 		case <-rose:
 			m.config.Sinks.Log.Info("looking for own meeting point after the platform came back", "era", m.config.Eras.State().Current)
 			pause(ctx, jitter(rewriteSpread))
-			return
+			return true
 		}
 	}
 }
@@ -191,11 +256,15 @@
 func pointName(node string) string { return strings.ReplaceAll(node, "/", "-") }
 
 // maintain writes the meeting point of this node if it is needed, and deletes
-// that of at most one dead node.
-func (m *MeetingPoints) maintain(ctx context.Context) error {
-	if _, err := m.Read(ctx); err != nil {
-		return err
+// that of at most one dead node. Unless a fresh list is asked for, it uses one that was
+// read since the last time: the conditions of its writes hold also if that is old.
+func (m *MeetingPoints) maintain(ctx context.Context, fresh bool) error {
+	if age := m.listAge(); fresh || age > maxListAge || age >= time.Since(m.usedAt) {
+		if _, err := m.Read(ctx); err != nil {
+			return err
+		}
 	}
+	m.usedAt = time.Now()
 	m.mu.Lock()
 	listed := m.listed
 	m.mu.Unlock()
--- a/mesh/store/meeting_test.go
+++ b/mesh/store/meeting_test.go
@@ -71,3 +71,55 @@
 		synctest.Wait()
 	})
 }
+
+// staleStore lists objects at less cost, as they were when it was last told to copy them.
+type staleStore struct {
+	store.Store
+	copied []store.Object
+	stale  int // lists of the copy
+}
+
+func (s *staleStore) ListStale(context.Context, string, string) ([]store.Object, bool, error) {
+	s.stale++
+	return s.copied, false, nil
+}
+
+// TestMeetingPointsAreReadOnceAStart checks how often a node lists the meeting points: once
+// at its start for its own point and the search for others, once at less cost when it looks
+// for other fleets, and not again for the first check after that.
+func TestMeetingPointsAreReadOnceAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := storetest.New()
+		cheap := &staleStore{Store: platform}
+		ctx, cancel := context.WithCancel(t.Context())
+		m := store.NewMeetingPoints(store.MeetingPointsConfig{
+			Store: cheap, Self: func() *wire.Member { return &wire.Member{Name: "a", Domain: "d", Peer: "10.0.0.1:1"} },
+			IsAlive: func(string) bool { return true }, MembersKnown: func() bool { return true }, PointsPerDomain: 1,
+		})
+		go func() { _ = m.Run(ctx) }()
+		time.Sleep(50 * time.Millisecond)
+		_, err := m.ReadShared(ctx)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, platform.Calls()["list"])
+		time.Sleep(time.Second)
+		members, err := m.ReadShared(ctx)
+		require.NoError(t, err)
+		require.Len(t, members, 1, "a later search sees what was written since")
+		require.EqualValues(t, 2, platform.Calls()["list"])
+
+		cheap.copied, _, err = store.ListAll(ctx, platform, store.KindMember, "")
+		require.NoError(t, err)
+		lists := platform.Calls()["list"]
+		time.Sleep(2 * time.Second)
+		members, err = m.ReadStale(ctx)
+		require.NoError(t, err)
+		require.Len(t, members, 1)
+		require.Equal(t, 1, cheap.stale)
+		time.Sleep(45 * time.Second)
+		require.EqualValues(t, lists, platform.Calls()["list"], "the first check uses what was read")
+		time.Sleep(4 * time.Minute)
+		require.Greater(t, platform.Calls()["list"], lists, "later ones read anew")
+		cancel()
+		synctest.Wait()
+	})
+}
