Let events that are not urgent wait for each other, so that gossip costs a node the same at any size

Cause: a node passes the events that it has on with each of its 20 ticks a second, to five neighbours. The more nodes there are, the more events come, and the more ticks have some: up to 100 messages a node and second.

Change: events that are not urgent are sent at most twice in a heartbeat interval; the first after a pause goes at once. Urgent ones (leaving, dead, and now a lost server) don't wait.

--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -13,6 +13,7 @@
 // Intervals and lifetimes.
 const (
 	beatTicks              = 10                     // ticks in a heartbeat interval
+	newsPerHeartbeat       = 2                      // messages of events that are not urgent in a heartbeat interval, to each neighbour
 	minViewInterval        = 200 * time.Millisecond // least time between two views
 	maxHeldSuspicion       = 6 * time.Hour          // longest suspicion that a mass failure or isolation holds open
 	tombstoneLifetime      = 8 * time.Hour          // must exceed maxHeldSuspicion
@@ -53,6 +54,7 @@
 	stale            bool      // the node was paused and has not caught up
 	joinedAt         time.Time // when the node joined, or started if it has not
 	settled          bool      // the table has matched a neighbour's since the start, or settleHeartbeats have passed
+	newsSentAt       time.Time // when events or suspicions were last sent to the neighbours
 	nextHeartbeat    time.Time // when the next heartbeat round is due
 	heartbeatRound   int
 	nextSweep        time.Time
@@ -213,17 +215,20 @@
 }
 
 // flush returns the actions that send queued events and news of suspicions to the live
-// neighbours, within the gossip rate.
+// neighbours, within the gossip rate. Events that are not urgent and come soon after others
+// wait for each other, so that the number of messages doesn't grow with the fleet, in which
+// more events come the larger it is.
 func (a *Agent) flush(now time.Time) []Action {
 	to := a.currentNeighbours().Alive
 	suspicions := a.suspicionNews(now, len(to))
 	var events []*wire.Member
-	if a.queue.len() > 0 {
+	if a.queue.len() > 0 && (len(suspicions) > 0 || a.queue.hasUrgent() || now.Sub(a.newsSentAt) >= a.config.Heartbeat/newsPerHeartbeat) {
 		events = a.queue.nextBatch(now, len(to))
 	}
 	if len(events) == 0 && len(suspicions) == 0 {
 		return nil
 	}
+	a.newsSentAt = now
 	var out []Action
 	for _, name := range to {
 		act := a.newProbe(now, Gossip, name)
--- a/mesh/member/news.go
+++ b/mesh/member/news.go
@@ -3,6 +3,7 @@
 // This file contains the queue of events that wait for gossip.
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -83,10 +84,19 @@
 // len returns the number of events in the queue.
 func (q *eventQueue) len() int { return len(q.events) }
 
-// isUrgent reports whether an event is sent before others: an instance or a
-// backend server is leaving, or an instance is dead.
+// hasUrgent reports whether an event in the queue is urgent.
+func (q *eventQueue) hasUrgent() bool {
+	return slices.ContainsFunc(q.urgent, func(k eventKey) bool { return q.events[k].urgent })
+}
+
+// isUrgent reports whether an event is sent before others and without delay: an
+// instance or a backend server is leaving, an instance is dead, or it has lost its
+// backend server. One that has just started has none yet.
 func isUrgent(m *wire.Member) bool {
-	if m.GetState() == wire.State_STATE_LEAVING || m.GetState() == wire.State_STATE_DEAD {
+	switch {
+	case m.GetState() == wire.State_STATE_LEAVING || m.GetState() == wire.State_STATE_DEAD:
+		return true
+	case m.GetState() == wire.State_STATE_ALIVE && len(m.GetServers()) == 0 && m.GetSerial() > 0:
 		return true
 	}
 	for _, s := range m.GetServers() {
--- a/mesh/member/world_test.go
+++ b/mesh/member/world_test.go
@@ -30,6 +30,7 @@
 	reorder          float64 // of a second delivery of a request, later
 	delayed          []delayedMessage
 	sent             int
+	sentByKind       map[ActionKind]int
 	platformDown     bool
 	seeds            []string
 	hasMeetingPoints bool              // nodes have meeting points in place of seeds
@@ -148,6 +149,9 @@
 
 func (w *world) send(from string, act Action) []Action {
 	w.sent++
+	if w.sentByKind != nil {
+		w.sentByKind[act.Kind]++
+	}
 	a := w.nodes[from].agent
 	switch act.Kind {
 	case Sync, SyncPush:
