Name the request in the log lines of suspected and condemned calls

Cause: a call refused as condemned had no line that leads from its ID to the ends of servers that speak against it: these lines name the fingerprint of the request, and the refusal did not.

Change: lines of a call whose request was suspected when it entered carry the fingerprint.

Result: TestCondemnedCallNamesItsRequest; TestCallWhoseServersEndIsRepeatedOnceAtMost checks how often a call is sent to servers that end, and on probation.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -56,8 +56,9 @@
 	answer            *result     // the last result if it succeeded; else nil
 	nested            atomic.Bool // a gate recognized it as a call of the backend server of this instance
 	fingerprint       call.Fingerprint
-	onProbation       bool // the request is suspected of ending backend servers
-	endedServers      int  // servers that ended while they ran this call
+	suspicion         string // fingerprint for log lines; empty if the request was not suspected when the call entered
+	onProbation       bool   // the request is suspected of ending backend servers
+	endedServers      int    // servers that ended while they ran this call
 }
 
 // result is the result of one attempt.
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -107,6 +107,9 @@
 	if x.directory != nil && x.route != nil {
 		args = append(args, "route", x.route.Name, "table", x.directory.router.Table.Number, "left", ms(time.Until(x.deadline)))
 	}
+	if x.suspicion != "" {
+		args = append(args, "request", x.suspicion)
+	}
 	if len(x.tried) > 0 {
 		tried := make([]string, len(x.tried))
 		for i, instance := range x.tried {
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -21,9 +21,10 @@
 	x.fingerprint = call.FingerprintOf(x.target, x.r.Host, x.r.Method, x.r.RequestURI, x.body.Buffered())
 	switch x.standing() {
 	case call.Condemned:
+		x.suspicion = x.fingerprint.String()
 		return call.ReasonCondemned
 	case call.Suspected:
-		x.onProbation = true
+		x.suspicion, x.onProbation = x.fingerprint.String(), true
 		x.r.Header[call.HeaderSuspect] = []string{call.Yes}
 	}
 	return ""
--- /dev/null
+++ b/mesh/caller/suspect_test.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/member"
+	"caroblift.dev/mesh/record"
+	"caroblift.dev/mesh/revision"
+	"caroblift.dev/mesh/telemetry"
+)
+
+// repeatableTable is reasonsTable with a route whose calls may run more than once.
+var repeatableTable = &revision.Table{
+	Number: 7, Services: reasonsTable.Services, Policies: reasonsTable.Policies,
+	Routes: []*record.Route{{
+		Name: "book", Prefix: "/book", Service: "quotes", Timeout: time.Second, Repeat: record.RepeatAlways,
+		MaxAttempts: 5, LatencyObjective: 500 * time.Millisecond,
+	}},
+}
+
+// TestCallWhoseServersEndIsRepeatedOnceAtMost checks how often a call is sent to servers
+// that end while they run it, and what becomes of the same request afterwards.
+func TestCallWhoseServersEndIsRepeatedOnceAtMost(t *testing.T) {
+	for name, c := range map[string]struct {
+		weight, attempts int
+		next             call.Reason // of the next call with the same request, at a server that ends too
+		nextAttempts     int
+	}{
+		"among others":     {call.WeightCrowd, 2, call.ReasonEnded, 1},
+		"alone":            {call.WeightAlone, 1, call.ReasonEnded, 1},
+		"beside a suspect": {call.WeightBystander, 2, call.ReasonEnded, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent, suspects, view := 0, 0, viewOf(t, 5)
+			hop := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+				sent++
+				if r.Header.Get(call.HeaderSuspect) != "" {
+					suspects++
+				}
+				resp, err := refuseWith(call.MayHaveRun(call.ReasonEnded))(r)
+				resp.Header.Set(call.HeaderEnded, call.End{Server: uint64(sent), Weight: c.weight}.Format())
+				return resp, err
+			})
+			p := New(Config{
+				Table: func() *revision.Table { return repeatableTable }, Ready: func() bool { return true },
+				View: func() *member.View { return view }, Remote: hop, ReportReachability: func(string, bool) {}, Timeout: time.Second,
+			})
+			send := func() (call.Reason, int) {
+				before, w := sent, httptest.NewRecorder()
+				p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/book", http.NoBody))
+				return call.Reason(w.Header().Get(call.HeaderReason)), sent - before
+			}
+			reason, attempts := send()
+			require.Equal(t, call.ReasonEnded, reason)
+			require.Equal(t, c.attempts, attempts)
+			require.Zero(t, suspects)
+			reason, attempts = send()
+			require.Equal(t, c.next, reason)
+			require.Equal(t, c.nextAttempts, attempts)
+			require.Equal(t, c.weight > call.WeightBystander, suspects == 1)
+		})
+	}
+}
+
+// TestCondemnedCallNamesItsRequest checks that the log line of a refused call has the
+// fingerprint by which the ends of servers are found, and that its caller is not told when to return.
+func TestCondemnedCallNamesItsRequest(t *testing.T) {
+	var out bytes.Buffer
+	p := New(Config{
+		Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true },
+		View: reasonsView(t), Remote: roundTripFunc(hang), ReportReachability: func(string, bool) {}, Timeout: time.Second,
+		Sinks: telemetry.Sinks{Log: slog.New(slog.NewJSONHandler(&out, nil))},
+	})
+	r := httptest.NewRequest(http.MethodPost, "/book", http.NoBody)
+	condemn(p, r)
+	w := httptest.NewRecorder()
+	p.ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Empty(t, w.Header().Get("Retry-After"))
+	f := call.FingerprintOf("quotes", r.Host, r.Method, r.RequestURI, nil)
+	require.Contains(t, out.String(), fmt.Sprintf(`"request":%q`, f.String()))
+}
