--- a/mesh/member/apart_test.go
+++ b/mesh/member/apart_test.go
@@ -32,8 +32,7 @@
 // pointOf returns the meeting point of a node.
 func pointOf(name string) *wire.Member { return &wire.Member{Name: name, Peer: name} }
 
-// TestFleetsThatFormedApartMeet guards against fleets that stay apart because none of their
-// members knows one of the other fleet.
+// TestFleetsThatFormedApartMeet guards against fleets that stay apart because no member of one knows a member of the other.
 func TestFleetsThatFormedApartMeet(t *testing.T) {
 	for size, seeds := range map[int]uint64{8: 20, 70: 3, 295: 1} {
 		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
--- a/mesh/member/rate_test.go
+++ b/mesh/member/rate_test.go
@@ -9,9 +9,7 @@
 	"caroblift.dev/wire"
 )
 
-// TestNewsDoNotGrowWithTheFleet guards against a cost of gossip for each node that grows
-// with the number of nodes: in a fleet twice as large twice as many servers change in a
-// second. All changes must still be known to all nodes within two seconds.
+// TestNewsDoNotGrowWithTheFleet guards against a cost of gossip for each node that grows with the number of nodes.
 func TestNewsDoNotGrowWithTheFleet(t *testing.T) {
 	const seconds = 5
 	perNode := map[int]float64{}
