Log why a suspected request is sent, and what clears a suspicion

Each such call now has a line with the evidence known at its entry node (call on probation), and an answer that clears a suspicion one too (suspicion cleared). Tests of mesh/call and mesh/caller pass.

--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -158,6 +158,25 @@
 	return Unsuspected
 }
 
+// Evidence is what a node knows against a request.
+type Evidence struct {
+	Weight   int           // of the ends since the request was last answered
+	Ends     int           // of servers
+	SinceEnd time.Duration // since the latest of them
+}
+
+// Evidence returns what is known against a request now.
+func (s *Suspects) Evidence(f Fingerprint, now time.Time) Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byRequest[f]
+	if known == nil {
+		return Evidence{}
+	}
+	weight, last := known.weight(now)
+	return Evidence{Weight: weight, Ends: len(known.Ends), SinceEnd: now.Sub(last)}
+}
+
 // RecordEnd records that a server ended while it ran a request, and returns how the request
 // is to be treated from now on.
 func (s *Suspects) RecordEnd(f Fingerprint, e End) Standing {
@@ -174,17 +193,21 @@
 }
 
 // RecordAnswer records that a server answered a request whole. The ends before that no
-// longer count.
-func (s *Suspects) RecordAnswer(f Fingerprint, now time.Time) {
+// longer count. It reports whether the request was suspected until then.
+func (s *Suspects) RecordAnswer(f Fingerprint, now time.Time) (cleared bool) {
 	s.answers.record(f, now)
 	if s.known.Load() == 0 {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known := s.byRequest[f]; known != nil {
-		s.recordAnswered(known, now)
+	known := s.byRequest[f]
+	if known == nil {
+		return false
 	}
+	before := known.standing(now)
+	s.recordAnswered(known, now)
+	return before != Unsuspected
 }
 
 // recordAnswered notes that a request with a suspicion was answered. That is news where it
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -95,7 +95,7 @@
 	switch {
 	case err == io.EOF:
 		if res.verdict.Reason() == "" {
-			a.proxy.config.Suspects.RecordAnswer(a.fingerprint, time.Now())
+			a.recordAnswer(time.Now())
 		}
 		a.recordResult(res, res.resp.StatusCode < http.StatusInternalServerError, time.Now())
 	case err != nil && a.req.Context().Err() == nil:
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -47,6 +47,13 @@
 		"weight", end.Weight, "before", before.String(), "standing", standing.String())
 }
 
+// recordAnswer records that the request was answered whole.
+func (x *exchange) recordAnswer(now time.Time) {
+	if x.proxy.config.Suspects.RecordAnswer(x.fingerprint, now) {
+		x.proxy.config.Sinks.Log.Info(telemetry.SuspicionCleared, "call", x.id, "request", x.fingerprint.String(), "probation", x.onProbation)
+	}
+}
+
 // pickOnProbation returns the instance for a suspected request: the first one that the
 // service has for these, or the next one if that has lost its server. It may not be
 // queued.
@@ -57,6 +64,9 @@
 	i := x.service.probation[len(x.tried)]
 	x.tried = append(x.tried, i)
 	x.demand.NoWait, x.demand.Last = true, true
+	known := x.proxy.config.Suspects.Evidence(x.fingerprint, time.Now())
+	x.proxy.config.Sinks.Log.Info(telemetry.CallOnProbation, "call", x.id, "request", x.suspicion, "to", i.Name,
+		"weight", known.Weight, "ends", known.Ends, "since", ms(known.SinceEnd))
 	return i
 }
 
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -32,6 +32,13 @@
 // the request is treated since.
 const RequestSuspected = "backend server ended in request"
 
+// CallOnProbation reports that a call of a suspected request is sent, and what is known of
+// the request at its entry node.
+const CallOnProbation = "call on probation"
+
+// SuspicionCleared reports that a suspected request was answered.
+const SuspicionCleared = "suspicion cleared"
+
 // ServiceShort reports that a service which the backend server calls begins or ends to
 // starve some calls.
 const ServiceShort = "called service short"
@@ -45,8 +52,8 @@
 var messageBursts = map[string]int{
 	CallRefused: maxCallLines, CallLost: maxCallLines, CallSlow: maxCallLines / 5, CallGone: maxCallLines / 5,
 	CallRetried: maxCallLines / 5, GateFailed: maxCallLines, ServerError: maxCallLines / 5,
-	RequestSuspected: maxCallLines / 5,
-	CallLimited:      maxCallLines, "server limit": maxCallLines / 5,
+	RequestSuspected: maxCallLines / 5, CallOnProbation: maxCallLines / 5, SuspicionCleared: maxCallLines / 5,
+	CallLimited: maxCallLines, "server limit": maxCallLines / 5,
 	"member found": maxCallLines / 5, "member changed": maxCallLines / 5, "member lost": maxCallLines / 5,
 }
 
