--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -11,123 +11,19 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Standing says how a request is to be treated.
-type Standing int
-
-// The values of Standing.
-const (
-	Unsuspected Standing = iota
-	Suspected            // it runs only on probation: alone among suspects, and at few servers
-	Condemned            // it is refused
-)
-
-// End is the end of a backend server's process while a request ran there.
-type End struct {
-	Server uint64    // identifies the incarnation of the server
-	Weight int       // one of the weights below
-	At     time.Time // when it ended
-}
-
-// Weights of an end as evidence against a request that was running.
 const (
-	WeightBystander = 0 // a suspected request was running, and this one was not suspected
-	WeightCrowd     = 1 // others were running too
-	WeightAlone     = 2 // no other request that may be at fault was running
-)
-
-const (
-	// suspectedWeight is the evidence from which a request is suspected. One end among
-	// other requests is not enough: servers also end for reasons of their own.
-	suspectedWeight = 2
-	// condemnedWeight is the evidence from which a request is condemned. It takes at least
-	// two ends, each of which the request was alone to explain, or more of weaker ones.
-	condemnedWeight = 4
-	// maxEnds is the number of ends that are kept of a request, the latest ones.
-	maxEnds = 8
-	// suspicionTime is how long an end counts. Within it a faulty request is expected to
-	// come again, or its service to be released anew.
-	suspicionTime = 30 * time.Minute
-	// trialDelay is the time after which a condemned request may run again on probation,
-	// to learn whether its service was mended. It doubles with each further end, up to
-	// maxTrialDoublings times.
-	trialDelay        = time.Minute
-	maxTrialDoublings = 4
 	// maxSuspects bounds the requests that are remembered, some 200 bytes each.
 	maxSuspects = 512
 	// maxSuspectNews bounds the changes that wait to be passed on.
 	maxSuspectNews = 256
 )
 
-// Suspicion is what is known of a request during which servers ended.
-type Suspicion struct {
-	Request  Fingerprint
-	Ends     []End     // of distinct servers
-	Answered time.Time // when a server was last known to answer the request; zero if never
-}
-
-// weight returns the evidence against the request: the ends since it was last answered.
-func (s *Suspicion) weight(now time.Time) (weight int, last time.Time) {
-	for _, e := range s.Ends {
-		if e.At.After(s.Answered) && now.Sub(e.At) < suspicionTime {
-			weight += e.Weight
-			if e.At.After(last) {
-				last = e.At
-			}
-		}
-	}
-	return weight, last
-}
-
-// standing returns how the request is to be treated.
-func (s *Suspicion) standing(now time.Time) Standing {
-	weight, last := s.weight(now)
-	switch {
-	case weight < suspectedWeight:
-		return Unsuspected
-	case weight < condemnedWeight:
-		return Suspected
-	case now.Sub(last) >= trialDelay<<min(max(0, (weight-condemnedWeight)/WeightAlone), maxTrialDoublings):
-		return Suspected
-	}
-	return Condemned
-}
-
-// addEnd adds an end and reports whether it was news. Of a server's end the largest weight
-// counts, and the earliest time, since news of it take some time.
-func (s *Suspicion) addEnd(e End) bool {
-	for i := range s.Ends {
-		if known := &s.Ends[i]; known.Server == e.Server {
-			if e.At.Before(known.At) {
-				known.At = e.At
-			}
-			news := e.Weight > known.Weight
-			known.Weight = max(known.Weight, e.Weight)
-			return news
-		}
-	}
-	if len(s.Ends) == maxEnds {
-		oldest := 0
-		for i := range s.Ends {
-			if s.Ends[i].At.Before(s.Ends[oldest].At) {
-				oldest = i
-			}
-		}
-		if e.At.Before(s.Ends[oldest].At) {
-			return false
-		}
-		s.Ends = slices.Delete(s.Ends, oldest, oldest+1)
-	}
-	s.Ends = append(s.Ends, e)
-	return true
-}
-
 // Suspects holds the suspicions of a node, which learns of them from its own calls and
 // from other nodes. Its methods may be called concurrently; for a request without a
 // suspicion they take no lock and allocate nothing.
@@ -374,48 +270,3 @@
 	}
 	return suspected, condemned
 }
-
-func (s *Suspicion) clone() Suspicion {
-	out := *s
-	out.Ends = slices.Clone(s.Ends)
-	return out
-}
-
-// answerSlots is the number of answered requests whose time is remembered. A service's
-// popular requests keep their slots, since each answer takes its slot anew.
-const answerSlots = 2048
-
-// answerTimes remembers when requests were last answered, by their fingerprints. A
-// request may lose its slot to another one with the same remainder.
-type answerTimes struct {
-	since time.Time // to which the times below are relative, so that steps of the time of day don't matter
-	slots [answerSlots]struct{ request, at atomic.Uint64 }
-}
-
-// record remembers that a request was answered at a time.
-func (t *answerTimes) record(f Fingerprint, at time.Time) {
-	key := f.key()
-	slot := &t.slots[key%answerSlots]
-	slot.request.Store(0) // a reader between the two stores must not take the time for the other request's
-	slot.at.Store(uint64(max(0, at.Sub(t.since))))
-	slot.request.Store(key)
-}
-
-// last returns when a request was last answered, or the zero time if it is not known.
-func (t *answerTimes) last(f Fingerprint) time.Time {
-	key := f.key()
-	slot := &t.slots[key%answerSlots]
-	at := slot.at.Load()
-	if slot.request.Load() != key {
-		return time.Time{}
-	}
-	return t.since.Add(time.Duration(at))
-}
-
-// key returns a part of the fingerprint that is not 0, which means an unused slot.
-func (f Fingerprint) key() uint64 { return max(1, binary.BigEndian.Uint64(f[:8])) }
-
-// String returns the name of the standing in log lines.
-func (s Standing) String() string {
-	return [...]string{"unsuspected", "suspected", "condemned"}[s]
-}
--- /dev/null
+++ b/mesh/call/suspicion.go
@@ -0,0 +1,126 @@
+package call
+
+// This file defines what is known of a request during which backend servers ended, and how
+// it is treated for that.
+
+import (
+	"slices"
+	"time"
+)
+
+// Standing says how a request is to be treated.
+type Standing int
+
+// The values of Standing.
+const (
+	Unsuspected Standing = iota
+	Suspected            // it runs only on probation: alone among suspects, and at few servers
+	Condemned            // it is refused
+)
+
+// End is the end of a backend server's process while a request ran there.
+type End struct {
+	Server uint64    // identifies the incarnation of the server
+	Weight int       // one of the weights below
+	At     time.Time // when it ended
+}
+
+// Weights of an end as evidence against a request that was running.
+const (
+	WeightBystander = 0 // a suspected request was running, and this one was not suspected
+	WeightCrowd     = 1 // others were running too
+	WeightAlone     = 2 // no other request that may be at fault was running
+)
+
+const (
+	// suspectedWeight is the evidence from which a request is suspected. One end among
+	// other requests is not enough: servers also end for reasons of their own.
+	suspectedWeight = 2
+	// condemnedWeight is the evidence from which a request is condemned. It takes at least
+	// two ends, each of which the request was alone to explain, or more of weaker ones.
+	condemnedWeight = 4
+	// maxEnds is the number of ends that are kept of a request, the latest ones.
+	maxEnds = 8
+	// suspicionTime is how long an end counts. Within it a faulty request is expected to
+	// come again, or its service to be released anew.
+	suspicionTime = 30 * time.Minute
+	// trialDelay is the time after which a condemned request may run again on probation,
+	// to learn whether its service was mended. It doubles with each further end, up to
+	// maxTrialDoublings times.
+	trialDelay        = time.Minute
+	maxTrialDoublings = 4
+)
+
+// Suspicion is what is known of a request during which servers ended.
+type Suspicion struct {
+	Request  Fingerprint
+	Ends     []End     // of distinct servers
+	Answered time.Time // when a server was last known to answer the request; zero if never
+}
+
+// weight returns the evidence against the request: the ends since it was last answered.
+func (s *Suspicion) weight(now time.Time) (weight int, last time.Time) {
+	for _, e := range s.Ends {
+		if e.At.After(s.Answered) && now.Sub(e.At) < suspicionTime {
+			weight += e.Weight
+			if e.At.After(last) {
+				last = e.At
+			}
+		}
+	}
+	return weight, last
+}
+
+// standing returns how the request is to be treated.
+func (s *Suspicion) standing(now time.Time) Standing {
+	weight, last := s.weight(now)
+	switch {
+	case weight < suspectedWeight:
+		return Unsuspected
+	case weight < condemnedWeight:
+		return Suspected
+	case now.Sub(last) >= trialDelay<<min(max(0, (weight-condemnedWeight)/WeightAlone), maxTrialDoublings):
+		return Suspected
+	}
+	return Condemned
+}
+
+// addEnd adds an end and reports whether it was news. Of a server's end the largest weight
+// counts, and the earliest time, since news of it take some time.
+func (s *Suspicion) addEnd(e End) bool {
+	for i := range s.Ends {
+		if known := &s.Ends[i]; known.Server == e.Server {
+			if e.At.Before(known.At) {
+				known.At = e.At
+			}
+			news := e.Weight > known.Weight
+			known.Weight = max(known.Weight, e.Weight)
+			return news
+		}
+	}
+	if len(s.Ends) == maxEnds {
+		oldest := 0
+		for i := range s.Ends {
+			if s.Ends[i].At.Before(s.Ends[oldest].At) {
+				oldest = i
+			}
+		}
+		if e.At.Before(s.Ends[oldest].At) {
+			return false
+		}
+		s.Ends = slices.Delete(s.Ends, oldest, oldest+1)
+	}
+	s.Ends = append(s.Ends, e)
+	return true
+}
+
+func (s *Suspicion) clone() Suspicion {
+	out := *s
+	out.Ends = slices.Clone(s.Ends)
+	return out
+}
+
+// String returns the name of the standing in log lines.
+func (s Standing) String() string {
+	return [...]string{"unsuspected", "suspected", "condemned"}[s]
+}
