Start the watch of the configuration at the version of a list, not of the object

The first read is now a list, whose version is the store's present one, at the same cost; a 410 that follows a read without a watch that worked waits like any other failure. TestSourceReadsSeldomWithoutHistory never ended before (time stood still for 60 s), and passes now; tests of mesh/store, mesh/node and platform/adapter pass.

--- a/mesh/store/era_test.go
+++ b/mesh/store/era_test.go
@@ -457,6 +457,11 @@
 	return state.object, err
 }
 
+func (s *scriptedStore) List(context.Context, string, string) ([]store.Object, store.Version, bool, error) {
+	state, err := s.next()
+	return []store.Object{state.object}, state.head, false, err
+}
+
 func (s *scriptedStore) Watch(ctx context.Context, _ string, version store.Version, wait time.Duration) ([]store.Object, store.Version, error) {
 	state, err := s.next()
 	switch {
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -79,7 +80,9 @@
 			pause(ctx, roleCheckInterval)
 			continue
 		}
+		s.watchWorks = false
 		err := s.follow(ctx, failures.reset)
+		worked := s.watchWorks // else the store has no history since it was read just now
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -90,7 +93,7 @@
 		if s.reachable.Swap(false) {
 			s.config.Sinks.Log.Warn("store lost", "error", err.Error(), "version", s.deliveredVersion)
 		}
-		if !errors.Is(err, ErrGone) {
+		if !errors.Is(err, ErrGone) || !worked {
 			pause(ctx, failures.nextDelay(err))
 		}
 	}
@@ -164,20 +167,22 @@
 	return emptyWatches + 1
 }
 
-// readFirst reads and delivers the object from which the next watch starts. It
-// returns false after a pause if there is none yet.
+// readFirst reads and delivers the object, and sets where the next watch starts. That is
+// the version of the list, not of the object: the store may have no history as old as the
+// object's last change. It returns false after a pause if there is no object yet.
 func (s *Source) readFirst(ctx context.Context) (bool, error) {
-	o, err := s.config.ReadStore.Get(ctx, s.config.Object.Kind, s.config.Object.Name)
-	if errors.Is(err, ErrNotFound) {
+	objs, listed, err := ListAll(ctx, s.config.ReadStore, s.config.Object.Kind, "")
+	if err != nil {
+		return false, errors.Wrap(err, "read configuration")
+	}
+	at := slices.IndexFunc(objs, func(o Object) bool { return o.Name == s.config.Object.Name && !o.Deleted })
+	if at < 0 {
 		s.confirm()
 		pause(ctx, s.config.WatchTimeout()/4) // the operator has not written a configuration yet
 		return false, nil
 	}
-	if err != nil {
-		return false, errors.Wrap(err, "read configuration")
-	}
-	s.deliver(o)
-	s.watchFrom, s.resuming = o.Version, false
+	s.deliver(objs[at])
+	s.watchFrom, s.resuming = newest(listed, objs[at].Version), false
 	return true, nil
 }
 
--- a/mesh/store/source_test.go
+++ b/mesh/store/source_test.go
@@ -165,6 +165,32 @@
 	})
 }
 
+// TestSourceReadsSeldomWithoutHistory guards against reads and watches without a pause, where the store has dropped the
+// history since the object changed, and other objects have changed since.
+func TestSourceReadsSeldomWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSourceTest(t)
+		f.write(t, "3")
+		time.Sleep(time.Second)
+		_, err := f.platform.Create(t.Context(), "other", "0", nil)
+		require.NoError(t, err)
+		f.platform.DropHistory()
+		time.Sleep(time.Second)
+		calls := func() (n uint64) {
+			for _, count := range f.platform.Calls() {
+				n += count
+			}
+			return n
+		}
+		before := calls()
+		time.Sleep(4 * watchWait)
+		require.LessOrEqual(t, calls()-before, uint64(8), "a watch and a read each time that a watch ends")
+		f.write(t, "5")
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 5, f.last())
+	})
+}
+
 // TestSourceRapidChanges checks that changes in quick succession are coalesced: the
 // object is read about once per pause, the last change is delivered within the
 // bound, and the watch continues afterwards.
