Let all nodes together try a condemned request twice, and keep it on the platform

Cause: the bound was one for each node, and lasted as long as the node. Each node found by itself that a minute, then 2, 4, 8 and 16 minutes were over; what was known died with the nodes that knew it; and a gate whose server had just ended said that it had none, so that a node which had not heard of the end took the next server.

Now a condemned request stays condemned while it is asked for. It has two trials, which a node claims for the fleet by a conditional write of an object of its own on the platform; with the run on probation that condemned it these are the three sendings that the users allow. The gate gets all that the entry node knows of a suspect, and refuses what it knows to be condemned, first of all what has just ended its own server. News of suspicions are sent when they come up, not with the next tick, and may overdraw the gossip rate by a quarter of its burst.

TestRequestThatEndsServersIsCondemned checked that a trial follows after each further end without a limit, which is the fault; it now checks each trial, its claim and that there is no third.

--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -6,6 +6,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -27,8 +28,8 @@
 // run is a call that the backend server runs.
 type run struct {
 	target  *Target
-	suspect bool
-	end     *call.End // of the server, once it is known; guarded by runs.mu
+	suspect *call.Fingerprint // of a suspected request; nil for others
+	end     *call.End         // of the server, once it is known; guarded by runs.mu
 }
 
 // runs holds the calls that the backend server runs, as far as the gate knows. The zero
@@ -40,7 +41,7 @@
 }
 
 // begin adds a call that is about to be sent.
-func (r *runs) begin(t *Target, suspect bool) *run {
+func (r *runs) begin(t *Target, suspect *call.Fingerprint) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.current == nil {
@@ -58,6 +59,27 @@
 	delete(r.current, ended)
 }
 
+// checkSuspect returns the request of a call on probation, or nil if it is none, and the
+// reason if it is refused. The entry node may not have heard of what this node knows, above all
+// of the end of its own server.
+func (g *Gate) checkSuspect(header http.Header) (*call.Fingerprint, call.Reason) {
+	text := header.Get(call.HeaderSuspect)
+	if text == "" {
+		return nil, ""
+	}
+	now := time.Now()
+	theirs, ok := call.ParseSuspicion(text, now)
+	if !ok {
+		g.config.Sinks.Log.Warn("suspicion not readable", "call", header.Get(call.HeaderID))
+		return nil, ""
+	}
+	g.config.Suspects.Merge([]call.Suspicion{theirs}, now)
+	if header[call.HeaderTrial] == nil && g.config.Suspects.Standing(theirs.Request, now) == call.Condemned {
+		return nil, call.ReasonCondemned
+	}
+	return &theirs.Request, ""
+}
+
 // checkEnd checks whether a failed call was broken off by the end of the server's process.
 func (g *Gate) checkEnd(r *run, f *callFailure) {
 	switch f.verdict.Reason() {
@@ -91,24 +113,27 @@
 	defer g.runs.mu.Unlock()
 	t, current := r.target, g.target.Load()
 	switch {
-	case r.end != nil, !t.sameServer(current), current.Leaving, time.Since(g.runs.aliveAt) < aliveTime:
+	case r.end != nil, !t.sameServer(current), current.Leaving:
 		return r.end, false
+	case r.suspect == nil && time.Since(g.runs.aliveAt) < aliveTime:
+		return nil, false
 	case !refusesConnections(t.Address):
 		g.runs.aliveAt = time.Now()
 		return nil, false
 	}
-	running, suspects := g.runs.setEnd(t, call.ServerHash(g.config.Instance, t.Server, t.Epoch))
+	running, suspects := g.runs.setEnd(t, call.ServerHash(g.config.Instance, t.Server, t.Epoch), g.config.Suspects)
 	g.config.Sinks.Log.Warn("backend server ended", "service", t.Service, "server", t.Server, "epoch", t.Epoch, "running", running, "suspects", suspects)
 	return r.end, true
 }
 
 // setEnd sets the end of all runs at a server, and returns how many there were and how
-// many of them were suspects. The caller holds r.mu.
-func (r *runs) setEnd(t *Target, server uint64) (running, suspects int) {
+// many of them were suspects. What it shows of suspects is recorded here too, since this
+// gate decides whether they may run next. The caller holds r.mu.
+func (r *runs) setEnd(t *Target, server uint64, known *call.Suspects) (running, suspects int) {
 	for other := range r.current {
 		if other.target.sameServer(t) {
 			running++
-			if other.suspect {
+			if other.suspect != nil {
 				suspects++
 			}
 		}
@@ -119,12 +144,15 @@
 		}
 		weight := call.WeightCrowd
 		switch {
-		case other.suspect && suspects == 1, running == 1:
+		case other.suspect != nil && suspects == 1, running == 1:
 			weight = call.WeightAlone
-		case !other.suspect && suspects > 0:
+		case other.suspect == nil && suspects > 0:
 			weight = call.WeightBystander
 		}
 		other.end = &call.End{Server: server, Weight: weight, At: time.Now()}
+		if other.suspect != nil {
+			known.RecordEnd(*other.suspect, *other.end)
+		}
 	}
 	return running, suspects
 }
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -48,7 +48,12 @@
 		span.End()
 		g.calls.End(entry)
 	}
-	target, slot, reason := g.admit(ctx, header, remote)
+	var target *Target
+	var slot *call.Waiter
+	suspect, reason := g.checkSuspect(header)
+	if reason == "" {
+		target, slot, reason = g.admit(ctx, header, remote)
+	}
 	g.logLimited(id, header.Get(call.HeaderAttempt), remote, reason)
 	if reason != "" {
 		finish()
@@ -61,7 +66,7 @@
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
 	attempt := &evidence{call: id, target: target, sentAt: c.admittedAt}
-	running := g.runs.begin(target, slot.Suspect)
+	running := g.runs.begin(target, suspect)
 	resp, failure := g.forward(withEvidence(ctx, attempt), r, header, target)
 	if failure != nil {
 		g.checkEnd(running, failure)
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -56,7 +56,8 @@
 	// ServerEnded is called when the backend server, as it was set, accepts no connections
 	// any more although it has not said that it leaves; it may be nil.
 	ServerEnded func(*Target)
-	Instance    string // name of this instance, which identifies its servers to other nodes; may be empty
+	Instance    string         // name of this instance, which identifies its servers to other nodes; may be empty
+	Suspects    *call.Suspects // requests suspected of ending backend servers, shared with the entry node of this instance; nil for suspects of the gate's own
 }
 
 // Callees is the services that the backend server calls in its runs. Its methods may be
@@ -115,6 +116,9 @@
 	if config.AbortGrace <= 0 {
 		config.AbortGrace = defaultAbortGrace
 	}
+	if config.Suspects == nil {
+		config.Suspects = call.NewSuspects(time.Now())
+	}
 	g := &Gate{config: config, calls: hop.NewCallRegistry(), metrics: newMetrics(config.Sinks.Scope), link: call.NewLink(config.LinkRate)}
 	g.admission.SetLink(g.link)
 	g.pooled = &http.Transport{
--- a/mesh/call/fingerprint.go
+++ b/mesh/call/fingerprint.go
@@ -22,6 +22,15 @@
 // String returns the fingerprint in hexadecimal, for log lines.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// ParseFingerprint parses what String returns. It returns false for other texts.
+func ParseFingerprint(text string) (f Fingerprint, ok bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(f) {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(b), true
+}
+
 // fingerprintBuffer is the length up to which a request is hashed without a heap
 // allocation, in bytes.
 const fingerprintBuffer = 1024
--- a/mesh/call/header.go
+++ b/mesh/call/header.go
@@ -34,7 +34,8 @@
 	HeaderAfter    = "Caroblift-After"    // ms after which the caller of a refused call may retry
 	HeaderStated   = "Caroblift-Stated"   // what the backend server has stated, as Stated formats it; between nodes in both directions, absent when nothing
 	HeaderTally    = "Caroblift-Tally"    // calls that the gate has served and refused, as FormatTallies formats them; absent when none
-	HeaderSuspect  = "Caroblift-Suspect"  // Yes when the request is suspected of ending backend servers
+	HeaderSuspect  = "Caroblift-Suspect"  // what the entry node knows of a request suspected of ending backend servers, as FormatSuspicion formats it
+	HeaderTrial    = "Caroblift-Trial"    // Yes when the call is the trial of a condemned request
 	HeaderEnded    = "Caroblift-Ended"    // the end of the backend server that ran the call, as End formats it; with ReasonEnded
 	HeaderRevision = "Caroblift-Revision" // configuration revision by which the call was routed
 )
--- a/mesh/call/retries_test.go
+++ b/mesh/call/retries_test.go
@@ -20,32 +20,40 @@
 	for range size {
 		nodes = append(nodes, NewSuspects(start))
 	}
-	ends, retries := 0, 0
+	ends, retries, claimed := 0, 0, 0
 	var thirdEnd time.Time
+	f := printOf(1)
 	for now := start; now.Sub(start) < 6*time.Hour; now = now.Add(interval) {
 		entry := nodes[r.IntN(size)]
-		f := printOf(1)
-		standing := entry.Standing(f, now)
-		if standing == Condemned {
-			continue
-		}
-		weight := WeightCrowd
-		if standing == Suspected {
-			weight = WeightAlone
-		}
-		ends++
-		entry.RecordEnd(f, End{Server: uint64(ends), Weight: weight, At: now})
-		if ends == 3 {
-			thirdEnd = now
+		standing, trial := entry.Admit(f, now)
+		for range takeDuties(entry, ClaimTrial) { // by a conditional write of the number of trials
+			known, due := entry.TrialDue(f, now)
+			own := due && known.Trials == claimed
+			if own {
+				claimed++
+			}
+			entry.RecordTrials(f, claimed, own, now)
 		}
-		if ends > 3 && now.Sub(thirdEnd) > afterwards {
-			retries++
+		if standing != Condemned || trial {
+			weight := WeightCrowd
+			if standing != Unsuspected {
+				weight = WeightAlone
+			}
+			ends++
+			entry.RecordEnd(f, End{Server: uint64(ends), Weight: weight, At: now})
+			if ends == 3 {
+				thirdEnd = now
+			}
+			if ends > 3 && now.Sub(thirdEnd) > afterwards {
+				retries++
+			}
 		}
+		news := entry.TakeNews(maxSuspectNews)
 		for _, to := range nodes {
-			for _, from := range nodes {
-				to.Merge(from.Strongest(maxEnds, now), now)
-			}
+			to.Merge(news, now)
+			to.Merge(entry.Strongest(maxEnds, now), now)
 		}
 	}
+	require.Equal(t, len(trialDelays), claimed)
 	require.LessOrEqual(t, retries, 3, "sendings after three servers had ended")
 }
--- a/mesh/call/suspectnews.go
+++ b/mesh/call/suspectnews.go
@@ -4,6 +4,7 @@
 // are ages, since clocks differ.
 
 import (
+	"encoding/base64"
 	"encoding/binary"
 	"math"
 	"strconv"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"caroblift.dev/wire"
 )
@@ -42,6 +44,12 @@
 		if !s.Answered.IsZero() {
 			m.Answered = ageMS(s.Answered, now) + 1
 		}
+		if !s.RefusedAt.IsZero() {
+			m.Asked = ageMS(s.RefusedAt, now) + 1
+		}
+		if s.trials() > 0 {
+			m.Trials, m.Trial = uint32(s.Trials), ageMS(s.TrialAt, now)
+		}
 		for _, e := range s.Ends {
 			m.Ends = append(m.Ends, &wire.End{Server: e.Server, Weight: uint32(e.Weight), Age: ageMS(e.At, now)})
 		}
@@ -55,6 +63,11 @@
 	return uint32(min(max(0, now.Sub(at).Milliseconds()), math.MaxInt32))
 }
 
+// timeBefore returns the time of an age in ms.
+func timeBefore(now time.Time, age uint32) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
 func decodeSuspicions(messages []*wire.Suspicion, now time.Time) []Suspicion {
 	var out []Suspicion
 	for _, m := range messages {
@@ -63,11 +76,17 @@
 		}
 		s := Suspicion{Request: Fingerprint(m.GetRequest())}
 		if m.GetAnswered() > 0 {
-			s.Answered = now.Add(-time.Duration(m.GetAnswered()-1) * time.Millisecond)
+			s.Answered = timeBefore(now, m.GetAnswered()-1)
+		}
+		if m.GetAsked() > 0 {
+			s.RefusedAt = timeBefore(now, m.GetAsked()-1)
+		}
+		if m.GetTrials() > 0 {
+			s.Trials, s.TrialAt = int(min(m.GetTrials(), math.MaxInt32)), timeBefore(now, m.GetTrial())
 		}
 		for _, e := range m.GetEnds()[:min(len(m.GetEnds()), maxEnds)] {
 			if e.GetWeight() >= WeightCrowd && e.GetWeight() <= WeightAlone {
-				s.Ends = append(s.Ends, End{Server: e.GetServer(), Weight: int(e.GetWeight()), At: now.Add(-time.Duration(e.GetAge()) * time.Millisecond)})
+				s.Ends = append(s.Ends, End{Server: e.GetServer(), Weight: int(e.GetWeight()), At: timeBefore(now, e.GetAge())})
 			}
 		}
 		out = append(out, s)
@@ -75,6 +94,31 @@
 	return out
 }
 
+// FormatSuspicion returns the value of HeaderSuspect: all that the entry node knows of the
+// request of a call on probation.
+func FormatSuspicion(s Suspicion, now time.Time) string {
+	encoded, err := proto.Marshal(encodeSuspicions([]Suspicion{s}, now)[0])
+	if err != nil {
+		return "" // the message has no field that can't be encoded
+	}
+	return base64.RawURLEncoding.EncodeToString(encoded)
+}
+
+// ParseSuspicion parses the value of HeaderSuspect. It returns false if the value is
+// invalid.
+func ParseSuspicion(text string, now time.Time) (Suspicion, bool) {
+	encoded, err := base64.RawURLEncoding.DecodeString(text)
+	var m wire.Suspicion
+	if err != nil || proto.Unmarshal(encoded, &m) != nil {
+		return Suspicion{}, false
+	}
+	decoded := decodeSuspicions([]*wire.Suspicion{&m}, now)
+	if len(decoded) == 0 {
+		return Suspicion{}, false
+	}
+	return decoded[0], true
+}
+
 // ServerHash identifies an incarnation of a backend server in an End.
 func ServerHash(instance, server string, epoch uint64) uint64 {
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(instance+"\x00"+server+"\x00"), epoch))
--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -31,14 +31,21 @@
 	answers *answerTimes
 	known   atomic.Int32 // number of suspicions
 
+	newsReady chan struct{} // receives when news wait
+	duties    duties
+
 	mu        sync.Mutex
 	byRequest map[Fingerprint]*Suspicion
-	news      []Fingerprint // of suspicions that changed and were not taken yet
+	news      []Fingerprint            // of suspicions that changed and were not taken yet
+	claimed   map[Fingerprint]struct{} // requests whose next call here is a trial
 }
 
 // NewSuspects returns Suspects without a suspicion.
 func NewSuspects(now time.Time) *Suspects {
-	return &Suspects{answers: &answerTimes{since: now}, byRequest: map[Fingerprint]*Suspicion{}}
+	return &Suspects{
+		answers: &answerTimes{since: now}, byRequest: map[Fingerprint]*Suspicion{}, claimed: map[Fingerprint]struct{}{},
+		newsReady: make(chan struct{}, 1), duties: duties{ready: make(chan struct{}, 1)},
+	}
 }
 
 // Standing returns how a request is to be treated now.
@@ -54,10 +61,64 @@
 	return Unsuspected
 }
 
+// Admit returns how a call of a request is to be treated, and whether a condemned one is a
+// trial, which this node has claimed and which now begins.
+func (s *Suspects) Admit(f Fingerprint, now time.Time) (standing Standing, trial bool) {
+	if s.known.Load() == 0 {
+		return Unsuspected, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byRequest[f]
+	if known == nil {
+		return Unsuspected, false
+	}
+	if standing = known.standing(now); standing != Condemned {
+		return standing, false
+	}
+	if _, trial = s.claimed[f]; trial {
+		delete(s.claimed, f)
+		return Condemned, true
+	}
+	known.RefusedAt = now
+	if known.trialDue(now) {
+		s.duties.add(ClaimTrial, f)
+	}
+	return Condemned, false
+}
+
+// TrialDue returns what is known of a request if it may be tried again now.
+func (s *Suspects) TrialDue(f Fingerprint, now time.Time) (Suspicion, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.byRequest[f]; known != nil && known.standing(now) == Condemned && known.trialDue(now) {
+		return known.clone(), true
+	}
+	return Suspicion{}, false
+}
+
+// RecordTrials records the number of trials of a request that were claimed until now. own
+// means that this node has claimed the latest one.
+func (s *Suspects) RecordTrials(f Fingerprint, count int, own bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byRequest[f]
+	if known == nil {
+		return
+	}
+	if known.addTrials(count, now) {
+		s.changed(f)
+	}
+	if own {
+		s.claimed[f] = struct{}{}
+	}
+}
+
 // Evidence is what a node knows against a request.
 type Evidence struct {
+	Suspicion
+	Standing Standing
 	Weight   int           // of the ends since the request was last answered
-	Ends     int           // of servers
 	SinceEnd time.Duration // since the latest of them
 }
 
@@ -67,10 +128,10 @@
 	defer s.mu.Unlock()
 	known := s.byRequest[f]
 	if known == nil {
-		return Evidence{}
+		return Evidence{Suspicion: Suspicion{Request: f}}
 	}
 	weight, last := known.weight(now)
-	return Evidence{Weight: weight, Ends: len(known.Ends), SinceEnd: now.Sub(last)}
+	return Evidence{Suspicion: known.clone(), Standing: known.standing(now), Weight: weight, SinceEnd: now.Sub(last)}
 }
 
 // RecordEnd records that a server ended while it ran a request, and returns how the request
@@ -82,10 +143,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.get(f, e.At)
+	before := known.standing(e.At)
 	if known.addEnd(e) {
 		s.changed(f)
 	}
-	return known.standing(e.At)
+	standing := known.standing(e.At)
+	if standing == Condemned && before != Condemned {
+		s.duties.add(KeepCondemned, f)
+	}
+	return standing
 }
 
 // RecordAnswer records that a server answered a request whole. The ends before that no
@@ -103,6 +169,10 @@
 	}
 	before := known.standing(now)
 	s.recordAnswered(known, now)
+	if before == Condemned {
+		delete(s.claimed, f)
+		s.duties.add(DropAnswered, f)
+	}
 	return before != Unsuspected
 }
 
@@ -123,30 +193,43 @@
 // Merge takes what another node knows, as of now. What is news to this node, or what it
 // knows better by its own answers, is to be passed on.
 func (s *Suspects) Merge(theirs []Suspicion, now time.Time) {
-	if len(theirs) == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range theirs {
-		news := false
-		known := s.get(t.Request, now)
-		for _, e := range t.Ends {
-			if e.Weight > WeightBystander && now.Sub(e.At) < suspicionTime {
-				e.Weight = min(e.Weight, WeightAlone)
-				news = known.addEnd(e) || news
-			}
-		}
-		if t.Answered.After(known.Answered) {
-			news = s.recordAnswered(known, t.Answered) || news
-		}
-		if news {
+		if s.merge(t, now) {
 			s.changed(t.Request)
 		}
-		if len(known.Ends) == 0 {
-			s.remove(t.Request)
+	}
+}
+
+// Restore takes what the platform holds, which every node that starts reads for itself.
+func (s *Suspects) Restore(kept []Suspicion, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range kept {
+		s.merge(k, now)
+	}
+}
+
+// merge takes what is known elsewhere of a request, and reports whether it is to be passed
+// on. The caller holds s.mu.
+func (s *Suspects) merge(t Suspicion, now time.Time) (news bool) {
+	known := s.get(t.Request, now)
+	for _, e := range t.Ends {
+		if e.Weight > WeightBystander && now.Sub(latest(e.At, t.RefusedAt)) < suspicionTime {
+			e.Weight = min(e.Weight, WeightAlone)
+			news = known.addEnd(e) || news
 		}
 	}
+	if t.Answered.After(known.Answered) {
+		news = s.recordAnswered(known, t.Answered) || news
+	}
+	news = known.addTrials(min(t.Trials, len(trialDelays)), t.TrialAt) || news
+	known.RefusedAt = latest(known.RefusedAt, t.RefusedAt)
+	if len(known.Ends) == 0 {
+		s.remove(t.Request)
+	}
+	return news
 }
 
 // get returns the suspicion of a request, which is new if there is none. The caller
@@ -183,6 +266,7 @@
 // remove forgets a suspicion. The caller holds s.mu.
 func (s *Suspects) remove(f Fingerprint) {
 	delete(s.byRequest, f)
+	delete(s.claimed, f)
 	s.known.Store(int32(len(s.byRequest)))
 }
 
@@ -196,6 +280,18 @@
 		s.news = s.news[1:]
 	}
 	s.news = append(s.news, f)
+	signal(s.newsReady)
+}
+
+// NewsReady returns a channel that receives when there are news to take.
+func (s *Suspects) NewsReady() <-chan struct{} { return s.newsReady }
+
+// signal makes a channel of one element receive.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // it will receive for an earlier signal
+	}
 }
 
 // TakeNews returns up to limit suspicions that changed since they were last taken.
@@ -229,13 +325,7 @@
 	}
 	var all []ranked
 	for f, known := range s.byRequest {
-		latest := known.Answered
-		for _, e := range known.Ends {
-			if e.At.After(latest) {
-				latest = e.At
-			}
-		}
-		if now.Sub(latest) >= suspicionTime {
+		if now.Sub(known.lastChange()) >= suspicionTime {
 			s.remove(f)
 			continue
 		}
--- a/mesh/call/suspects_test.go
+++ b/mesh/call/suspects_test.go
@@ -39,7 +39,8 @@
 }
 
 // TestRequestThatEndsServersIsCondemned checks how a request is treated after each end,
-// and that it may run again on probation after a while, later after each further end.
+// that it may run again as a trial that this node has claimed, and that there are two trials however long
+// it is asked for.
 func TestRequestThatEndsServersIsCondemned(t *testing.T) {
 	now, f := time.Now(), printOf(1)
 	s := NewSuspects(now)
@@ -49,19 +50,49 @@
 	require.Equal(t, Suspected, s.RecordEnd(f, End{Server: 3, Weight: WeightBystander, At: now}))
 	require.Equal(t, Condemned, s.RecordEnd(f, End{Server: 4, Weight: WeightAlone, At: now}))
 	require.Equal(t, Unsuspected, s.Standing(printOf(2), now))
-	require.Equal(t, Condemned, s.Standing(f, now.Add(trialDelay-1)))
-	require.Equal(t, Suspected, s.Standing(f, now.Add(trialDelay)))
-	now = now.Add(trialDelay)
-	require.Equal(t, Condemned, s.RecordEnd(f, End{Server: 5, Weight: WeightAlone, At: now}))
-	require.Equal(t, Condemned, s.Standing(f, now.Add(2*trialDelay-1)))
-	require.Equal(t, Suspected, s.Standing(f, now.Add(2*trialDelay)))
-	s.RecordAnswer(f, now.Add(2*trialDelay))
-	require.Equal(t, Unsuspected, s.Standing(f, now.Add(2*trialDelay)), "its service was mended")
+	admit := func(at time.Time, standing Standing, trial bool) {
+		t.Helper()
+		got, isTrial := s.Admit(f, at)
+		require.Equal(t, standing, got)
+		require.Equal(t, trial, isTrial)
+	}
+	for n, delay := range trialDelays {
+		_, due := s.TrialDue(f, now.Add(delay-1))
+		require.False(t, due)
+		now = now.Add(delay)
+		admit(now, Condemned, false)
+		require.Equal(t, []RequestDuty{{ClaimTrial, f}}, takeDuties(s, ClaimTrial))
+		known, due := s.TrialDue(f, now)
+		require.True(t, due)
+		require.Equal(t, n, known.Trials)
+		s.RecordTrials(f, n+1, true, now)
+		admit(now, Condemned, true)
+		admit(now, Condemned, false)
+		require.Equal(t, Condemned, s.RecordEnd(f, End{Server: uint64(5 + n), Weight: WeightAlone, At: now}))
+	}
+	for range 10 {
+		now = now.Add(suspicionTime - time.Second)
+		admit(now, Condemned, false)
+		require.Empty(t, takeDuties(s, ClaimTrial), "no trial is left")
+	}
+	require.True(t, s.RecordAnswer(f, now))
+	require.Equal(t, []RequestDuty{{DropAnswered, f}}, takeDuties(s, DropAnswered))
+	require.Equal(t, Unsuspected, s.Standing(f, now), "its service was mended")
 	require.Empty(t, s.Strongest(10, now.Add(suspicionTime)))
 	suspected, condemned := s.Counts(now)
 	require.Zero(t, suspected+condemned)
 }
 
+// takeDuties returns the waiting duties of a kind and forgets all.
+func takeDuties(s *Suspects, of Duty) (out []RequestDuty) {
+	for _, d := range s.TakeDuties() {
+		if d.Duty == of {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // TestPopularRequestIsNotSuspected plays a request that is running at every end, since it
 // always runs somewhere, and is answered by the servers that go on.
 func TestPopularRequestIsNotSuspected(t *testing.T) {
--- a/mesh/call/suspicion.go
+++ b/mesh/call/suspicion.go
@@ -41,31 +41,34 @@
 	condemnedWeight = 4
 	// maxEnds is the number of ends that are kept of a request, the latest ones.
 	maxEnds = 8
-	// suspicionTime is how long an end counts. Within it a faulty request is expected to
-	// come again, or its service to be released anew.
+	// suspicionTime is how long an end counts, and how long a condemned request is
+	// remembered after it was last refused. Within it a faulty request is expected to come
+	// again, or its service to be released anew.
 	suspicionTime = 30 * time.Minute
-	// trialDelay is the time after which a condemned request may run again on probation,
-	// to learn whether its service was mended. It doubles with each further end, up to
-	// maxTrialDoublings times.
-	trialDelay        = time.Minute
-	maxTrialDoublings = 4
 )
 
+// trialDelays holds the time before each trial of a condemned request, since the last end
+// or the trial before: it then runs again on probation, to learn whether its service was
+// mended. All nodes together make these trials and no others, since each one ends a
+// further server if nothing was mended.
+var trialDelays = [...]time.Duration{time.Minute, 15 * time.Minute}
+
 // Suspicion is what is known of a request during which servers ended.
 type Suspicion struct {
-	Request  Fingerprint
-	Ends     []End     // of distinct servers
-	Answered time.Time // when a server was last known to answer the request; zero if never
+	Request   Fingerprint
+	Ends      []End     // of distinct servers
+	Answered  time.Time // when a server was last known to answer the request; zero if never
+	Trials    int       // trials that were claimed, by any node
+	TrialAt   time.Time // when the latest of them was claimed; zero if none
+	RefusedAt time.Time // when it was last refused as condemned; zero if never
 }
 
 // weight returns the evidence against the request: the ends since it was last answered.
 func (s *Suspicion) weight(now time.Time) (weight int, last time.Time) {
 	for _, e := range s.Ends {
-		if e.At.After(s.Answered) && now.Sub(e.At) < suspicionTime {
+		if e.At.After(s.Answered) && now.Sub(latest(e.At, s.RefusedAt)) < suspicionTime {
 			weight += e.Weight
-			if e.At.After(last) {
-				last = e.At
-			}
+			last = latest(last, e.At)
 		}
 	}
 	return weight, last
@@ -73,18 +76,61 @@
 
 // standing returns how the request is to be treated.
 func (s *Suspicion) standing(now time.Time) Standing {
-	weight, last := s.weight(now)
+	weight, _ := s.weight(now)
 	switch {
 	case weight < suspectedWeight:
 		return Unsuspected
 	case weight < condemnedWeight:
 		return Suspected
-	case now.Sub(last) >= trialDelay<<min(max(0, (weight-condemnedWeight)/WeightAlone), maxTrialDoublings):
-		return Suspected
 	}
 	return Condemned
 }
 
+// trials returns the trials since the request was last answered.
+func (s *Suspicion) trials() int {
+	if s.TrialAt.After(s.Answered) {
+		return s.Trials
+	}
+	return 0
+}
+
+// trialDue reports whether a condemned request may be tried again.
+func (s *Suspicion) trialDue(now time.Time) bool {
+	_, last := s.weight(now)
+	done := s.trials()
+	if done > 0 {
+		last = latest(last, s.TrialAt)
+	}
+	return done < len(trialDelays) && now.Sub(last) >= trialDelays[done]
+}
+
+// addTrials takes the number of trials that were claimed by some time, and reports whether
+// it was news.
+func (s *Suspicion) addTrials(count int, at time.Time) bool {
+	if count <= s.trials() || !at.After(s.Answered) {
+		return false
+	}
+	s.Trials, s.TrialAt = count, at
+	return true
+}
+
+// lastChange returns the latest time at which something was learned of the request.
+func (s *Suspicion) lastChange() time.Time {
+	last := latest(latest(s.Answered, s.TrialAt), s.RefusedAt)
+	for _, e := range s.Ends {
+		last = latest(last, e.At)
+	}
+	return last
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // addEnd adds an end and reports whether it was news. Of a server's end the largest weight
 // counts, and the earliest time, since news of it take some time.
 func (s *Suspicion) addEnd(e End) bool {
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -19,14 +19,23 @@
 // returns the reason if the call is refused.
 func (x *exchange) checkStanding() call.Reason {
 	x.fingerprint = call.FingerprintOf(x.target, x.r.Host, x.r.Method, x.r.RequestURI, x.body.Buffered())
-	switch x.standing() {
-	case call.Condemned:
-		x.suspicion = x.fingerprint.String()
+	now := time.Now()
+	standing, trial := x.proxy.config.Suspects.Admit(x.fingerprint, now)
+	if standing == call.Unsuspected {
+		return ""
+	}
+	x.suspicion = x.fingerprint.String()
+	if standing == call.Condemned && !trial {
 		return call.ReasonCondemned
-	case call.Suspected:
-		x.suspicion, x.onProbation = x.fingerprint.String(), true
-		x.r.Header[call.HeaderSuspect] = []string{call.Yes}
 	}
+	x.onProbation = true
+	known := x.proxy.config.Suspects.Evidence(x.fingerprint, now)
+	x.r.Header[call.HeaderSuspect] = []string{call.FormatSuspicion(known.Suspicion, now)}
+	if trial {
+		x.r.Header[call.HeaderTrial] = []string{call.Yes}
+	}
+	x.proxy.config.Sinks.Log.Info(telemetry.CallOnProbation, "call", x.id, "request", x.suspicion, "trial", trial,
+		"weight", known.Weight, "ends", len(known.Ends), "trials", known.Trials, "since", ms(known.SinceEnd))
 	return ""
 }
 
@@ -64,9 +73,6 @@
 	i := x.service.probation[len(x.tried)]
 	x.tried = append(x.tried, i)
 	x.demand.NoWait, x.demand.Last = true, true
-	known := x.proxy.config.Suspects.Evidence(x.fingerprint, time.Now())
-	x.proxy.config.Sinks.Log.Info(telemetry.CallOnProbation, "call", x.id, "request", x.suspicion, "to", i.Name,
-		"weight", known.Weight, "ends", known.Ends, "since", ms(known.SinceEnd))
 	return i
 }
 
--- a/mesh/member/suspicions.go
+++ b/mesh/member/suspicions.go
@@ -22,6 +22,8 @@
 	Strongest(now time.Time, limit int) []*wire.Suspicion
 	// Merge takes the suspicions of another node.
 	Merge(now time.Time, suspicions []*wire.Suspicion)
+	// NewsReady returns a channel that receives when there are news; nil if there never are.
+	NewsReady() <-chan struct{}
 }
 
 const (
@@ -37,11 +39,22 @@
 func (noSuspicions) News(time.Time, int) []*wire.Suspicion      { return nil }
 func (noSuspicions) Strongest(time.Time, int) []*wire.Suspicion { return nil }
 func (noSuspicions) Merge(time.Time, []*wire.Suspicion)         {}
+func (noSuspicions) NewsReady() <-chan struct{}                 { return nil }
+
+// suspicionOverdraft is how far news of suspicions may exceed the gossip rate, in bytes:
+// events that came before must not delay them.
+const suspicionOverdraft = gossipBurstBytes / 4
+
+// PassOn returns the actions that send news of suspicions to the neighbours at once.
+func (a *Agent) PassOn(now time.Time) []Action {
+	a.detectPause(now)
+	return a.flush(now)
+}
 
 // suspicionNews returns the suspicions to send to the neighbours now, within the gossip
-// rate.
+// rate and suspicionOverdraft.
 func (a *Agent) suspicionNews(now time.Time, neighbours int) []*wire.Suspicion {
-	if neighbours == 0 || a.queue.refill(now) <= 0 {
+	if neighbours == 0 || a.queue.refill(now) <= -suspicionOverdraft {
 		return nil
 	}
 	news := a.config.Suspicions.News(now, maxNewSuspicions)
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -27,7 +27,7 @@
 		Policy:   func(service string) record.Policy { return n.Holder.Table().Policy(service) },
 		MaxConns: n.maxConns, SilenceTimeout: silent, Sinks: n.sinks.ForPart("backend"), LinkRate: n.linkRate(), SentBytes: n.sentBytes,
 		OwnShare: n.ownShare, ServerLeaving: func(t *backend.Target) { n.announcer.RecordLeaving(t.Server, t.Epoch) },
-		ServerEnded: func(t *backend.Target) { n.announcer.RecordEnded(t.Server, t.Epoch) }, Instance: n.settings.GetInstance().GetName(),
+		ServerEnded: func(t *backend.Target) { n.announcer.RecordEnded(t.Server, t.Epoch) }, Instance: n.settings.GetInstance().GetName(), Suspects: n.suspects,
 	}
 	proxy := caller.Config{
 		Table: n.Holder.Table, Ready: n.Holder.Ready, View: n.Members.View, Remote: n.hopTransport,
--- a/mesh/node/duty.go
+++ b/mesh/node/duty.go
@@ -6,6 +6,7 @@
 import (
 	"caroblift.dev/mesh/spread"
 	"caroblift.dev/mesh/store"
+	"caroblift.dev/wire"
 )
 
 // isReader reports whether this node reads the platform now.
@@ -40,3 +41,14 @@
 		},
 	})
 }
+
+// isFirstAlive reports whether this node is the first live one of the fleet, in name order.
+func (n *Node) isFirstAlive() bool {
+	view := n.Members.View()
+	for _, name := range view.Names {
+		if view.Members[name].GetState() == wire.State_STATE_ALIVE {
+			return n.Members.Joined() && name == view.Self.GetName()
+		}
+	}
+	return false
+}
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -59,6 +59,7 @@
 	eras           *store.Eras
 	budget         *store.Budget
 	meetingPoints  *store.MeetingPoints
+	condemned      *store.Condemned
 	suspects       *call.Suspects
 	pool           *peer.Pool
 	inboundBytes   peer.ByteCounter // control bytes of accepted connections
@@ -244,6 +245,9 @@
 		IsAlive: func(name string) bool { return n.Members.View().Members[name] != nil }, MembersKnown: n.Members.Joined,
 		PointsPerDomain: maxMeetingPoints, Eras: n.eras, Looker: looker, Reachable: func() bool { return n.platformReader.Reachable() }, Sinks: n.sinks.ForPart("platform"),
 	})
+	n.condemned = store.NewCondemned(store.CondemnedConfig{
+		Store: meetingStore, Suspects: n.suspects, IsFirst: n.isFirstAlive, Sinks: n.sinks.ForPart("platform"),
+	})
 	if n.platform != nil {
 		n.assembleSource(n.platform)
 		return
@@ -292,7 +296,7 @@
 	n.serve(n.listeners.backend, n.announceHandler())
 	n.serve(n.listeners.operator, n.operator.Handler())
 	loops := []func(context.Context) error{
-		n.Members.Run, n.Distributor.Run, n.platformReader.Run, n.announcer.Run, n.meetingPoints.Run, newStateReporter(n).run,
+		n.Members.Run, n.Distributor.Run, n.platformReader.Run, n.announcer.Run, n.meetingPoints.Run, n.condemned.Run, newStateReporter(n).run,
 	}
 	if n.Publisher != nil {
 		loops = append(loops, n.Publisher.Run)
--- a/mesh/peer/members.go
+++ b/mesh/peer/members.go
@@ -174,12 +174,18 @@
 func (m *Members) loop(ctx context.Context) error {
 	ticker := time.NewTicker(m.agent.Interval())
 	defer ticker.Stop()
+	var news <-chan struct{}
+	if m.config.Suspicions != nil {
+		news = m.config.Suspicions.NewsReady()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			m.start(m.update((*member.Agent).Tick))
+		case <-news:
+			m.start(m.update((*member.Agent).PassOn))
 		}
 	}
 }
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -40,6 +40,22 @@
 	ListStale(ctx context.Context, kind, after string) (objects []Object, more bool, err error)
 }
 
+// listAllStale lists all objects of a kind, as they were some seconds ago.
+func listAllStale(ctx context.Context, lister StaleLister, kind string) ([]Object, error) {
+	var all []Object
+	for after, more := "", true; more; {
+		objs, next, err := lister.ListStale(ctx, kind, after)
+		if err != nil {
+			return nil, errors.Wrapf(err, "list objects of kind %s", kind)
+		}
+		all = append(all, objs...)
+		if more = next && len(objs) > 0; more {
+			after = objs[len(objs)-1].Name
+		}
+	}
+	return all, nil
+}
+
 // MeetingPointsConfig configures a MeetingPoints. Every field but Eras, Looker and Sinks
 // is required.
 type MeetingPointsConfig struct {
@@ -124,17 +140,13 @@
 	if !ok {
 		return m.Read(ctx)
 	}
-	listed := map[string]Object{}
-	for after, more := "", true; more; {
-		var objs []Object
-		var err error
-		if objs, more, err = lister.ListStale(ctx, KindMember, after); err != nil {
-			return nil, errors.Wrap(err, "list meeting points")
-		}
-		for _, o := range objs {
-			listed[o.Name], after = o, o.Name
-		}
-		more = more && len(objs) > 0
+	objs, err := listAllStale(ctx, lister, KindMember)
+	if err != nil {
+		return nil, err
+	}
+	listed := make(map[string]Object, len(objs))
+	for _, o := range objs {
+		listed[o.Name] = o
 	}
 	m.setListed(listed)
 	return m.Listed(), nil
