Bound the messages of news of suspicions that are sent at once

Since each node passed news of suspicions on as soon as it had merged them, one message for each: by the log of a test (trial) 25 messages within 6 ms among five nodes for one end, and the number grew with the calls that a server ran at its end. Now news that follow others within the interval of ticks wait for the next tick, so that at most every second message is an early one.

--- a/mesh/member/suspicions.go
+++ b/mesh/member/suspicions.go
@@ -45,9 +45,14 @@
 // events that came before must not delay them.
 const suspicionOverdraft = gossipBurstBytes / 4
 
-// PassOn returns the actions that send news of suspicions to the neighbours at once.
+// PassOn returns the actions that send news of suspicions to the neighbours at once. News
+// that follow others within the interval of ticks wait for the next tick, so that the number of
+// messages is bounded whatever comes up.
 func (a *Agent) PassOn(now time.Time) []Action {
 	a.detectPause(now)
+	if now.Sub(a.newsSentAt) < a.Interval() {
+		return nil
+	}
 	return a.flush(now)
 }
 
