Count the trials of a condemned request anew once it was answered

A request that was condemned, mended and condemned again by a later release was kept on the platform with the trials of its first condemnation, so that nodes that restarted believed its trials used up. A copy of a suspicion now has the trials since the last answer only; TestRequestThatEndsServersIsCondemned failed with 2 trials in place of 0 before. Found by reading.

--- a/mesh/call/suspects_test.go
+++ b/mesh/call/suspects_test.go
@@ -78,6 +78,15 @@
 	require.True(t, s.RecordAnswer(f, now))
 	require.Equal(t, []RequestDuty{{DropAnswered, f}}, takeDuties(s, DropAnswered))
 	require.Equal(t, Unsuspected, s.Standing(f, now), "its service was mended")
+	for server := range uint64(2) {
+		now = now.Add(time.Second)
+		s.RecordEnd(f, End{Server: 100 + server, Weight: WeightAlone, At: now})
+	}
+	known, due := s.TrialDue(f, now.Add(trialDelays[0]))
+	require.True(t, due, "a later release may break it again")
+	require.Zero(t, known.Trials)
+	now = now.Add(time.Millisecond)
+	s.RecordAnswer(f, now)
 	require.Empty(t, s.Strongest(10, now.Add(suspicionTime)))
 	suspected, condemned := s.Counts(now)
 	require.Zero(t, suspected+condemned)
--- a/mesh/call/suspicion.go
+++ b/mesh/call/suspicion.go
@@ -160,9 +160,10 @@
 	return true
 }
 
+// clone returns a copy with the trials that count.
 func (s *Suspicion) clone() Suspicion {
 	out := *s
-	out.Ends = slices.Clone(s.Ends)
+	out.Ends, out.Trials = slices.Clone(s.Ends), s.trials()
 	return out
 }
 
