Keep a claimed trial that reached no server for the next call

A trial that its gate refused, as all suspects are refused while the server is full, was used up without a run, so that a mended or innocent request could stay condemned although nothing had been tried. Found by reading. TestTrialThatReachesNoServerIsMadeLater had condemned in place of the second trial before.

--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// ReturnTrial makes the next call of a request the trial after all, since the call that was to
+// be the trial reached no server.
+func (s *Suspects) ReturnTrial(f Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byRequest[f] != nil {
+		s.claimed[f] = struct{}{}
+	}
+}
+
 // Evidence is what a node knows against a request.
 type Evidence struct {
 	Suspicion
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -58,6 +58,7 @@
 	fingerprint       call.Fingerprint
 	suspicion         string // fingerprint for log lines; empty if the request was not suspected when the call entered
 	onProbation       bool   // the request is suspected of ending backend servers
+	onTrial           bool   // it is condemned, and this call is a trial
 	endedServers      int    // servers that ended while they ran this call
 }
 
@@ -166,6 +167,9 @@
 // finish reports the call and answers the caller with the last result.
 func (x *exchange) finish(last *result) {
 	x.report(last)
+	if x.onTrial && x.arrivals == 0 {
+		x.proxy.config.Suspects.ReturnTrial(x.fingerprint)
+	}
 	if last.resp == nil {
 		verdict := last.verdict
 		if x.ctx.Err() != nil && verdict.Outcome() != call.OutcomeNotRun {
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -28,7 +28,7 @@
 	if standing == call.Condemned && !trial {
 		return call.ReasonCondemned
 	}
-	x.onProbation = true
+	x.onProbation, x.onTrial = true, trial
 	known := x.proxy.config.Suspects.Evidence(x.fingerprint, now)
 	x.r.Header[call.HeaderSuspect] = []string{call.FormatSuspicion(known.Suspicion, now)}
 	if trial {
--- a/mesh/caller/suspect_test.go
+++ b/mesh/caller/suspect_test.go
@@ -89,3 +89,34 @@
 	f := call.FingerprintOf("quotes", r.Host, r.Method, r.RequestURI, nil)
 	require.Contains(t, out.String(), fmt.Sprintf(`"request":%q`, f.String()))
 }
+
+// TestTrialThatReachesNoServerIsMadeLater guards against using up a trial in a call that all servers refuse.
+func TestTrialThatReachesNoServerIsMadeLater(t *testing.T) {
+	refusal, trials, view := call.NotRun(call.ReasonBusy, call.ProofNotSent), 0, viewOf(t, 5)
+	hop := roundTripFunc(func(r *http.Request) (*http.Response, error) {
+		if r.Header.Get(call.HeaderTrial) != "" {
+			trials++
+		}
+		return refuseWith(refusal)(r)
+	})
+	p := New(Config{
+		Table: func() *revision.Table { return repeatableTable }, Ready: func() bool { return true },
+		View: func() *member.View { return view }, Remote: hop, ReportReachability: func(string, bool) {}, Timeout: time.Second,
+	})
+	send := func() call.Reason {
+		w := httptest.NewRecorder()
+		p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/book", http.NoBody))
+		return call.Reason(w.Header().Get(call.HeaderReason))
+	}
+	r := httptest.NewRequest(http.MethodGet, "/book", http.NoBody)
+	condemn(p, r)
+	require.Equal(t, call.ReasonCondemned, send())
+	p.config.Suspects.RecordTrials(call.FingerprintOf("quotes", r.Host, r.Method, r.RequestURI, nil), 1, true, time.Now())
+	require.Equal(t, call.ReasonBusy, send())
+	require.Equal(t, 1, trials)
+	refusal = call.MayHaveRun(call.ReasonBroken)
+	require.Equal(t, call.ReasonBroken, send(), "the trial is made now")
+	require.Equal(t, 2, trials)
+	require.Equal(t, call.ReasonCondemned, send())
+	require.Equal(t, 2, trials)
+}
