--- a/mesh/backend/ended_test.go
+++ b/mesh/backend/ended_test.go
@@ -1,8 +1,10 @@
 package backend_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,3 +63,44 @@
 	require.Eventually(t, func() bool { return send(gate, "/deadly", trial()).Reason() == call.ReasonEnded }, time.Second, 5*time.Millisecond)
 	require.NotEqual(t, call.ReasonCondemned, send(gate, "/other", http.Header{call.HeaderSuspect: {"!"}}).Reason(), "what can't be read condemns nothing")
 }
+
+// TestCanceledSuspectIsHeldToItsEnd guards against a suspected request whose caller leaves before the server ends under it.
+func TestCanceledSuspectIsHeldToItsEnd(t *testing.T) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		if r.URL.Path == "/deadly" {
+			_ = server.Listener.Close()
+			server.CloseClientConnections()
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	now := time.Now()
+	f := call.FingerprintOf("quotes", "h.example", http.MethodGet, "/deadly", nil)
+	known := call.Suspicion{Request: f, Ends: []call.End{{Server: 1, Weight: call.WeightCrowd, At: now}, {Server: 2, Weight: call.WeightCrowd, At: now}}}
+	suspects := call.NewSuspects(now)
+	gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Suspects: suspects})
+	defer gate.Close()
+	gate.SetTarget(&backend.Target{Service: "quotes", Server: "a", Address: server.Listener.Addr().String(), Slots: 10})
+	send := func(ctx context.Context, path, suspicion string) {
+		req := httptest.NewRequest(http.MethodGet, path, http.NoBody).WithContext(ctx)
+		req.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}}
+		if suspicion != "" {
+			req.Header.Set(call.HeaderSuspect, suspicion)
+		}
+		resp, err := gate.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() { send(t.Context(), "/other", "") })
+	calls.Go(func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		send(ctx, "/deadly", call.FormatSuspicion(known, now))
+	})
+	calls.Wait()
+	require.Equal(t, call.Condemned, suspects.Standing(f, time.Now()))
+}
