Keep a request on the platform that news alone condemned

Only a node whose own record of an end crossed the threshold kept the request; where four ends were recorded at nodes that did not know of each other's, all nodes condemned it by merging, and none kept it. Nodes that recorded an end now keep it in that case too; others don't, so that the writes don't grow with the fleet. TestRequestCondemnedByNewsIsKept fails without the change.

--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -154,6 +154,7 @@
 	defer s.mu.Unlock()
 	known := s.get(f, e.At)
 	before := known.standing(e.At)
+	known.witnessed = true
 	if known.addEnd(e) {
 		s.changed(f)
 	}
@@ -225,6 +226,7 @@
 // on. The caller holds s.mu.
 func (s *Suspects) merge(t Suspicion, now time.Time) (news bool) {
 	known := s.get(t.Request, now)
+	before := known.standing(now)
 	for _, e := range t.Ends {
 		if e.Weight > WeightBystander && now.Sub(latest(e.At, t.RefusedAt)) < suspicionTime {
 			e.Weight = min(e.Weight, WeightAlone)
@@ -236,6 +238,9 @@
 	}
 	news = known.addTrials(min(t.Trials, len(trialDelays)), t.TrialAt) || news
 	known.RefusedAt = latest(known.RefusedAt, t.RefusedAt)
+	if known.witnessed && before != Condemned && known.standing(now) == Condemned {
+		s.duties.add(KeepCondemned, t.Request) // no node may have condemned it by an end that it recorded
+	}
 	if len(known.Ends) == 0 {
 		s.remove(t.Request)
 	}
--- a/mesh/call/suspects_test.go
+++ b/mesh/call/suspects_test.go
@@ -102,6 +102,25 @@
 	return out
 }
 
+// TestRequestCondemnedByNewsIsKept guards against forgetting a request that no node condemned by its own calls alone.
+func TestRequestCondemnedByNewsIsKept(t *testing.T) {
+	now, f := time.Now(), printOf(1)
+	nodes := []*Suspects{NewSuspects(now), NewSuspects(now), NewSuspects(now)}
+	for server := range uint64(4) {
+		nodes[server/2].RecordEnd(f, End{Server: server, Weight: WeightCrowd, At: now})
+	}
+	var news []Suspicion
+	for _, s := range nodes {
+		news = append(news, s.TakeNews(10)...)
+	}
+	for n, s := range nodes {
+		require.Empty(t, takeDuties(s, KeepCondemned))
+		s.Merge(news, now)
+		require.Equal(t, Condemned, s.Standing(f, now))
+		require.Equal(t, n < 2, len(takeDuties(s, KeepCondemned)) == 1, "only nodes that saw an end keep it")
+	}
+}
+
 // TestPopularRequestIsNotSuspected plays a request that is running at every end, since it
 // always runs somewhere, and is answered by the servers that go on.
 func TestPopularRequestIsNotSuspected(t *testing.T) {
--- a/mesh/call/suspicion.go
+++ b/mesh/call/suspicion.go
@@ -61,6 +61,8 @@
 	Trials    int       // trials that were claimed, by any node
 	TrialAt   time.Time // when the latest of them was claimed; zero if none
 	RefusedAt time.Time // when it was last refused as condemned; zero if never
+
+	witnessed bool // an end was recorded by this node itself
 }
 
 // weight returns the evidence against the request: the ends since it was last answered.
