--- a/carobctl/work.go
+++ b/carobctl/work.go
@@ -18,7 +18,8 @@
 const workHelp = `Reads log files of nodes, or standard input, and prints what the nodes did by kind
 of work: for each kind the mean per second of a node, the largest of a node, and the
 total. It connects to no node. Two fleets, or the same one idle and under load, are
-compared by their tables.
+compared by their tables. A second table tells what the slots of each service's
+backend servers were used for.
 
 $ carobctl work /var/log/caroblift/*.log
 $ carobctl work --json < all.log
@@ -38,6 +39,7 @@
 	Nodes   int        `json:"nodes"`   // that logged their work
 	Seconds float64    `json:"seconds"` // logged, of all nodes together
 	Kinds   []workKind `json:"kinds"`   // by name
+	Slots   []slotUse  `json:"slots,omitempty"`
 }
 
 // workKind is one kind of work.
@@ -103,6 +105,7 @@
 		}
 		report.Kinds = append(report.Kinds, k)
 	}
+	report.Slots = newSlotReport(lines)
 	return report
 }
 
@@ -113,5 +116,8 @@
 	for _, k := range r.Kinds {
 		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.0f\t\n", k.Name, k.Mean, k.Most, k.Total)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return printSlots(out, r.Slots)
 }
--- a/carobctl/work_test.go
+++ b/carobctl/work_test.go
@@ -29,6 +29,20 @@
 	require.Equal(t, exitRefused, run([]string{"work"}, strings.NewReader(`{"msg":"started"}`), &out, &errOut))
 }
 
+// TestSlotTime checks that slot time is summed up by service and use, and that the idle
+// part counts as wanted only beside refused calls.
+func TestSlotTime(t *testing.T) {
+	log := strings.Join([]string{
+		`{"time":"2026-01-01T00:00:11Z","msg":"work","instance":"a","counts":{"node_slot_ms.quotes.intime":3000,"node_slot_ms.quotes.idle":1000,"caller_unserved.stock.v2":2}}`,
+		`{"time":"2026-01-01T00:00:12Z","msg":"work","instance":"b","counts":{"node_slot_ms.stock.v2.late":2000,"node_slot_ms.stock.v2.vain":500,"node_slot_ms.stock.v2.idle":4000}}`,
+		`{"time":"2026-01-01T00:00:22Z","msg":"work","instance":"b","counts":{"node_slot_ms.stock.v2.idle":7000}}`,
+	}, "\n")
+	require.Equal(t, []slotUse{
+		{Service: "quotes", InTime: 3, Idle: 1},
+		{Service: "stock.v2", Late: 2, Vain: 0.5, Idle: 11, IdleWanted: 4, Unserved: 2},
+	}, newSlotReport(mustReadLog(t, log)))
+}
+
 func mustReadLog(t *testing.T, text string) []logLine {
 	lines, err := readLog(strings.NewReader(text), "test")
 	require.NoError(t, err)
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -154,9 +154,9 @@
 	now := time.Now()
 	switch {
 	case t == nil || t.Leaving:
-		g.wake(g.admission.Close())
+		g.wake(g.admission.Close(now))
 	case !g.draining:
-		g.admission.Open()
+		g.admission.Open(now)
 	}
 	if old == nil || t == nil || old.Address != t.Address || old.Server != t.Server {
 		g.admission.SetCold(false, now)
@@ -177,13 +177,20 @@
 	return g.admission.InProgress()
 }
 
+// SlotTime returns the slot time that calls have used since the gate exists.
+func (g *Gate) SlotTime() call.SlotTime {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.SlotTime(time.Now())
+}
+
 // StopAdmission refuses new and queued calls as not run from now on, even if a
 // backend server is set later.
 func (g *Gate) StopAdmission() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	g.wake(g.admission.Close())
+	g.wake(g.admission.Close(time.Now()))
 }
 
 // Drain refuses new and queued calls and waits for those in progress. It returns
--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -83,6 +83,7 @@
 	tallies        tallyMeter
 	yieldCarry     map[int]float64 // by priority: sum of the yield shares since the last call that yielded
 	rateLimit      RateLimit       // that the server names
+	slotTime       slotMeter
 }
 
 // SetLink sets the network link that responses are sent over; nil means a link
@@ -178,6 +179,7 @@
 
 // grantSlot gives a slot to a waiter.
 func (a *Admission) grantSlot(w *Waiter, now time.Time) {
+	a.slotTime.advance(a.freeSlots(now), now)
 	a.inProgress++
 	a.rateLimit.take(now)
 	if w.nested {
@@ -253,6 +255,8 @@
 // the waiters that are admitted or rejected as a result.
 func (a *Admission) Finish(w *Waiter, result Result, now time.Time) []*Waiter {
 	a.link.End(w.expectedBytes)
+	a.slotTime.advance(a.freeSlots(now), now)
+	a.slotTime.use(w, result, now)
 	if w.nested {
 		a.nestedProgress--
 	}
@@ -317,11 +321,15 @@
 func (a *Admission) MeanDuration() time.Duration { return a.meanDuration }
 
 // Open admits calls again after Close.
-func (a *Admission) Open() { a.closed = false }
+func (a *Admission) Open(now time.Time) {
+	a.slotTime.advance(a.freeSlots(now), now)
+	a.closed = false
+}
 
 // Close rejects every call until Open is called. It empties the queue and
 // returns the waiters that were in it, all rejected.
-func (a *Admission) Close() []*Waiter {
+func (a *Admission) Close(now time.Time) []*Waiter {
+	a.slotTime.advance(a.freeSlots(now), now)
 	a.closed = true
 	waiters := a.queue
 	a.queue = nil
--- a/mesh/call/admission_test.go
+++ b/mesh/call/admission_test.go
@@ -94,8 +94,8 @@
 			m.resolve(t, []*call.Waiter{w})
 		},
 		"cold":  func(t *rapid.T) { m.admission.SetCold(rapid.Bool().Draw(t, "cold"), m.now) },
-		"close": func(t *rapid.T) { m.closed = true; m.resolve(t, m.admission.Close()); require.Empty(t, m.waiting) },
-		"open":  func(*rapid.T) { m.closed = false; m.admission.Open() },
+		"close": func(t *rapid.T) { m.closed = true; m.resolve(t, m.admission.Close(m.now)); require.Empty(t, m.waiting) },
+		"open":  func(*rapid.T) { m.closed = false; m.admission.Open(m.now) },
 	}
 }
 
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -63,6 +63,7 @@
 		m.outcomes[outcome].Inc(1)
 	case outcome == call.OutcomeNotRun:
 		m.countRefusal(reason)
+		m.scope.Tagged(map[string]string{"service": x.target}).Counter("unserved").Inc(1)
 	default:
 		m.countFailure(reason, outcome)
 	}
--- a/mesh/node/state.go
+++ b/mesh/node/state.go
@@ -127,6 +127,7 @@
 	s.setGauge("requests_condemned", float64(condemned))
 	s.updateMemberGauges()
 	s.updateTraffic()
+	s.updateSlotTime()
 }
 
 func (s *stateReporter) setGauge(name string, value float64) { s.scope.Gauge(name).Update(value) }
@@ -158,9 +159,23 @@
 	s.reportedCalls = calls
 }
 
+// updateSlotTime reports the slot time of the backend server by its use.
+func (s *stateReporter) updateSlotTime() {
+	used := s.node.Gate.SlotTime()
+	scope := s.scope.Tagged(map[string]string{"service": s.node.settings.GetBackend().GetService()})
+	for use, total := range map[string]time.Duration{"intime": used.InTime, "late": used.Late, "vain": used.Vain, "idle": used.Idle} {
+		s.advanceCounterOf(scope, "slot_ms", "use", use, total.Milliseconds())
+	}
+}
+
 // advanceCounter raises a counter with one tag to a total that is kept elsewhere.
 func (s *stateReporter) advanceCounter(name, tag, value string, total int64) {
+	s.advanceCounterOf(s.scope, name, tag, value, total)
+}
+
+// advanceCounterOf is advanceCounter for a counter of another scope.
+func (s *stateReporter) advanceCounterOf(scope tally.Scope, name, tag, value string, total int64) {
 	key := name + "/" + value
-	s.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(total - s.reportedTotals[key])
+	scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(total - s.reportedTotals[key])
 	s.reportedTotals[key] = total
 }
