--- a/mesh/store/condemned.go
+++ b/mesh/store/condemned.go
@@ -303,12 +303,15 @@
 	return encoded, errors.Wrap(err, "encode condemned request")
 }
 
+// maxCondemnedBytes bounds the body of a condemned request. It holds a few ends.
+const maxCondemnedBytes = 4 << 10
+
 // decodeCondemned returns what an object tells of a request, as if it had been written
 // now, and false when the object is deleted or not valid.
 func decodeCondemned(o Object, now time.Time) (call.Suspicion, bool) {
 	var body condemnedRequest
 	f, ok := call.ParseFingerprint(o.Name)
-	if !ok || o.Deleted || json.Unmarshal(o.Body, &body) != nil {
+	if !ok || o.Deleted || len(o.Body) > maxCondemnedBytes || json.Unmarshal(o.Body, &body) != nil {
 		return call.Suspicion{}, false
 	}
 	s := call.Suspicion{Request: f, Trials: max(0, body.Trials)}
--- a/mesh/store/meeting.go
+++ b/mesh/store/meeting.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"maps"
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -49,9 +50,7 @@
 			return nil, errors.Wrapf(err, "list objects of kind %s", kind)
 		}
 		all = append(all, objs...)
-		if more = next && len(objs) > 0; more {
-			after = objs[len(objs)-1].Name
-		}
+		more = next && advance(&after, objs)
 	}
 	return all, nil
 }
@@ -176,12 +175,18 @@
 	return out
 }
 
+// maxPointBytes bounds the body of a meeting point. It holds two names and an address.
+const maxPointBytes = 4 << 10
+
 // decodePoint returns the meeting point that an object holds, and false when the
-// object is deleted or not valid.
+// object is deleted or not valid. Another writer may have written it.
 func decodePoint(o Object) (meetingPoint, bool) {
 	var p meetingPoint
-	err := json.Unmarshal(o.Body, &p)
-	return p, err == nil && !o.Deleted && p.Peer != "" && p.Name != ""
+	if o.Deleted || len(o.Body) > maxPointBytes || json.Unmarshal(o.Body, &p) != nil {
+		return meetingPoint{}, false
+	}
+	addr, err := netip.ParseAddrPort(p.Peer)
+	return p, err == nil && addr.Port() != 0 && p.Name != ""
 }
 
 // Run writes the meeting point of this node and deletes those of dead nodes,
--- a/mesh/store/meeting_test.go
+++ b/mesh/store/meeting_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +124,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestOddMeetingPointNamesNobody guards against joiners that dial what another writer left among the meeting points.
+func TestOddMeetingPointNamesNobody(t *testing.T) {
+	for name, body := range map[string]string{
+		"port out of range": `{"name":"b","domain":"d","peer":"10.0.0.1:99999999"}`,
+		"port 0":            `{"name":"b","domain":"d","peer":"10.0.0.1:0"}`,
+		"host name":         `{"name":"b","domain":"d","peer":"example:80"}`,
+		"no name":           `{"domain":"d","peer":"10.0.0.1:80"}`,
+		"number as address": `{"name":"b","domain":"d","peer":1e999}`,
+		"large":             `{"name":"` + strings.Repeat("b", 64<<10) + `","domain":"d","peer":"10.0.0.1:80"}`,
+		"deep":              strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
+		"text":              `"x"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			platform := storetest.New()
+			for object, body := range map[string]string{"a": `{"name":"a","domain":"d","peer":"10.0.0.1:80"}`, "b": body, "c": `{"name":"c","domain":"d","peer":"10.0.0.2:80"}`} {
+				_, err := platform.Create(t.Context(), store.KindMember, object, []byte(body))
+				require.NoError(t, err)
+			}
+			m := store.NewMeetingPoints(store.MeetingPointsConfig{Store: platform})
+			members, err := m.Read(t.Context())
+			require.NoError(t, err)
+			require.Len(t, members, 2)
+			require.Equal(t, []string{"a", "c"}, []string{members[0].GetName(), members[1].GetName()})
+		})
+	}
+}
--- a/mesh/store/objects.go
+++ b/mesh/store/objects.go
@@ -114,6 +114,16 @@
 	return errors.Wrapf(err, "decode object %s/%s", o.Kind, o.Name)
 }
 
+// advance sets where the next page of a list begins to the last name of a page. It returns
+// false if that is not behind the page, which would then be read again and again.
+func advance(after *string, page []Object) bool {
+	if len(page) == 0 || page[len(page)-1].Name <= *after {
+		return false
+	}
+	*after = page[len(page)-1].Name
+	return true
+}
+
 // ListAll returns every object of a kind after a name, and the version to watch
 // from, which is that of the first page.
 func ListAll(ctx context.Context, s Store, kind, after string) ([]Object, Version, error) {
@@ -128,10 +138,9 @@
 			from = version
 		}
 		all = append(all, objs...)
-		if !more || len(objs) == 0 {
+		if !more || !advance(&after, objs) {
 			return all, from, nil
 		}
-		after = objs[len(objs)-1].Name
 	}
 }
 
