--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -48,6 +48,27 @@
 
 	ignoreShortages bool // the gates don't learn of shortages at services that their servers call
 	separate        bool // each node knows only what its own calls have shown, instead of what all have
+	processor       processorCosts
+
+	attempts int // sent to gates
+}
+
+// processorCosts are the processor times of nodes for calls. Each node does one thing at a
+// time, in order.
+type processorCosts struct {
+	entry   time.Duration // at the entry node, for a call from a caller or a server
+	ask     time.Duration // at the entry node and again at the gate, for each attempt
+	forward time.Duration // at the gate, for a call that is sent to the server
+}
+
+// use runs a function once a node has done some work after what it has to do.
+func (s *sim) use(g *gate, cost time.Duration, run func()) {
+	if cost == 0 {
+		run()
+		return
+	}
+	g.busyUntil = max(g.busyUntil, s.now) + cost
+	s.schedule(g.busyUntil-s.now, run)
 }
 
 // simService is the backend servers of one service.
@@ -112,6 +133,7 @@
 	slots     int
 	speed     float64                 // factor of the duration of a call
 	waiting   map[*call.Waiter]func() // continuations of queued calls
+	busyUntil time.Duration           // when the node's processor has done all it has to do
 }
 
 // class describes calls that have the same priority, mean duration and limits. A
@@ -189,14 +211,16 @@
 type simCall struct {
 	*class
 	start    time.Duration
-	instance *call.Instance // the last one tried, as the entry node knows it
+	entry    *gate          // of the node where the call entered
+	caller   string         // service that runs there
+	balancer *call.Balancer // of the service, as the entry node knows it
+	tried    []*call.Instance
+	instance *call.Instance // the last one tried
 	done     func(answered bool)
 }
 
-// call places one call as an entry node does: it tries up to three instances for
-// a free slot, then queues at the best one. The call enters at the node of parent,
-// the gate of the server that makes it, or at any node if parent is nil. It calls
-// done when the call has ended.
+// call places one call. It enters at the node of parent, the gate of the server that makes
+// it, or at any node if parent is nil. It calls done when the call has ended.
 func (s *sim) call(c *class, caller string, parent *gate, done func(answered bool)) {
 	if s.stats[c.name] == nil {
 		s.stats[c.name] = &callerStats{}
@@ -207,45 +231,59 @@
 	if parent == nil {
 		caller, parent = s.randomEntry()
 	}
-	balancer := &s.known(service, parent).balancer
-	var tried []*call.Instance
-	for attempt := 0; ; attempt++ {
-		wait := attempt == 3 || len(tried) == len(service.gates)
-		if wait {
-			tried = nil
-		}
-		i, _ := balancer.PickLowestCost(false, c.objective, tried, s.time(), s.rand.IntN)
-		n, _ := strconv.Atoi(i.Name)
-		g := service.gates[n]
-		x.instance = i
-		w := &call.Waiter{Deadline: s.time().Add(c.deadline), Ready: make(chan struct{}), Outside: caller != c.service, Repeated: attempt > 0, YieldShare: s.yieldShare(c, g)}
-		w.Demand = call.Demand{Class: c.name, Priority: c.priority, Objective: s.time().Add(c.objective), NoWait: !wait, Last: wait}
-		verdict := g.admission.Enter(w, s.time())
-		i.RecordLoad(g.admission.Report(s.time()), s.time())
-		i.RecordTallies(call.ParseTallies(g.admission.Tallies(s.time())), s.time())
-		switch verdict {
-		case call.Admitted:
-			s.hold(g, w, x)
-			return
-		case call.Waiting:
-			g.waiting[w] = func() { s.afterWait(g, w, x) }
-			s.schedule(w.AbandonAt().Sub(s.time()), func() {
-				if g.waiting[w] != nil {
-					g.admission.Abandon(w, s.time())
-					s.resume(g, []*call.Waiter{w})
-				}
-			})
-			return
-		}
-		if w.Reason() == call.ReasonOverload {
-			stats.yielded++
-		}
-		if wait || w.Reason() == call.ReasonOverload {
-			s.refuse(x)
-			return
-		}
-		tried = append(tried, i)
+	x.entry, x.caller, x.balancer = parent, caller, &s.known(service, parent).balancer
+	s.use(parent, s.processor.entry, func() { s.attempt(x) })
+}
+
+// attempt makes the next attempt of a call as an entry node does: it tries up to three
+// instances for a free slot, then queues at the best one.
+func (s *sim) attempt(x *simCall) {
+	service := s.services[x.service]
+	wait := len(x.tried) == 3 || len(x.tried) == len(service.gates)
+	if wait {
+		x.tried = nil
+	}
+	i, _ := x.balancer.PickLowestCost(false, x.objective, x.tried, s.time(), s.rand.IntN)
+	n, _ := strconv.Atoi(i.Name)
+	g := service.gates[n]
+	x.instance = i
+	s.attempts++
+	s.use(x.entry, s.processor.ask, func() {
+		s.use(g, s.processor.ask, func() { s.enter(x, g, i, wait) })
+	})
+}
+
+// enter asks a gate for a slot.
+func (s *sim) enter(x *simCall, g *gate, i *call.Instance, wait bool) {
+	start := time.Unix(1000, 0).Add(x.start)
+	w := &call.Waiter{Deadline: start.Add(x.deadline), Ready: make(chan struct{}), Outside: x.caller != x.service, Repeated: len(x.tried) > 0 || wait, YieldShare: s.yieldShare(x.class, g)}
+	w.Demand = call.Demand{Class: x.name, Priority: x.priority, Objective: start.Add(x.objective), NoWait: !wait, Last: wait}
+	verdict := g.admission.Enter(w, s.time())
+	i.RecordLoad(g.admission.Report(s.time()), s.time())
+	i.RecordTallies(call.ParseTallies(g.admission.Tallies(s.time())), s.time())
+	switch verdict {
+	case call.Admitted:
+		s.hold(g, w, x)
+		return
+	case call.Waiting:
+		g.waiting[w] = func() { s.afterWait(g, w, x) }
+		s.schedule(w.AbandonAt().Sub(s.time()), func() {
+			if g.waiting[w] != nil {
+				g.admission.Abandon(w, s.time())
+				s.resume(g, []*call.Waiter{w})
+			}
+		})
+		return
+	}
+	if w.Reason() == call.ReasonOverload {
+		s.stats[x.name].yielded++
 	}
+	if wait || w.Reason() == call.ReasonOverload {
+		s.refuse(x)
+		return
+	}
+	x.tried = append(x.tried, i)
+	s.attempt(x)
 }
 
 // randomEntry returns the service and the gate of a random node, where a caller's call
@@ -294,6 +332,11 @@
 // the nested calls have ended.
 func (s *sim) hold(g *gate, w *call.Waiter, x *simCall) {
 	duration := time.Duration(float64(x.work) * g.speed * math.Exp(0.5*s.rand.NormFloat64()-0.125))
+	s.use(g, s.processor.forward, func() { s.run(g, w, x, duration) })
+}
+
+// run runs a call at the server of a gate.
+func (s *sim) run(g *gate, w *call.Waiter, x *simCall, duration time.Duration) {
 	s.schedule(duration, func() {
 		left, failed := x.nestedCalls, false
 		if left == 0 {
--- /dev/null
+++ b/mesh/call/overload_test.go
@@ -0,0 +1,33 @@
+package call_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// smallNodes is the processor time of calls at nodes that have a sixth of a core.
+var smallNodes = processorCosts{entry: 300 * time.Microsecond * 6, ask: 200 * time.Microsecond * 6, forward: 300 * time.Microsecond * 6}
+
+// TestRefusalsLeaveProcessorTimeForServedCalls guards against quotes that come too late since the refused calls take the nodes' time.
+func TestRefusalsLeaveProcessorTimeForServedCalls(t *testing.T) {
+	play := func(load float64, costs processorCosts) (quotes *callerStats, worth float64) {
+		s, quote, book := newLargeChain(34, 27, 0)
+		s.processor = costs
+		s.offer(quote, load*1500, 0, 10*time.Second)
+		s.offer(book, load*700, 0, 10*time.Second)
+		s.advance(15 * time.Second)
+		quotes, books := s.stats["quote"], s.stats["book"]
+		return quotes, float64(quotes.inTime + 2*books.inTime)
+	}
+	for _, load := range []float64{0.8, 1, 1.25} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			_, spare := play(load, processorCosts{})
+			quotes, worth := play(load, smallNodes)
+			require.Greater(t, float64(quotes.inTime), 0.33*float64(quotes.asked), "%+v", quotes)
+			require.Greater(t, worth, 0.9*spare, "in time, of what nodes with time to spare serve")
+		})
+	}
+}
