--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -151,7 +151,7 @@
 		a.refuse(w, ReasonLimited, now)
 	case len(a.queue) == 0 && a.inProgress < a.Slots(now):
 		a.grantSlot(w, now)
-	case w.NoWait:
+	case a.exceedsShortWait(w, now):
 		w.reject(ReasonBusy)
 	default:
 		a.enqueue(w, now)
--- a/mesh/call/domain_test.go
+++ b/mesh/call/domain_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 		for _, n := range members {
-			k := &knowledge{}
+			k := &knowledge{search: call.NewBudget()}
 			for _, p := range random.Perm(len(members))[:near] {
 				k.balancer.Near = append(k.balancer.Near, call.NewInstance(strconv.Itoa(members[p]), v.gates[members[p]].slots))
 			}
--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -81,6 +81,7 @@
 // knowledge is what a node knows of a service by the answers to its calls.
 type knowledge struct {
 	balancer   call.Balancer
+	search     *call.Budget
 	starvation call.Starvation
 	shortages  []call.Shortage
 	at         time.Time // of the shortages
@@ -93,7 +94,7 @@
 	}
 	k := service.knowledge[g]
 	if k == nil {
-		k = &knowledge{}
+		k = &knowledge{search: call.NewBudget()}
 		for i, g := range service.gates {
 			k.balancer.Near = append(k.balancer.Near, call.NewInstance(strconv.Itoa(i), g.slots))
 		}
@@ -210,13 +211,12 @@
 // simCall is one call in progress.
 type simCall struct {
 	*class
-	start    time.Duration
-	entry    *gate          // of the node where the call entered
-	caller   string         // service that runs there
-	balancer *call.Balancer // of the service, as the entry node knows it
-	tried    []*call.Instance
-	instance *call.Instance // the last one tried
-	done     func(answered bool)
+	start     time.Duration
+	entry     *gate  // of the node where the call entered
+	caller    string // service that runs there
+	placement call.Placement
+	instance  *call.Instance // the last one tried
+	done      func(answered bool)
 }
 
 // call places one call. It enters at the node of parent, the gate of the server that makes
@@ -231,33 +231,35 @@
 	if parent == nil {
 		caller, parent = s.randomEntry()
 	}
-	x.entry, x.caller, x.balancer = parent, caller, &s.known(service, parent).balancer
+	known := s.known(service, parent)
+	x.entry, x.caller = parent, caller
+	x.placement = call.Placement{Balancer: &known.balancer, Search: known.search, Objective: c.objective}
+	x.placement.Begin()
 	s.use(parent, s.processor.entry, func() { s.attempt(x) })
 }
 
-// attempt makes the next attempt of a call as an entry node does: it tries up to three
-// instances for a free slot, then queues at the best one.
+// attempt makes the next attempt of a call, or refuses it.
 func (s *sim) attempt(x *simCall) {
-	service := s.services[x.service]
-	wait := len(x.tried) == 3 || len(x.tried) == len(service.gates)
-	if wait {
-		x.tried = nil
+	i, shortWait := x.placement.Next(s.time(), s.rand.IntN)
+	if i == nil {
+		s.refuse(x)
+		return
 	}
-	i, _ := x.balancer.PickLowestCost(false, x.objective, x.tried, s.time(), s.rand.IntN)
-	n, _ := strconv.Atoi(i.Name)
-	g := service.gates[n]
 	x.instance = i
+	last := x.placement.Last(s.time(), s.rand.IntN)
+	n, _ := strconv.Atoi(i.Name)
+	g := s.services[x.service].gates[n]
 	s.attempts++
 	s.use(x.entry, s.processor.ask, func() {
-		s.use(g, s.processor.ask, func() { s.enter(x, g, i, wait) })
+		s.use(g, s.processor.ask, func() { s.enter(x, g, i, shortWait, last) })
 	})
 }
 
 // enter asks a gate for a slot.
-func (s *sim) enter(x *simCall, g *gate, i *call.Instance, wait bool) {
+func (s *sim) enter(x *simCall, g *gate, i *call.Instance, shortWait, last bool) {
 	start := time.Unix(1000, 0).Add(x.start)
-	w := &call.Waiter{Deadline: start.Add(x.deadline), Ready: make(chan struct{}), Outside: x.caller != x.service, Repeated: len(x.tried) > 0 || wait, YieldShare: s.yieldShare(x.class, g)}
-	w.Demand = call.Demand{Class: x.name, Priority: x.priority, Objective: start.Add(x.objective), NoWait: !wait, Last: wait}
+	w := &call.Waiter{Deadline: start.Add(x.deadline), Ready: make(chan struct{}), Outside: x.caller != x.service, Repeated: len(x.placement.Tried) > 1, YieldShare: s.yieldShare(x.class, g)}
+	w.Demand = call.Demand{Class: x.name, Priority: x.priority, Objective: start.Add(x.objective), ShortWait: shortWait, Last: last}
 	verdict := g.admission.Enter(w, s.time())
 	i.RecordLoad(g.admission.Report(s.time()), s.time())
 	i.RecordTallies(call.ParseTallies(g.admission.Tallies(s.time())), s.time())
@@ -266,7 +268,7 @@
 		s.hold(g, w, x)
 		return
 	case call.Waiting:
-		g.waiting[w] = func() { s.afterWait(g, w, x) }
+		g.waiting[w] = func() { s.afterWait(g, w, x, shortWait) }
 		s.schedule(w.AbandonAt().Sub(s.time()), func() {
 			if g.waiting[w] != nil {
 				g.admission.Abandon(w, s.time())
@@ -278,12 +280,11 @@
 	if w.Reason() == call.ReasonOverload {
 		s.stats[x.name].yielded++
 	}
-	if wait || w.Reason() == call.ReasonOverload {
+	if w.Reason() == call.ReasonOverload {
 		s.refuse(x)
 		return
 	}
-	x.tried = append(x.tried, i)
-	s.attempt(x)
+	s.retry(x, w.Reason(), shortWait)
 }
 
 // randomEntry returns the service and the gate of a random node, where a caller's call
@@ -320,12 +321,18 @@
 }
 
 // afterWait handles a queued call that was admitted or rejected.
-func (s *sim) afterWait(g *gate, w *call.Waiter, x *simCall) {
+func (s *sim) afterWait(g *gate, w *call.Waiter, x *simCall, shortWait bool) {
 	if w.State() == call.Admitted {
 		s.hold(g, w, x)
 		return
 	}
-	s.refuse(x)
+	s.retry(x, w.Reason(), shortWait)
+}
+
+// retry goes on after an attempt that was rejected.
+func (s *sim) retry(x *simCall, reason call.Reason, shortWait bool) {
+	x.placement.RecordFailure(x.instance, reason, shortWait)
+	s.attempt(x)
 }
 
 // hold holds a slot for a random, log-normally distributed duration, and then until
@@ -473,7 +480,7 @@
 // Demand for invalid values.
 func TestDemandRoundTrip(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := call.Demand{Class: "a/b", Priority: 2, Objective: now.Add(-30 * time.Millisecond), NoWait: true}
+	d := call.Demand{Class: "a/b", Priority: 2, Objective: now.Add(-30 * time.Millisecond), ShortWait: true}
 	require.Equal(t, d, call.ParseDemand(d.Format(now), now))
 	for _, text := range []string{"", "1", "a/b/c/d", "1/x/now/r", "1/2/3"} {
 		require.Equal(t, call.Demand{}, call.ParseDemand(text, now), text)
--- a/mesh/call/queue.go
+++ b/mesh/call/queue.go
@@ -18,17 +18,17 @@
 	Class     string    // name of the route; calls of a class have similar durations and sizes
 	Priority  int       // 0 is the most urgent
 	Objective time.Time // time by which a response has its full value; zero when the route sets none
-	NoWait    bool      // reject rather than queue, since the entry node can try other gates
+	ShortWait bool      // queue only for a short wait, since the entry node can try other gates
 	Last      bool      // no other gate is asked if this one refuses the call
 }
 
 // Modes of a demand: whether the call may wait, and whether it is the last attempt.
 // Nodes of earlier versions know the first two, and take all others for the first.
 const (
-	modeWait     = "wait"
-	modeNow      = "now"
-	modeLastWait = "last"
-	modeLastNow  = "lastnow"
+	modeWait      = "wait"
+	modeShort     = "now"
+	modeLastWait  = "last"
+	modeLastShort = "lastnow"
 )
 
 // Format returns the value of HeaderDemand: priority, ms until the objective, mode and
@@ -36,10 +36,10 @@
 func (d Demand) Format(now time.Time) string {
 	mode := modeWait
 	switch {
-	case d.NoWait && d.Last:
-		mode = modeLastNow
-	case d.NoWait:
-		mode = modeNow
+	case d.ShortWait && d.Last:
+		mode = modeLastShort
+	case d.ShortWait:
+		mode = modeShort
 	case d.Last:
 		mode = modeLastWait
 	}
@@ -60,7 +60,7 @@
 		return Demand{}
 	}
 	return Demand{
-		Class: parts[3], Priority: priority, NoWait: parts[2] == modeNow || parts[2] == modeLastNow, Last: parts[2] == modeLastWait || parts[2] == modeLastNow,
+		Class: parts[3], Priority: priority, ShortWait: parts[2] == modeShort || parts[2] == modeLastShort, Last: parts[2] == modeLastWait || parts[2] == modeLastShort,
 		Objective: now.Add(time.Duration(left) * time.Millisecond),
 	}
 }
@@ -81,6 +81,9 @@
 	// last call would wait for more than four others in a row, which exceeds
 	// every objective in use.
 	queuePerSlot = 4
+	// shortWaitDivisor is the part of the time to the objective that a call with ShortWait
+	// may be expected to wait. A longer wait could be shorter at another gate.
+	shortWaitDivisor = 3
 	// graceDivisor limits the wait beyond what the objective allows to
 	// 1/graceDivisor of the time between objective and deadline. An answer after the
 	// objective still has some value, which justifies a short wait but not one up to
@@ -117,6 +120,11 @@
 	}
 }
 
+// exceedsShortWait reports whether a call with ShortWait would wait for too long.
+func (a *Admission) exceedsShortWait(w *Waiter, now time.Time) bool {
+	return w.ShortWait && a.expectedWaitOf(w, now) > w.Objective.Sub(now)/shortWaitDivisor
+}
+
 // latestStart returns until when a call of the given duration may wait for a slot:
 // until it would miss its objective, plus a grace period if it has a deadline.
 func latestStart(w *Waiter, now time.Time, duration time.Duration) time.Time {
--- a/mesh/call/ratelimit_test.go
+++ b/mesh/call/ratelimit_test.go
@@ -19,7 +19,7 @@
 			a.Leave(50*time.Millisecond, ends[0])
 			ends = ends[1:]
 		}
-		w := &call.Waiter{Demand: call.Demand{Priority: random.IntN(3), NoWait: true, Objective: now.Add(time.Second)}}
+		w := &call.Waiter{Demand: call.Demand{Priority: random.IntN(3), ShortWait: true, Objective: now.Add(time.Second)}}
 		if a.Enter(w, now) == call.Admitted {
 			admitted, ends = append(admitted, now), append(ends, now.Add(50*time.Millisecond))
 		}
@@ -115,7 +115,7 @@
 	a.SetLimits(call.Limits{Slots: 50}, now)
 	_, _ = a.ObserveLimit(call.NamedLimit{Rate: 1, Named: true}, "a", now, now)
 	enter := func(priority int) call.WaiterState {
-		return a.Enter(&call.Waiter{Demand: call.Demand{Priority: priority, NoWait: true, Objective: now.Add(time.Second)}}, now)
+		return a.Enter(&call.Waiter{Demand: call.Demand{Priority: priority, ShortWait: true, Objective: now.Add(time.Second)}}, now)
 	}
 	require.Equal(t, call.Admitted, enter(1)) // one of two tokens
 	require.Equal(t, call.Rejected, enter(2))
--- a/mesh/caller/directory.go
+++ b/mesh/caller/directory.go
@@ -36,10 +36,11 @@
 }
 
 // serviceState is the state of a service that is kept when the members change:
-// the budgets of extra attempts, the latency estimate for hedging and, guarded by
+// the budgets of extra attempts and searches, the latency estimate for hedging and, guarded by
 // Proxy.shortageMu, what is starved there.
 type serviceState struct {
 	retryBudget, hedgeBudget *call.Budget
+	searchBudget             *call.Budget // of attempts after gates had no room
 	latencies                call.LatencyQuantile
 	starvation               call.Starvation
 	starved                  int // priorities of which calls are starved
@@ -192,7 +193,7 @@
 // newServiceState returns the state of a service that has not been called yet.
 // Retries and hedges share one budget if Config.ExtraAttempts is set.
 func (p *Proxy) newServiceState() *serviceState {
-	a := &serviceState{retryBudget: call.NewBudget(), hedgeBudget: call.NewBudget()}
+	a := &serviceState{retryBudget: call.NewBudget(), hedgeBudget: call.NewBudget(), searchBudget: call.NewBudget()}
 	if p.config.ExtraAttempts != (ExtraAttempts{}) {
 		a.hedgeBudget = a.retryBudget
 	}
--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -45,21 +45,18 @@
 	deadline       time.Time
 	span           trace.Span
 
-	tried             []*call.Instance
-	excluded          []*call.Instance // the tried instances that must not be used again
-	demand            call.Demand
-	immediateAttempts int           // attempts that ask for a free slot and may not be queued
-	backlog           time.Duration // expected wait that the last gate reported
-	attempts          int
-	arrivals          int         // attempts that may have reached a backend server, hedges included
-	queuedAttempts    int         // attempts that may be queued
-	answer            *result     // the last result if it succeeded; else nil
-	nested            atomic.Bool // a gate recognized it as a call of the backend server of this instance
-	fingerprint       call.Fingerprint
-	suspicion         string // fingerprint for log lines; empty if the request was not suspected when the call entered
-	onProbation       bool   // the request is suspected of ending backend servers
-	onTrial           bool   // it is condemned, and this call is a trial
-	endedServers      int    // servers that ended while they ran this call
+	placement    call.Placement
+	demand       call.Demand
+	backlog      time.Duration // expected wait that the last gate reported
+	attempts     int
+	arrivals     int         // attempts that may have reached a backend server, hedges included
+	answer       *result     // the last result if it succeeded; else nil
+	nested       atomic.Bool // a gate recognized it as a call of the backend server of this instance
+	fingerprint  call.Fingerprint
+	suspicion    string // fingerprint for log lines; empty if the request was not suspected when the call entered
+	onProbation  bool   // the request is suspected of ending backend servers
+	onTrial      bool   // it is condemned, and this call is a trial
+	endedServers int    // servers that ended while they ran this call
 }
 
 // result is the result of one attempt.
@@ -97,7 +94,7 @@
 		}
 		if reason != "" {
 			next.verdict = next.verdict.Combine(last.verdict)
-			x.excludeFailed(next)
+			x.placement.RecordFailure(next.instance, reason, x.demand.ShortWait)
 		}
 		last = next
 		if reason == "" || !x.mayRetry(last.verdict) {
@@ -121,16 +118,16 @@
 	if x.route.LatencyObjective > 0 {
 		return x.place()
 	}
-	i := x.service.balancer.Pick(*x.proxy.policy.Load(), x.tried, time.Now(), rand.IntN)
+	i := x.service.balancer.Pick(*x.proxy.policy.Load(), x.placement.Tried, time.Now(), rand.IntN)
 	if i != nil {
-		x.tried = append(x.tried, i)
+		x.placement.Tried = append(x.placement.Tried, i)
 	}
 	return i
 }
 
 // attempt sends the call to an instance. A first attempt may be hedged.
 func (x *exchange) attempt(i *call.Instance) *result {
-	if len(x.tried) == 1 && x.route.Hedge && x.idempotent && !x.inExtraAttempt && !x.body.Streamed() {
+	if len(x.placement.Tried) == 1 && x.route.Hedge && x.idempotent && !x.inExtraAttempt && !x.body.Streamed() {
 		return x.sendHedged(i)
 	}
 	return x.newAttemptRequest(x.ctx, i).send()
@@ -147,7 +144,7 @@
 		maxAttempts = defaultAttempts
 	}
 	switch {
-	case x.ctx.Err() != nil, x.arrivals >= maxAttempts, len(x.tried) >= maxAttempts+maxRejections, x.body.Streamed():
+	case x.ctx.Err() != nil, x.arrivals >= maxAttempts, len(x.placement.Tried) >= maxAttempts+maxRejections, x.body.Streamed():
 		return false
 	case last.Reason() == call.ReasonOverload: // other instances call the same service
 		return false
--- a/mesh/caller/place.go
+++ b/mesh/caller/place.go
@@ -1,7 +1,7 @@
 package caller
 
-// This file chooses instances for the calls of routes with a latency objective:
-// a free slot first, in any failure domain, and else the shortest wait.
+// This file places the calls of routes with a latency objective, and tells refused callers
+// when to return.
 
 import (
 	"math/rand/v2"
@@ -13,66 +13,19 @@
 	"caroblift.dev/mesh/call"
 )
 
-// maxImmediateAttempts bounds the attempts of a call that ask a gate for a free
-// slot and may not be queued. Each costs a few ms and reports the gate's load,
-// which a node that sends the gate few calls rarely learns from answers.
-const maxImmediateAttempts = 3
-
-// maxQueuedAttempts bounds the attempts of a call that a gate may queue. After a gate
-// refuses to queue the call, only a free slot elsewhere helps, and that may be at
-// an instance whose reported load is out of date.
-const maxQueuedAttempts = 1
-
-// place chooses the instance for the next attempt of a call with an objective,
-// or returns nil. It asks an untried gate for a free slot unless it expects the
-// call to finish sooner in the queue of a gate that had none. Once the immediate
-// attempts are used up or no instance is untried, and if the service has only one
-// instance, a gate may queue the call.
+// place chooses the instance for the next attempt of a call with an objective, or returns
+// nil.
 func (x *exchange) place() *call.Instance {
 	now := time.Now()
-	balancer, bulk, objective := x.service.balancer, x.route.Bulk, x.route.LatencyObjective
-	// The call may queue at a gate that had no free slot, but not at one that
-	// failed or refused to queue it.
-	chosen, queuedCost := balancer.PickLowestCost(bulk, objective, x.excluded, now, rand.IntN)
+	chosen, shortWait := x.placement.Next(now, rand.IntN)
 	if chosen == nil {
 		return nil
 	}
-	untried, immediateCost := balancer.PickLowestCost(bulk, objective, x.tried, now, rand.IntN)
-	mayAskNow := untried != nil && x.immediateAttempts < maxImmediateAttempts && balancer.Len() > 1
-	switch {
-	case mayAskNow && (immediateCost <= queuedCost || untried == chosen || x.queuedAttempts == maxQueuedAttempts):
-		x.immediateAttempts++
-		x.demand.NoWait = true
-		chosen = untried
-	case x.queuedAttempts < maxQueuedAttempts:
-		x.queuedAttempts++
-		x.demand.NoWait = false
-	default:
-		return nil
-	}
-	x.tried = append(x.tried, chosen)
-	x.demand.Last = x.body.Streamed() || x.queuedAttempts == maxQueuedAttempts && !x.mayAskMore(now)
+	x.demand.ShortWait = shortWait
+	x.demand.Last = x.body.Streamed() || x.placement.Last(now, rand.IntN)
 	return chosen
 }
 
-// mayAskMore reports whether another gate may be asked for a free slot.
-func (x *exchange) mayAskMore(now time.Time) bool {
-	if x.immediateAttempts == maxImmediateAttempts || x.service.balancer.Len() == 1 {
-		return false
-	}
-	untried, _ := x.service.balancer.PickLowestCost(x.route.Bulk, x.route.LatencyObjective, x.tried, now, rand.IntN)
-	return untried != nil
-}
-
-// excludeFailed excludes the instance of a failed attempt from further attempts.
-// A gate that only had no free slot may still queue the call.
-func (x *exchange) excludeFailed(res *result) {
-	if res.verdict.Reason() == call.ReasonBusy && x.demand.NoWait {
-		return
-	}
-	x.excluded = append(x.excluded, res.instance)
-}
-
 // callerTimeout estimates the full timeout of a route's callers as the longest
 // time left, in ms, that any of them has sent. A caller that retries a call has
 // less time left, and the difference is the time since its first attempt.
--- a/mesh/caller/place_test.go
+++ b/mesh/caller/place_test.go
@@ -8,7 +8,6 @@
 
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/hop"
-	"caroblift.dev/mesh/record"
 )
 
 // TestPlaceLooksFurther checks that a call asks the other gates for a free slot
@@ -22,11 +21,9 @@
 	for _, i := range []*call.Instance{far, farther} {
 		i.RecordLoad(call.LoadReport{InProgress: 90, Slots: 9, MeanDuration: 100 * time.Millisecond}, now) // out of date
 	}
-	x := &exchange{
-		route:   &record.Route{LatencyObjective: 300 * time.Millisecond},
-		body:    &hop.Body{},
-		service: &service{balancer: &call.Balancer{Near: []*call.Instance{near}, Far: []*call.Instance{far, farther}}},
-	}
+	x := &exchange{body: &hop.Body{}, placement: call.Placement{
+		Balancer: &call.Balancer{Near: []*call.Instance{near}, Far: []*call.Instance{far, farther}}, Search: call.NewBudget(), Objective: 300 * time.Millisecond,
+	}}
 	type step struct {
 		name      string
 		now, last bool
@@ -37,8 +34,8 @@
 		if i == nil {
 			break
 		}
-		steps = append(steps, step{i.Name, x.demand.NoWait, x.demand.Last})
-		x.excludeFailed(&result{instance: i, verdict: call.NotRun(call.ReasonBusy, call.ProofNotSent)})
+		steps = append(steps, step{i.Name, x.demand.ShortWait, x.demand.Last})
+		x.placement.RecordFailure(i, call.ReasonBusy, x.demand.ShortWait)
 	}
 	require.Equal(t, []step{{"near", true, false}, {"near", false, false}}, steps[:2])
 	require.Len(t, steps, 4)
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -188,6 +188,8 @@
 	x.route = route
 	x.target = call.PickService(route, rand.IntN)
 	x.service = x.directory.service(p, x.target)
+	x.placement = call.Placement{Balancer: x.service.balancer, Search: x.service.searchBudget, Bulk: route.Bulk, Objective: route.LatencyObjective}
+	x.placement.Begin()
 	x.idempotent = call.Idempotent(route, r.Method)
 	x.inExtraAttempt = attempt != "" && attempt != "1"
 	x.w.Header()[call.HeaderRevision] = []string{strconv.FormatUint(x.directory.router.Table.Number, 10)}
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -111,9 +111,9 @@
 	if x.suspicion != "" {
 		args = append(args, "request", x.suspicion)
 	}
-	if len(x.tried) > 0 {
-		tried := make([]string, len(x.tried))
-		for i, instance := range x.tried {
+	if len(x.placement.Tried) > 0 {
+		tried := make([]string, len(x.placement.Tried))
+		for i, instance := range x.placement.Tried {
 			tried[i] = instance.Name
 		}
 		args = append(args, "tried", tried, "arrivals", x.arrivals, "instances", len(x.service.balancer.Near)+len(x.service.balancer.Far))
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -67,12 +67,12 @@
 // service has for these, or the next one if that has lost its server. It may not be
 // queued.
 func (x *exchange) pickOnProbation() *call.Instance {
-	if len(x.tried) >= len(x.service.probation) {
+	if len(x.placement.Tried) >= len(x.service.probation) {
 		return nil
 	}
-	i := x.service.probation[len(x.tried)]
-	x.tried = append(x.tried, i)
-	x.demand.NoWait, x.demand.Last = true, true
+	i := x.service.probation[len(x.placement.Tried)]
+	x.placement.Tried = append(x.placement.Tried, i)
+	x.demand.ShortWait, x.demand.Last = true, true
 	return i
 }
 
