Hold a suspected request to the end of its server for half a second after its call was canceled

Cause: the gate forgot a run with its call, though a server goes on with a canceled call until it notices. A suspected run that was canceled or ran out of time now counts for 500 ms more. Others don't: they are many, and their share in an end would be guesswork.

Evidence: TestCanceledSuspectIsHeldToItsEnd, red until now (suspicion 1, want 2), passes, five times in a row.

--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -23,6 +23,9 @@
 	// aliveTime is how long a server that was found to accept connections is not dialed
 	// again when further calls break off.
 	aliveTime = 100 * time.Millisecond
+	// canceledSuspectTime is how long a suspected request whose call was canceled counts as
+	// running: the server may not have noticed, and ends under it some 100 ms later.
+	canceledSuspectTime = 500 * time.Millisecond
 )
 
 // run is a call that the backend server runs.
@@ -52,8 +55,17 @@
 	return added
 }
 
-// end removes a call whose answer or failure has come.
-func (r *runs) end(ended *run) {
+// end removes a call whose answer or failure has come, in the case of a suspected request
+// that was canceled or ran out of time only after canceledSuspectTime.
+func (r *runs) end(ended *run, failure *callFailure) {
+	if ended.suspect != nil && failure != nil && failure.mayStillRun() {
+		time.AfterFunc(canceledSuspectTime, func() { r.remove(ended) })
+		return
+	}
+	r.remove(ended)
+}
+
+func (r *runs) remove(ended *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.current, ended)
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -71,7 +71,7 @@
 	if failure != nil {
 		g.checkEnd(running, failure)
 	}
-	g.runs.end(running)
+	g.runs.end(running, failure)
 	if failure != nil {
 		failure.evidence = attempt
 		g.releaseAfterFailure(slot, failure)
@@ -231,6 +231,15 @@
 	end      *call.End // of the server while it ran the call; nil if it goes on, as far as is known
 }
 
+// mayStillRun reports whether the backend server may go on with the call.
+func (f *callFailure) mayStillRun() bool {
+	switch f.verdict.Reason() {
+	case call.ReasonCanceled, call.ReasonDeadline:
+		return true
+	}
+	return false
+}
+
 // refusalAnswer returns the answer to a call that was refused before it was sent.
 func (g *Gate) refusalAnswer(id string, reason call.Reason) *http.Response {
 	return g.failureAnswer(id, call.NotRun(reason, call.ProofNotSent))
