--- a/carobctl/slots.go
+++ b/carobctl/slots.go
@@ -67,15 +67,7 @@
 				continue
 			}
 			service, seconds := rest[:dot], n/1000
-			switch rest[dot+1:] {
-			case "intime":
-				use(service).InTime += seconds
-			case "late":
-				use(service).Late += seconds
-			case "vain":
-				use(service).Vain += seconds
-			case "idle":
-				use(service).Idle += seconds
+			if use(service).add(rest[dot+1:], seconds) {
 				idle[interval{service, at}] += seconds
 			}
 		}
@@ -92,6 +84,22 @@
 	return out
 }
 
+// add counts seconds of a use as lines of work name it, and reports whether it is none.
+func (u *slotUse) add(name string, seconds float64) (idle bool) {
+	switch name {
+	case "intime":
+		u.InTime += seconds
+	case "late":
+		u.Late += seconds
+	case "vain":
+		u.Vain += seconds
+	case "idle":
+		u.Idle += seconds
+		return true
+	}
+	return false
+}
+
 // printSlots writes the use of slot time as a table.
 func printSlots(out io.Writer, uses []slotUse) error {
 	if len(uses) == 0 {
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -296,7 +296,8 @@
 	n.serve(n.listeners.backend, n.announceHandler())
 	n.serve(n.listeners.operator, n.operator.Handler())
 	loops := []func(context.Context) error{
-		n.Members.Run, n.Distributor.Run, n.platformReader.Run, n.announcer.Run, n.meetingPoints.Run, n.condemned.Run, newStateReporter(n).run, newLagMeter(n.sinks.Scope.SubScope("node")).run,
+		n.Members.Run, n.Distributor.Run, n.platformReader.Run, n.announcer.Run, n.meetingPoints.Run, n.condemned.Run,
+		newStateReporter(n).run, newLagMeter(n.sinks.Scope.SubScope("node")).run,
 	}
 	if n.Publisher != nil {
 		loops = append(loops, n.Publisher.Run)
