Choose gates by the share of calls that they refused of late, so that slower servers are not idle beside full ones

What callers saw: in a shortage calls were refused while slots of their service were idle.

Cause: a call goes where it is expected to finish first. A fast server with a long queue still beats an idle slow one by that measure, though its gate refuses most calls. Class of fault: the choice knows how long a call takes where it gets in, not whether it gets in.

Entry nodes now average the share of their attempts that a gate refuses for want of room, and count a certain refusal as six objectives. The search budget is a quarter of an attempt a call, since fewer calls search.

--- a/mesh/call/domain_test.go
+++ b/mesh/call/domain_test.go
@@ -49,6 +49,45 @@
 	}
 }
 
+// placeInThreeDomains is placeInDomains for two services, whose nodes call each other's. Each
+// node knows all gates of its own failure domain and four of each other one.
+func (s *sim) placeInThreeDomains() {
+	const domains = 3
+	s.separate = true
+	random := rand.New(rand.NewPCG(3, 5))
+	for _, v := range s.services {
+		byDomain := make([][]int, domains)
+		for n := range v.gates {
+			byDomain[n*domains/len(v.gates)] = append(byDomain[n*domains/len(v.gates)], n)
+		}
+		for _, name := range []string{"quotes", "dispatch"} {
+			entries := s.services[name].gates
+			for n, entry := range entries {
+				k := &knowledge{search: call.NewBudget()}
+				for d, gates := range byDomain {
+					if d == n*domains/len(entries) {
+						k.balancer.Near = v.instances(gates)
+						continue
+					}
+					for _, p := range random.Perm(len(gates))[:4] {
+						k.balancer.Far = append(k.balancer.Far, v.instances(gates[p:p+1])...)
+					}
+				}
+				v.knowledge[entry] = k
+			}
+		}
+	}
+}
+
+// instances returns what a node knows of some gates at first.
+func (v *simService) instances(gates []int) []*call.Instance {
+	var out []*call.Instance
+	for _, n := range gates {
+		out = append(out, call.NewInstance(strconv.Itoa(n), v.gates[n].slots))
+	}
+	return out
+}
+
 // offerAt is like offer, at the nodes of some gates.
 func (s *sim) offerAt(c class, gates []*gate, perSecond float64, from, until time.Duration) {
 	var next func()
--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -17,6 +17,7 @@
 	latencyWeight        = 0.1              // weight of a new sample in the average latency
 	transitWeight        = 0.2              // weight of a new sample in the average transit time
 	loadWeight           = 0.1              // weight of a new sample in the mean and the deviation of the load
+	refusalWeight        = 0.2              // weight of a new answer in the share of calls refused for want of room
 	failureWeight        = 0.2              // weight of a new result in the failure rate
 	ejectionFailureRate  = 0.6              // failure rate from which an instance is ejected
 	minEjection          = time.Second      // duration of the first ejection
@@ -80,6 +81,7 @@
 	load             average       // of the reported load, as a share of the slots
 	squaredLoad      average       // of the square of the load
 	failures         average       // failure rate of this node's attempts
+	refusals         average       // share of this node's attempts that were refused for want of room
 	reportedDuration average       // average duration of a call as last reported, in seconds
 	reportedFailures average       // failure rate as last reported
 	transit          [2]average    // time on the network, in seconds; the second is for large responses
@@ -268,6 +270,18 @@
 	return max(0, time.Duration(i.limitedUntil.Load()-now.UnixNano()).Seconds())
 }
 
+// RecordRoom records whether the instance's gate had room for a call.
+func (i *Instance) RecordRoom(room bool, now time.Time) {
+	refused := 1.0
+	if room {
+		refused = 0
+	}
+	if i.refusals.updated.Load() == 0 {
+		i.refusals.add(0, refusalWeight, now) // the first answer counts against an initial share of 0
+	}
+	i.refusals.add(refused, refusalWeight, now)
+}
+
 // recordSuccess records a successful attempt. The first one after an ejection
 // resets the count of consecutive ejections.
 func (i *Instance) recordSuccess(now time.Time) {
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -136,6 +136,9 @@
 	return true
 }
 
+// LacksRoom reports whether a gate refused the call since it could not get a slot in time.
+func (r Reason) LacksRoom() bool { return r == ReasonBusy || r == ReasonLate }
+
 // ExemptFromBudget reports whether a retry after this reason is exempt from the
 // retry budget: the instance is stopping, unreachable or kept from getting more
 // calls, so retries can't overload it.
--- a/mesh/call/overload_test.go
+++ b/mesh/call/overload_test.go
@@ -31,3 +31,25 @@
 		})
 	}
 }
+
+// TestSlowServersWorkInAShortage guards against calls refused by full servers while slower ones of the service are idle.
+func TestSlowServersWorkInAShortage(t *testing.T) {
+	s, quote, book := newLargeChain(34, 27, 0)
+	s.processor = smallNodes
+	s.placeInThreeDomains()
+	s.offer(quote, 1500, 0, 10*time.Second)
+	s.offer(book, 700, 0, 10*time.Second)
+	s.advance(10 * time.Second)
+	quotes, books := s.stats["quote"], s.stats["book"]
+	require.Greater(t, quotes.refused, quotes.asked/20, "there is a shortage")
+	for name, service := range s.services {
+		var idle, all time.Duration
+		for _, g := range service.gates {
+			if g.speed > 1 {
+				used := g.admission.SlotTime(s.time())
+				idle, all = idle+used.Idle, all+used.Idle+used.InTime+used.Late+used.Vain
+			}
+		}
+		require.Less(t, idle.Seconds(), all.Seconds()/2, "%s: idle, of all slot time of slow servers; %+v %+v", name, quotes, books)
+	}
+}
--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -29,6 +29,9 @@
 	// no instance of a service has reported one. It only has to be the same for
 	// all instances.
 	defaultDuration = 0.1
+	// refusalCost is the cost of a certain refusal, in multiples of the objective. The call
+	// must be asked for elsewhere, and is refused in the end if that happens again.
+	refusalCost = 6
 	// costJitter is the maximum random increase of a cost, as a share of it. It
 	// keeps nodes with the same information from all selecting the same instance.
 	costJitter = 0.15
@@ -36,7 +39,8 @@
 
 // PickLowestCost returns the instance with the lowest cost among those that are
 // not excluded, and the cost. The cost is the expected number of seconds until
-// the response, plus the penalty for another failure domain. bulk says that a
+// the response, plus the penalties for another failure domain and for the share of calls
+// that the instance's gate refused of late. bulk says that a
 // large response is expected. An ejected instance counts as always failing.
 // PickLowestCost returns nil if all instances are excluded.
 func (b *Balancer) PickLowestCost(bulk bool, objective time.Duration, excluded []*Instance, now time.Time, rand Rand) (*Instance, float64) {
@@ -56,7 +60,8 @@
 			if bulk {
 				transit += i.expectedLinkWait(now)
 			}
-			cost := (i.expectedTime(mean, now) + transit + penalty) * (1 + costJitter*float64(rand(1000))/1000)
+			refused := i.refusals.decayed(now) * refusalCost * objective.Seconds()
+			cost := (i.expectedTime(mean, now) + transit + penalty + refused) * (1 + costJitter*float64(rand(1000))/1000)
 			if best == nil || cost < lowest {
 				best, lowest = i, cost
 			}
--- a/mesh/call/placement.go
+++ b/mesh/call/placement.go
@@ -20,7 +20,7 @@
 	maxLongAttempts = 1
 	// searchPercent is the number of calls in a hundred that may search further after the
 	// gates had no room, on average. The burst of a Budget is beyond it.
-	searchPercent = 50
+	searchPercent = 25
 )
 
 // Placement chooses the gates for one call, one attempt after the other: first the one
@@ -91,8 +91,7 @@
 
 // RecordFailure records that the latest attempt, at an instance, failed for a reason.
 func (p *Placement) RecordFailure(i *Instance, reason Reason, shortWait bool) {
-	switch reason {
-	case ReasonBusy, ReasonLate, ReasonLimited:
+	if reason.LacksRoom() || reason == ReasonLimited {
 		p.noRoom++
 	}
 	if reason == ReasonBusy && shortWait {
