Keep the refused share of downloads apart from that of quick calls, and of calls that are late in any case

Counted with the others they would have sent quick calls away from gates that have room. TestRefusedDownloadsLeaveGateToOthers checks it; the tests of the simulation keep their bounds.

--- a/mesh/call/instance.go
+++ b/mesh/call/instance.go
@@ -81,7 +81,7 @@
 	load             average       // of the reported load, as a share of the slots
 	squaredLoad      average       // of the square of the load
 	failures         average       // failure rate of this node's attempts
-	refusals         average       // share of this node's attempts that were refused for want of room
+	refusals         [2]average    // share of this node's attempts that were refused for want of room; the second is for large responses
 	reportedDuration average       // average duration of a call as last reported, in seconds
 	reportedFailures average       // failure rate as last reported
 	transit          [2]average    // time on the network, in seconds; the second is for large responses
@@ -229,11 +229,14 @@
 
 // transitAverage returns the average time on the network, for large responses or
 // for others.
-func (i *Instance) transitAverage(bulk bool) *average {
+func (i *Instance) transitAverage(bulk bool) *average { return &i.transit[bulkIndex(bulk)] }
+
+// bulkIndex returns the index of an average that is kept for large responses and for others.
+func bulkIndex(bulk bool) int {
 	if bulk {
-		return &i.transit[1]
+		return 1
 	}
-	return &i.transit[0]
+	return 0
 }
 
 // Latency returns the average latency in seconds. It decays while the instance
@@ -270,16 +273,18 @@
 	return max(0, time.Duration(i.limitedUntil.Load()-now.UnixNano()).Seconds())
 }
 
-// RecordRoom records whether the instance's gate had room for a call.
-func (i *Instance) RecordRoom(room bool, now time.Time) {
-	refused := 1.0
+// RecordRoom records whether the instance's gate had room for a call that could be in time.
+// Calls with a large response (bulk) are averaged separately, since the link may be what
+// lacks room.
+func (i *Instance) RecordRoom(room, bulk bool, now time.Time) {
+	refused, share := 1.0, &i.refusals[bulkIndex(bulk)]
 	if room {
 		refused = 0
 	}
-	if i.refusals.updated.Load() == 0 {
-		i.refusals.add(0, refusalWeight, now) // the first answer counts against an initial share of 0
+	if share.updated.Load() == 0 {
+		share.add(0, refusalWeight, now) // the first answer counts against an initial share of 0
 	}
-	i.refusals.add(refused, refusalWeight, now)
+	share.add(refused, refusalWeight, now)
 }
 
 // recordSuccess records a successful attempt. The first one after an ejection
--- a/mesh/call/load_test.go
+++ b/mesh/call/load_test.go
@@ -262,8 +262,8 @@
 	w.Demand = call.Demand{Class: x.name, Priority: x.priority, Objective: start.Add(x.objective), ShortWait: shortWait, Last: last}
 	verdict := g.admission.Enter(w, s.time())
 	i.RecordLoad(g.admission.Report(s.time()), s.time())
-	if verdict != call.Rejected || w.Reason().LacksRoom() {
-		i.RecordRoom(verdict != call.Rejected, s.time())
+	if verdict != call.Rejected || w.Reason().LacksRoom() && s.time().Before(w.Objective) {
+		i.RecordRoom(verdict != call.Rejected, false, s.time())
 	}
 	i.RecordTallies(call.ParseTallies(g.admission.Tallies(s.time())), s.time())
 	switch verdict {
--- a/mesh/call/overload_test.go
+++ b/mesh/call/overload_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"caroblift.dev/mesh/call"
 )
 
 // smallNodes is the processor time of calls at nodes that have a sixth of a core.
@@ -53,3 +56,18 @@
 		require.Less(t, idle.Seconds(), all.Seconds()/2, "%s: idle, of all slot time of slow servers; %+v %+v", name, quotes, books)
 	}
 }
+
+// TestRefusedDownloadsLeaveGateToOthers guards against quick calls that avoid a gate since its link is full.
+func TestRefusedDownloadsLeaveGateToOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := call.NewInstance("a", 9), call.NewInstance("b", 9)
+	balancer := &call.Balancer{Near: []*call.Instance{a, b}}
+	for range 20 {
+		a.RecordRoom(false, true, now)
+	}
+	b.RecordLoad(call.LoadReport{InProgress: 6, Slots: 9, MeanDuration: 100 * time.Millisecond}, now)
+	random := rand.New(rand.NewPCG(1, 2))
+	bulk, _ := balancer.PickLowestCost(true, time.Second, nil, now, random.IntN)
+	quick, _ := balancer.PickLowestCost(false, time.Second, nil, now, random.IntN)
+	require.Equal(t, []*call.Instance{b, a}, []*call.Instance{bulk, quick})
+}
--- a/mesh/call/place.go
+++ b/mesh/call/place.go
@@ -60,7 +60,7 @@
 			if bulk {
 				transit += i.expectedLinkWait(now)
 			}
-			refused := i.refusals.decayed(now) * refusalCost * objective.Seconds()
+			refused := i.refusals[bulkIndex(bulk)].decayed(now) * refusalCost * objective.Seconds()
 			cost := (i.expectedTime(mean, now) + transit + penalty + refused) * (1 + costJitter*float64(rand(1000))/1000)
 			if best == nil || cost < lowest {
 				best, lowest = i, cost
--- a/mesh/caller/send.go
+++ b/mesh/caller/send.go
@@ -166,8 +166,8 @@
 		x.backlog = parseBacklog(resp.Header)
 		_ = resp.Body.Close()
 		res := &result{instance: i, verdict: call.ParseVerdict(resp.Header)}
-		if res.verdict.Reason().LacksRoom() {
-			i.RecordRoom(false, now)
+		if res.verdict.Reason().LacksRoom() && now.Before(x.demand.Objective) {
+			i.RecordRoom(false, x.route.Bulk, now)
 		}
 		x.recordEnd(resp.Header, now)
 		x.recordFailure(res, now)
@@ -183,7 +183,7 @@
 		i.RecordLatency(took, now)
 		x.service.latencies.Observe(took)
 	}
-	i.RecordRoom(true, now)
+	i.RecordRoom(true, x.route.Bulk, now)
 	res := &result{instance: i, resp: resp, verdict: call.Success()}
 	res.remoteTime, res.hasTimes = call.ParseTimeLeft(resp.Header.Get(call.HeaderSpent))
 	res.queueTime, _ = call.ParseTimeLeft(resp.Header.Get(call.HeaderQueued))
