Collect garbage half as often, within a limit of memory

Cause: the runtime lets the heap double between collections. A node holds some 10 MB and allocates 4 to 5 MB a second, so that it collects every two seconds, and each collection stalls calls on a sixth of a core.

--- a/mesh/process/process.go
+++ b/mesh/process/process.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -27,6 +28,15 @@
 // traceCloseTimeout bounds the export of the last spans.
 const traceCloseTimeout = 3 * time.Second
 
+const (
+	// gcPercent is the growth of the heap between two collections of garbage. With the
+	// runtime's default of 100 they take a tenth of the processor time of a node's calls.
+	gcPercent = 200
+	// softMemoryLimit is the memory in bytes from which garbage is collected more often. It
+	// is below the memory of the smallest instances, so that only bytes in use can fill that.
+	softMemoryLimit = 128 << 20
+)
+
 // Config configures Run. The settings file is read again on each reload.
 type Config struct {
 	SettingsPath string                                              // settings file
@@ -47,6 +57,8 @@
 // SIGTERM or SIGINT when the node has stopped, with an error if calls were cut, or
 // when the node fails.
 func Run(config Config, s *wire.Settings) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(softMemoryLimit)
 	if config.LogOutput == nil {
 		config.LogOutput = os.Stderr
 	}
