--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -71,6 +71,15 @@
 	delete(r.current, ended)
 }
 
+// mayStillRun reports whether the backend server may go on with the call.
+func (f *callFailure) mayStillRun() bool {
+	switch f.verdict.Reason() {
+	case call.ReasonCanceled, call.ReasonDeadline:
+		return true
+	}
+	return false
+}
+
 // checkSuspect returns the request of a call on probation, or nil if it is none, and the
 // reason if it is refused. The entry node may not have heard of what this node knows, above all
 // of the end of its own server.
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -231,15 +231,6 @@
 	end      *call.End // of the server while it ran the call; nil if it goes on, as far as is known
 }
 
-// mayStillRun reports whether the backend server may go on with the call.
-func (f *callFailure) mayStillRun() bool {
-	switch f.verdict.Reason() {
-	case call.ReasonCanceled, call.ReasonDeadline:
-		return true
-	}
-	return false
-}
-
 // refusalAnswer returns the answer to a call that was refused before it was sent.
 func (g *Gate) refusalAnswer(id string, reason call.Reason) *http.Response {
 	return g.failureAnswer(id, call.NotRun(reason, call.ProofNotSent))
