Count a call as refused also where it ends at an attempt with a short wait

Cause found by reading: a shortage is told by the tallies of its gates, which count a call at the last gate that refuses it. A refusal of an attempt with a short wait was never counted. Since calls search further after their long wait, such an attempt is often the last, so that starved bookings don't show and quotes don't make room.

--- a/mesh/call/admission.go
+++ b/mesh/call/admission.go
@@ -152,7 +152,7 @@
 	case len(a.queue) == 0 && a.inProgress < a.Slots(now):
 		a.grantSlot(w, now)
 	case a.exceedsShortWait(w, now):
-		w.reject(ReasonBusy)
+		a.refuse(w, ReasonBusy, now)
 	default:
 		a.enqueue(w, now)
 	}
--- a/mesh/call/overload_test.go
+++ b/mesh/call/overload_test.go
@@ -71,3 +71,23 @@
 	quick, _ := balancer.PickLowestCost(false, time.Second, nil, now, random.IntN)
 	require.Equal(t, []*call.Instance{b, a}, []*call.Instance{bulk, quick})
 }
+
+// TestLastShortAttemptCountsAsRefused guards against a shortage that is not seen since calls end at an attempt with a short wait.
+func TestLastShortAttemptCountsAsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		last    bool
+		refused float64
+	}{"another gate is asked": {false, 0}, "the last one": {true, 1}} {
+		t.Run(name, func(t *testing.T) {
+			var a call.Admission
+			now := time.Unix(1000, 0)
+			a.SetLimits(call.Limits{Slots: 1, Warmup: -1}, now)
+			demand := call.Demand{Class: "book", Priority: 1, Objective: now.Add(time.Second), ShortWait: true, Last: c.last}
+			require.Equal(t, call.Admitted, a.Enter(&call.Waiter{Demand: demand}, now))
+			a.Leave(2*time.Second, now) // a call takes longer than a short wait
+			require.Equal(t, call.Admitted, a.Enter(&call.Waiter{Demand: demand}, now))
+			require.Equal(t, call.Rejected, a.Enter(&call.Waiter{Demand: demand}, now))
+			require.InDelta(t, c.refused, call.ParseTallies(a.Tallies(now))[0].Refused, 1e-9)
+		})
+	}
+}
