Count and log calls whose callers have left unseen

A call whose caller closed its connection behind a body that nothing had read looks like any other until it fails, so lines and metrics could not tell a hidden close from a node that is behind or from a reset that is late between nodes. No decision changes.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -48,6 +48,7 @@
 	responseTurn   atomic.Pointer[connlimit.Turn] // of a response that is not buffered for lack of room
 	noRoom         atomic.Bool                    // the response can be neither buffered nor streamed
 	stream         *streamedBody                  // what body reads from if it is streamed
+	left           atomic.Bool                    // the caller has closed its connection, and net/http has not ended the context for it
 	ctx            context.Context
 	cancel         context.CancelFunc
 	stopInterrupt  func() bool // stops the interruption of the body at the end of ctx; nil if there is no body to interrupt
--- a/mesh/caller/guard.go
+++ b/mesh/caller/guard.go
@@ -38,18 +38,22 @@
 	}
 }
 
-// connKey is the key of a connection's *guardedConn in the context of its requests.
+// connKey is the key of a connection in the context of its requests: the *guardedConn if
+// it is guarded.
 type connKey struct{}
 
+// withConn adds a new connection to the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if guarded := unwrap(c); guarded != nil {
+		c = guarded
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // Serve makes a server use the guard. Its connections must come from Listener.
 func (g *Guard) Serve(s *http.Server) {
 	s.Handler = g.handler(s.Handler)
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		if guarded := unwrap(c); guarded != nil {
-			return context.WithValue(ctx, connKey{}, guarded)
-		}
-		return ctx
-	}
+	s.ConnContext = withConn
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if guarded := unwrap(c); state == http.StateIdle && guarded != nil {
 			guarded.state.Idle()
@@ -170,6 +174,9 @@
 	}
 }
 
+// NetConn returns the connection itself.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // pause waits for some time or until the connection is closed.
 func (c *guardedConn) pause(d time.Duration) {
 	timer := time.NewTimer(d)
--- a/mesh/caller/listener.go
+++ b/mesh/caller/listener.go
@@ -20,11 +20,13 @@
 	defaultIdleTimeout   = 24 * time.Hour   // to the next call; an idle connection costs only memory
 )
 
-// SetLimits sets the default timeouts of a server and the bound of a header. A server
-// that serves a listener returned by NewListener must have them.
+// SetLimits sets the default timeouts of a server and the bound of a header, and lets a
+// Proxy see the connections of its requests. A server that serves a listener returned by
+// NewListener must have them.
 func SetLimits(s *http.Server) {
 	s.ReadHeaderTimeout, s.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	s.MaxHeaderBytes = hop.MaxHeaderBytes
+	s.ConnContext = withConn
 }
 
 // NewListener returns a listener whose connections time out by the current
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -254,6 +254,7 @@
 		return reason
 	}
 	x.body = body
+	x.watchCaller()
 	if body.Streamed() {
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -52,6 +52,11 @@
 	m.count("failures", reason)
 }
 
+// countLeft counts a call whose caller left unseen by net/http.
+func (m *metrics) countLeft(streamed bool) {
+	m.scope.Tagged(map[string]string{"streamed": strconv.FormatBool(streamed)}).Counter("left_unseen").Inc(1)
+}
+
 // countShare counts a call of a workspace that was served, or refused for want of capacity.
 func (m *metrics) countShare(class call.ShareClass, served bool) {
 	m.scope.Tagged(map[string]string{"share": class.String(), "served": strconv.FormatBool(served)}).Counter("shares").Inc(1)
@@ -122,6 +127,9 @@
 	if x.workspace != nil {
 		args = append(args, "workspace", x.workspace.Name, "share", x.demand.Share.String())
 	}
+	if x.left.Load() {
+		args = append(args, "unseen", true, "streamed", x.body.Streamed())
+	}
 	if x.suspicion != "" {
 		args = append(args, "request", x.suspicion)
 	}
