--- a/mesh/caller/stack_test.go
+++ b/mesh/caller/stack_test.go
@@ -90,6 +90,11 @@
 // newStackAt returns a stack. If colocated is set, the entry node is the node of
 // the first instance.
 func newStackAt(t testing.TB, instances int, colocated bool) *stack {
+	return newStackWith(t, instances, colocated, func(*caller.Config) {})
+}
+
+// newStackWith is newStackAt with changes to the configuration of the entry node.
+func newStackWith(t testing.TB, instances int, colocated bool, change func(*caller.Config)) *stack {
 	s := &stack{client: &http.Client{Transport: &http.Transport{}}, peers: peer.NewTransport(testSilentTimeout, new(peer.ByteCounter))}
 	s.table = tableOf(longTimeout)
 	for n := range instances {
@@ -104,8 +109,11 @@
 		s.self, config.Local = s.instances[0].member(), s.instances[0].gate
 	}
 	s.announce()
+	change(&config)
 	s.proxy = caller.New(config)
-	s.entry = httptest.NewServer(s.proxy)
+	s.entry = httptest.NewUnstartedServer(s.proxy)
+	caller.SetLimits(s.entry.Config)
+	s.entry.Start()
 	t.Cleanup(s.close)
 	return s
 }
