End a call whose caller closes its connection behind unread bytes

Cause: the entry node knew of a close by net/http alone, which reads the connection for it only once the body has been read, in a goroutine of its own. A body in chunks or of more than 16 KB is read by the next hop's transport only, so that nothing saw the close while the call waited in the node's kernel, in the queue of its own gate or for its turn among uploads; and a node that was behind took any call before the close that lay behind it. Both are one class: a cancellation that is known by reading on, where nobody reads.

A call that was not sent is logged as gone and counts as not run. TestEveryReasonIsReported expected a call whose caller had left before it to be sent and to fail; it is now two cases, one that leaves while the call runs and one that leaves before.

--- a/mesh/caller/left.go
+++ b/mesh/caller/left.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/hop"
 )
 
@@ -15,19 +16,28 @@
 // left: a tenth of the half second in which servers are to hear of it.
 const leftCheckInterval = 50 * time.Millisecond
 
-// watchCaller checks whether the caller has left, and does so again until a streamed body has
-// been read to its end or the call has ended.
+// watchCaller ends the call if the caller has left, and checks again at intervals until a
+// streamed body has been read to its end or the call has ended.
 func (x *exchange) watchCaller() {
 	switch {
 	case x.ctx.Err() != nil:
 	case x.callerLeft():
 		x.left.Store(true)
 		x.proxy.metrics.countLeft(x.body.Streamed())
+		x.cancel()
 	case x.r.ProtoMajor == 1 && x.body.Streamed() && !x.stream.complete.Load():
 		time.AfterFunc(leftCheckInterval, x.watchCaller)
 	}
 }
 
+// endedEarly returns the reason for which the context of a call that has not been sent ended.
+func (x *exchange) endedEarly() call.Reason {
+	if x.left.Load() || x.r.Context().Err() != nil {
+		return call.ReasonCanceled
+	}
+	return call.ReasonLate
+}
+
 // callerLeft reports whether the caller has closed its connection. It knows only of
 // connections of HTTP/1; with HTTP/2 the context of the call ends.
 func (x *exchange) callerLeft() bool {
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -247,7 +247,7 @@
 	if err != nil {
 		reason := call.ReasonShortBody
 		if x.ctx.Err() != nil { // the body did not come in time
-			reason = call.ReasonLate
+			reason = x.endedEarly()
 		}
 		x.endContext()
 		x.span.End()
@@ -275,7 +275,13 @@
 	if body.Empty() {
 		h[call.HeaderEmpty] = []string{call.Yes}
 	}
-	reason := x.checkStanding()
+	reason := call.Reason("")
+	if x.ctx.Err() != nil {
+		reason = x.endedEarly()
+	}
+	if reason == "" {
+		reason = x.checkStanding()
+	}
 	if reason == "" {
 		reason = x.beginUpload()
 	}
@@ -318,7 +324,11 @@
 	if reason == call.ReasonQuota {
 		attributes = append(attributes, x.quotaAttributes()...)
 	}
-	x.log(telemetry.CallRefused, attributes...)
+	message := telemetry.CallRefused
+	if reason == call.ReasonCanceled {
+		message = telemetry.CallGone
+	}
+	x.log(message, attributes...)
 	x.fail(verdict)
 }
 
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -62,11 +63,17 @@
 	return nil, r.Context().Err()
 }
 
-// cancelCall makes a request one whose caller has gone away.
-func cancelCall(_ *Proxy, r *http.Request) {
-	ctx, cancel := context.WithCancel(r.Context())
-	cancel()
-	*r = *r.WithContext(ctx)
+// cancelCallIn makes a request one whose caller goes away after a time, or has before the
+// call if it is zero.
+func cancelCallIn(after time.Duration) func(*Proxy, *http.Request) {
+	return func(_ *Proxy, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		if after == 0 {
+			cancel()
+		}
+		time.AfterFunc(after, cancel)
+		*r = *r.WithContext(ctx)
+	}
 }
 
 // exhaustQuota makes the calls to a proxy belong to a workspace that has used its quota.
@@ -86,6 +93,7 @@
 	const refusals, failures = "refusals", "failures" // not run; may have run
 	dial := &net.OpError{Op: "dial", Err: errors.New("refused")}
 	type scenario struct {
+		reason  call.Reason // if the scenario is not the only one for it
 		hop     roundTripFunc
 		prepare func(*Proxy, *http.Request) // before the call
 		message string
@@ -117,7 +125,7 @@
 			return &http.Response{StatusCode: http.StatusOK, Header: http.Header{call.HeaderID: {"another"}}, Body: http.NoBody}, nil
 		}),
 		call.ReasonDeadline:   failed(hang),
-		call.ReasonCanceled:   {hop: hang, message: telemetry.CallGone, counter: failures, prepare: cancelCall},
+		call.ReasonCanceled:   {hop: hang, message: telemetry.CallGone, counter: failures, prepare: cancelCallIn(20 * time.Millisecond)},
 		call.ReasonEnded:      failed(refuseWith(call.MayHaveRun(call.ReasonEnded))),
 		call.ReasonCondemned:  refusedByEntry(condemn),
 		call.ReasonShed:       {hop: respondWith(http.StatusServiceUnavailable), message: telemetry.CallLost, counter: failures},
@@ -134,9 +142,12 @@
 		call.ReasonRoom:       refusedByGate(refuseWith(call.NotRun(call.ReasonRoom, call.ProofNotSent))),
 	}
 	for _, reason := range reasons(t) {
-		t.Run(string(reason), func(t *testing.T) {
-			c, ok := cases[reason]
-			require.True(t, ok, "no case for this reason")
+		require.Contains(t, cases, reason, "no case for this reason")
+	}
+	cases["canceled before it was sent"] = scenario{reason: call.ReasonCanceled, hop: hang, message: telemetry.CallGone, counter: refusals, prepare: cancelCallIn(0)}
+	for name, c := range cases {
+		t.Run(string(name), func(t *testing.T) {
+			reason := cmp.Or(c.reason, name)
 			var out bytes.Buffer
 			scope := tally.NewTestScope("", nil)
 			p := New(Config{
--- a/mesh/caller/report.go
+++ b/mesh/caller/report.go
@@ -96,7 +96,7 @@
 	switch {
 	case last.verdict.Reason() == "":
 		x.answer = last
-	case x.r.Context().Err() != nil:
+	case x.left.Load() || x.r.Context().Err() != nil:
 		x.log(telemetry.CallGone, attributes...)
 	case last.verdict.Outcome() == call.OutcomeNotRun:
 		x.log(telemetry.CallRefused, attributes...)
--- a/mesh/caller/upload.go
+++ b/mesh/caller/upload.go
@@ -21,7 +21,7 @@
 }
 
 // beginUpload waits until the call may be sent, if its body has not come whole or it is the
-// first one of its connection. It returns the reason if the call's deadline passes before that; the call has not been sent.
+// first one of its connection. It returns the reason if the call ends before that; the call has not been sent.
 func (x *exchange) beginUpload() call.Reason {
 	if !x.proxy.config.LimitUploads {
 		return ""
@@ -49,7 +49,7 @@
 		return ""
 	case <-x.ctx.Done():
 		x.endUpload()
-		return call.ReasonLate
+		return x.endedEarly()
 	}
 }
 
