Answer the calls that a planned stop cuts

Cause: at the end of the time for a stop the node closes all connections at once. Calls are taken as long as their deadlines are not later than that, so there was no time between the last deadline and the cut: a node that was 0.1 s behind cut calls to which it was about to answer. Those that outlasted the stop were never told.

Change: the calls in progress are ended first, which answers them with 502, reason leaving, ran unknown, or with what their own end gives; the node waits for that up to 200 ms of the 500 ms that the adapter holds in reserve, and only then closes.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -32,6 +32,7 @@
 	r     *http.Request
 
 	id             string
+	entry          *hop.CallEntry
 	start          time.Time
 	directory      *directory
 	route          *record.Route
@@ -184,7 +185,11 @@
 	}
 	if last.resp == nil {
 		verdict := last.verdict
-		if x.ctx.Err() != nil && verdict.Outcome() != call.OutcomeNotRun {
+		switch {
+		case x.ctx.Err() == nil || verdict.Outcome() == call.OutcomeNotRun:
+		case x.proxy.cutting.Load() && x.ctx.Err() == context.Canceled:
+			verdict = call.MayHaveRun(call.ReasonLeaving)
+		default:
 			verdict = call.MayHaveRun(call.ReasonDeadline)
 		}
 		x.fail(verdict)
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -69,6 +69,7 @@
 	ids        *hop.IDGenerator
 	calls      *hop.CallRegistry
 	leaving    atomic.Bool
+	cutting    atomic.Bool               // see Cut
 	stopAt     atomic.Pointer[time.Time] // see RefuseBeyond; nil while the node isn't stopping
 	closeConns atomic.Bool               // answers carry Connection: close
 	policy     atomic.Pointer[call.Policy]
@@ -121,6 +122,15 @@
 	return p.calls.Drain(ctx)
 }
 
+// Cut ends the calls in progress, whose callers are told that they may have run, and waits
+// until they have been answered or the context ends.
+func (p *Proxy) Cut(ctx context.Context) {
+	p.leaving.Store(true)
+	p.cutting.Store(true)
+	p.calls.Cut()
+	_ = p.calls.Drain(ctx) // the calls that are left have no answer
+}
+
 // ServeHTTP routes one call, makes its attempts and answers the caller.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := p.callID(r)
@@ -128,7 +138,7 @@
 	defer p.calls.End(entry)
 	start := time.Now()
 	w.Header()[call.HeaderID] = []string{id}
-	x := &exchange{proxy: p, w: w, r: r, id: id, start: start}
+	x := &exchange{proxy: p, w: w, r: r, id: id, start: start, entry: entry}
 	if p.closeConns.Load() || p.leaving.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
@@ -227,6 +237,7 @@
 	}
 	x.ctx, x.cancel = context.WithTimeout(r.Context(), timeout)
 	x.deadline, _ = x.ctx.Deadline()
+	p.calls.OnCut(x.entry, x.cancel)
 	if route.LatencyObjective > 0 {
 		left, ok := call.ParseTimeLeft(timeLeft)
 		x.setDemand(time.Now(), left, ok)
--- a/mesh/caller/stop_test.go
+++ b/mesh/caller/stop_test.go
@@ -37,3 +37,28 @@
 	require.Equal(t, []string{string(call.ReasonLeaving), "no"}, []string{refused.Header().Get(call.HeaderReason), refused.Header().Get(call.HeaderRan)})
 	require.Equal(t, 1, sent)
 }
+
+// TestCutCallsAreAnswered guards against ending, without an answer, calls that are in
+// progress when a planned stop ends.
+func TestCutCallsAreAnswered(t *testing.T) {
+	sent := make(chan struct{})
+	p := New(Config{
+		Table: func() *revision.Table { return reasonsTable }, Ready: func() bool { return true }, View: reasonsView(t),
+		Remote: roundTripFunc(func(r *http.Request) (*http.Response, error) {
+			close(sent)
+			return hang(r)
+		}),
+		ReportReachability: func(string, bool) {}, Timeout: time.Minute,
+	})
+	w, done := httptest.NewRecorder(), make(chan struct{})
+	go func() {
+		defer close(done)
+		p.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/book", http.NoBody))
+	}()
+	<-sent
+	p.Cut(t.Context())
+	require.Zero(t, p.InProgress())
+	<-done
+	require.Equal(t, http.StatusBadGateway, w.Code)
+	require.Equal(t, []string{string(call.ReasonLeaving), "unknown"}, []string{w.Header().Get(call.HeaderReason), w.Header().Get(call.HeaderRan)})
+}
--- a/mesh/hop/calls.go
+++ b/mesh/hop/calls.go
@@ -25,6 +25,7 @@
 // CallEntry is one call in progress.
 type CallEntry struct {
 	id         string
+	cut        func() // ends the call; nil if it can't be ended
 	prev, next *CallEntry
 }
 
@@ -58,6 +59,24 @@
 	}
 }
 
+// OnCut sets the function by which Cut ends a call in progress. It must not block.
+func (c *CallRegistry) OnCut(e *CallEntry, cut func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.cut = cut
+}
+
+// Cut ends the calls in progress that have a function for it. It does not wait for them.
+func (c *CallRegistry) Cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e := c.head.next; e != &c.head; e = e.next {
+		if e.cut != nil {
+			e.cut()
+		}
+	}
+}
+
 // Count returns the number of calls in progress.
 func (c *CallRegistry) Count() int {
 	c.mu.Lock()
--- a/mesh/node/stop.go
+++ b/mesh/node/stop.go
@@ -24,8 +24,9 @@
 //  3. It refuses those as well, waits for the rest and, after stop.linger, closes.
 //
 // The wait is bounded by the context and by the drain time in the policy of the
-// backend server's service. Calls still in progress at that time are cut, and the
-// error is a *hop.DrainError with their IDs.
+// backend server's service. Calls still in progress at that time are cut: the callers of
+// this node are told, for which Stop takes cutTime longer at most, and the error is a
+// *hop.DrainError with the IDs of the calls.
 func (n *Node) Stop(ctx context.Context) error {
 	ctx, cancel := n.withDrainTimeout(ctx)
 	defer cancel()
@@ -41,6 +42,12 @@
 	err := mergeCuts(n.Gate.Drain(ctx), n.Proxy.Drain(ctx))
 	leave.Wait()
 	n.linger(ctx)
+	if err != nil {
+		var endCut context.CancelFunc
+		ctx, endCut = context.WithTimeout(context.WithoutCancel(ctx), cutTime)
+		defer endCut()
+		n.Proxy.Cut(ctx)
+	}
 	n.shutdownServers(ctx)
 	if err != nil {
 		n.sinks.Log.Error("calls were cut", "count", len(err.IDs), "calls", err.IDs)
@@ -54,6 +61,10 @@
 	return nil
 }
 
+// cutTime bounds the answers to calls that are cut, and to those whose deadlines passed just
+// before. It is what a node may be behind for want of processor time.
+const cutTime = 200 * time.Millisecond
+
 // withDrainTimeout returns a context that also ends after the drain time in the
 // policy of the backend server's service.
 func (n *Node) withDrainTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
