--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -141,10 +143,8 @@
 		call.ReasonQuota:      refusedByEntry(exhaustQuota(t)),
 		call.ReasonRoom:       refusedByGate(refuseWith(call.NotRun(call.ReasonRoom, call.ProofNotSent))),
 	}
-	for _, reason := range reasons(t) {
-		require.Contains(t, cases, reason, "no case for this reason")
-	}
 	cases["canceled before it was sent"] = scenario{reason: call.ReasonCanceled, hop: hang, message: telemetry.CallGone, counter: refusals, prepare: cancelCallIn(0)}
+	require.Subset(t, slices.Collect(maps.Keys(cases)), reasons(t), "no case for a reason")
 	for name, c := range cases {
 		t.Run(string(name), func(t *testing.T) {
 			reason := cmp.Or(c.reason, name)
