--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -32,7 +32,7 @@
 	r     *http.Request
 
 	id             string
-	entry          *hop.CallEntry
+	entry          *hop.CallEntry // in proxy.calls
 	start          time.Time
 	directory      *directory
 	route          *record.Route
