--- a/mesh/caller/left_test.go
+++ b/mesh/caller/left_test.go
@@ -40,8 +40,7 @@
 	return conn.(*net.TCPConn)
 }
 
-// TestCallLeftUnreadIsNotSent guards against sending a call whose caller has closed its
-// connection before the node came to the call.
+// TestCallLeftUnreadIsNotSent guards against sending a call that its caller left before it was served.
 func TestCallLeftUnreadIsNotSent(t *testing.T) {
 	for name, form := range leavingForms {
 		for _, colocated := range []bool{false, true} {
@@ -70,8 +69,7 @@
 	}
 }
 
-// TestCallLeftInQueueIsNotSent guards against sending a call whose caller has closed its
-// connection while the call waited for a slot.
+// TestCallLeftInQueueIsNotSent guards against sending a call that its caller left in the queue for a slot.
 func TestCallLeftInQueueIsNotSent(t *testing.T) {
 	for name, form := range leavingForms {
 		for _, colocated := range []bool{false, true} {
@@ -97,8 +95,7 @@
 	}
 }
 
-// TestCallLeftBeforeItsTurnIsNotSent guards against sending a call whose caller has closed
-// its connection while its body waited for a turn among those of others.
+// TestCallLeftBeforeItsTurnIsNotSent guards against sending a call that its caller left while it waited for an upload turn.
 func TestCallLeftBeforeItsTurnIsNotSent(t *testing.T) {
 	for _, name := range []string{"chunked", "long", "unfinished"} {
 		t.Run(name, func(t *testing.T) {
--- a/mesh/caller/stop_test.go
+++ b/mesh/caller/stop_test.go
@@ -38,8 +38,7 @@
 	require.Equal(t, 1, sent)
 }
 
-// TestCutCallsAreAnswered guards against ending, without an answer, calls that are in
-// progress when a planned stop ends.
+// TestCutCallsAreAnswered guards against calls that a planned stop ends without an answer.
 func TestCutCallsAreAnswered(t *testing.T) {
 	sent := make(chan struct{})
 	p := New(Config{
--- a/mesh/hop/closed_test.go
+++ b/mesh/hop/closed_test.go
@@ -8,8 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestClosedByPeerBehindUnreadBytes guards against a close that is not seen while bytes that
-// were sent before it have not been read.
+// TestClosedByPeerBehindUnreadBytes guards against a close that unread bytes hide.
 func TestClosedByPeerBehindUnreadBytes(t *testing.T) {
 	for name, c := range map[string]struct {
 		end    func(*net.TCPConn) error
