--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -33,6 +33,7 @@
 	work    time.Duration
 	size    func(r *http.Request) int // bytes of an answer; nil for 200
 	loses   int                       // one in so many answers to bookings is lost; 0 for none
+	deadly  func(*http.Request) int   // bytes of the answer to a request after which the server crashes; negative for none; nil for no such request
 
 	mu      sync.Mutex
 	runs    []*run
@@ -41,27 +42,77 @@
 	leaving bool
 	seq     int
 	sem     chan struct{}
+	down    bool
+	starts  int
+	crashes []time.Time
 	http    *http.Server
 	done    chan struct{}
 	born    int64
 }
 
 func (s *server) start() error {
-	s.sem, s.done, s.born = make(chan struct{}, s.slots), make(chan struct{}), time.Now().UnixMilli()
+	s.done = make(chan struct{})
+	if err := s.listen(); err != nil {
+		return err
+	}
+	go s.beat()
+	return nil
+}
+
+// listen starts an incarnation of the server.
+func (s *server) listen() error {
 	l, err := net.Listen("tcp", s.machine.ip+":8147")
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.starts++; s.starts > 1 {
+		s.id = fmt.Sprintf("%s-%d", s.id, s.starts)
+	}
+	s.sem, s.born, s.seq, s.down, s.waiting = make(chan struct{}, s.slots), time.Now().UnixMilli(), 0, false, 0
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
-	go func() { _ = s.http.Serve(l) }()
-	go s.beat()
+	h := s.http
+	go func() { _ = h.Serve(l) }()
 	return nil
 }
 
+// crash ends the incarnation of the server. It is back after crashTime.
+func (s *server) crash(why string) {
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return
+	}
+	s.down = true
+	s.crashes = append(s.crashes, time.Now())
+	h := s.http
+	s.mu.Unlock()
+	s.machine.d.record.line("crash of %s by %s", s.id, why)
+	_ = h.Close()
+	time.AfterFunc(crashTime, func() {
+		select {
+		case <-s.done:
+		default:
+			if err := s.listen(); err != nil {
+				s.machine.d.record.line("%s is not back: %v", s.id, err)
+				return
+			}
+			s.announce()
+		}
+	})
+}
+
+// crashTime is how long a server that has crashed is away.
+const crashTime = 2 * time.Second
+
 func (s *server) stop() {
 	if s.http != nil {
 		close(s.done)
-		_ = s.http.Close()
+		s.mu.Lock()
+		h := s.http
+		s.mu.Unlock()
+		_ = h.Close()
 	}
 }
 
@@ -80,8 +131,12 @@
 // announce sends one heartbeat and returns whether it was confirmed.
 func (s *server) announce() bool {
 	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return false
+	}
 	s.seq++
-	state := "ready"
+	id, state := s.id, "ready"
 	if s.leaving {
 		state = "draining"
 	}
@@ -92,7 +147,7 @@
 	})
 	s.mu.Unlock()
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Post("http://"+s.machine.ip+":8146"+names.HeartbeatPath+s.id, "application/json", bytes.NewReader(body))
+	resp, err := c.Post("http://"+s.machine.ip+":8146"+names.HeartbeatPath+id, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -118,12 +173,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !s.enter(r) {
+	sem, ok := s.enter(r)
+	if !ok {
 		h.Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-s.sem }()
+	defer func() { <-sem }()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -148,6 +204,12 @@
 	}
 	h.Set(names.Stamp, "3e1b."+s.id+"."+strconv.Itoa(size))
 	h.Set("Content-Length", strconv.Itoa(size))
+	if s.deadly != nil {
+		if n := s.deadly(r); n >= 0 {
+			s.answerAndCrash(w, n, id)
+			return
+		}
+	}
 	if _, err := io.Copy(w, io.LimitReader(pattern{}, int64(size))); err == nil {
 		s.mu.Lock()
 		ran.Sent = true
@@ -155,6 +217,18 @@
 	}
 }
 
+// answerAndCrash writes the first bytes of an answer, and its header if there are any, and
+// ends the server.
+func (s *server) answerAndCrash(w http.ResponseWriter, n int, id string) {
+	if n > 0 {
+		_, _ = io.Copy(w, io.LimitReader(pattern{}, int64(n)))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.crash(id)
+	panic(http.ErrAbortHandler)
+}
+
 // losesAnswer reports whether the answer to a request that has run is lost.
 func (s *server) losesAnswer(r *http.Request) bool {
 	if s.loses == 0 || r.Method != http.MethodPost {
@@ -186,22 +260,24 @@
 }
 
 // enter takes a slot, or waits for one in the queue until the time budget has passed.
-func (s *server) enter(r *http.Request) bool {
+func (s *server) enter(r *http.Request) (chan struct{}, bool) {
+	s.mu.Lock()
+	sem := s.sem
 	select {
-	case s.sem <- struct{}{}:
-		return true
+	case sem <- struct{}{}:
+		s.mu.Unlock()
+		return sem, true
 	default:
 	}
-	s.mu.Lock()
 	if s.waiting >= queueLength {
 		s.mu.Unlock()
-		return false
+		return nil, false
 	}
 	s.waiting++
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		s.waiting--
+		s.waiting = max(0, s.waiting-1)
 		s.mu.Unlock()
 	}()
 	left, err := strconv.ParseFloat(r.Header.Get(names.Timeout), 64)
@@ -209,12 +285,12 @@
 		left = 60000
 	}
 	select {
-	case s.sem <- struct{}{}:
-		return true
+	case sem <- struct{}{}:
+		return sem, true
 	case <-time.After(time.Duration(left) * time.Millisecond):
-		return false
+		return nil, false
 	case <-r.Context().Done():
-		return false
+		return nil, false
 	}
 }
 
