Show that a fleet whose machines are all replaced stays in pieces

Cause: no node writes a meeting point beside 16 of its zone, dead or alive, and only a node with one deletes those of dead nodes.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -27,6 +27,9 @@
 //go:embed config.json
 var configFile []byte
 
+//go:embed config-many.json
+var manyConfigFile []byte
+
 // names holds the names of the users' platform.
 var names struct {
 	RequestID, Timeout, Stamp, Expect, NotExecuted, CallerService, InstanceID, ServerLeaving string
@@ -85,6 +88,7 @@
 type deployment struct {
 	record   *record
 	dir      string
+	prefix   string // of the addresses
 	store    *store
 	machines []*machine
 }
@@ -92,47 +96,67 @@
 // newDeployment starts the store and the machines of the given services, and waits until
 // all nodes are ready and their servers are known.
 func newDeployment(r *record, services []string, configure func(*server)) (*deployment, error) {
-	dir, err := os.MkdirTemp("", "review-")
+	d, err := newStoreOnly(r, configFile, len(services))
 	if err != nil {
-		return nil, err
+		return d, err
 	}
-	d := &deployment{record: r, dir: dir}
-	prefix, err := freePrefix(len(services))
-	if err != nil {
+	if err := d.add("sidecar", services, configure); err != nil {
+		return d, err
+	}
+	time.Sleep(4 * time.Second) // heartbeats, and the nodes hear of each other
+	return d, nil
+}
+
+// newStoreOnly starts the store with a configuration, on a part of the loopback network that
+// has addresses for the given number of machines.
+func newStoreOnly(r *record, config []byte, machines int) (*deployment, error) {
+	d := &deployment{record: r}
+	var err error
+	if d.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return d, err
 	}
-	if d.store, err = newStore(prefix + "250"); err != nil {
+	if d.prefix, err = freePrefix(machines); err != nil {
 		return d, err
 	}
-	d.store.put("config", "main", json.RawMessage(configFile))
+	if d.store, err = newStore(d.prefix + "250"); err != nil {
+		return d, err
+	}
+	d.store.put("config", "main", json.RawMessage(config))
+	return d, nil
+}
+
+// add starts a machine for each of the given services, at addresses that were not used
+// before, and waits until all nodes are ready.
+func (d *deployment) add(name string, services []string, configure func(*server)) error {
+	var added []*machine
 	for n, service := range services {
-		m := &machine{d: d, name: fmt.Sprintf("sidecar-%d", n+1), ip: fmt.Sprintf("%s%d", prefix, n+1), zone: []string{"zone-a", "zone-b"}[n%2], service: service}
-		m.path, m.logPath = filepath.Join(dir, m.name+".conf"), filepath.Join(dir, m.name+".log")
+		number := len(d.machines) + 1
+		m := &machine{d: d, name: fmt.Sprintf("%s-%d", name, n+1), ip: fmt.Sprintf("%s%d", d.prefix, number), zone: []string{"zone-a", "zone-b"}[n%2], service: service}
+		m.path, m.logPath = filepath.Join(d.dir, m.name+".conf"), filepath.Join(d.dir, m.name+".log")
 		text := strings.NewReplacer("@NAME@", m.name, "@IP@", m.ip, "@ZONE@", m.zone, "@SERVICE@", service, "@STORE@", d.store.address).Replace(settingsFile)
 		if err := os.WriteFile(m.path, []byte(text), 0o600); err != nil {
-			return d, err
+			return err
 		}
-		m.server = &server{machine: m, id: fmt.Sprintf("i-%d-%d", n+1, os.Getpid()), slots: 9, work: 20 * time.Millisecond}
+		m.server = &server{machine: m, id: fmt.Sprintf("i-%d-%d", number, os.Getpid()), slots: 9, work: 20 * time.Millisecond}
 		if configure != nil {
 			configure(m.server)
 		}
 		if err := m.server.start(); err != nil {
-			return d, err
+			return err
 		}
-		d.machines = append(d.machines, m)
+		d.machines, added = append(d.machines, m), append(added, m)
 	}
-	for _, m := range d.machines {
+	for _, m := range added {
 		if err := m.start(); err != nil {
-			return d, err
+			return err
 		}
 	}
-	for _, m := range d.machines {
+	for _, m := range added {
 		if err := m.waitReady(20 * time.Second); err != nil {
-			return d, err
+			return err
 		}
 	}
-	time.Sleep(4 * time.Second) // heartbeats, and the nodes hear of each other
-	return d, nil
+	return nil
 }
 
 // freePrefix returns a part of the loopback network whose first addresses have free ports.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -47,6 +47,7 @@
 	crashes []time.Time
 	http    *http.Server
 	done    chan struct{}
+	ended   sync.Once
 	born    int64
 }
 
@@ -107,11 +108,11 @@
 const crashTime = 2 * time.Second
 
 func (s *server) stop() {
-	if s.http != nil {
-		close(s.done)
-		s.mu.Lock()
-		h := s.http
-		s.mu.Unlock()
+	s.mu.Lock()
+	h := s.http
+	s.mu.Unlock()
+	if h != nil {
+		s.ended.Do(func() { close(s.done) })
 		_ = h.Close()
 	}
 }
