--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -70,6 +70,36 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// undo holds what must be undone of a case that is broken off.
+type undo struct {
+	mu    sync.Mutex
+	steps []func()
+	ended bool
+}
+
+var started undo
+
+// add adds a step. If the case has been broken off, it is done at once.
+func (u *undo) add(step func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		step()
+		return
+	}
+	u.steps = append(u.steps, step)
+}
+
+// abandon ends all processes that the case has started and removes its folder.
+func abandon() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	started.ended = true
+	for n := len(started.steps) - 1; n >= 0; n-- { // the processes first
+		started.steps[n]()
+	}
+}
+
 // machine is one machine: a node, and the backend server beside it.
 type machine struct {
 	d       *deployment
@@ -115,6 +145,7 @@
 	if d.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return d, err
 	}
+	started.add(func() { _ = os.RemoveAll(d.dir) })
 	if d.prefix, err = freePrefix(machines); err != nil {
 		return d, err
 	}
@@ -202,6 +233,7 @@
 		_ = process.Wait()
 		close(ended)
 	}()
+	started.add(func() { _ = process.Process.Kill(); <-ended })
 	m.d.record.line("started %s, process %d at %s", m.name, process.Process.Pid, m.ip)
 	return nil
 }
@@ -246,7 +278,7 @@
 // KEEP_LOGS names a folder.
 func (d *deployment) close() {
 	for _, m := range d.machines {
-		if m.process != nil {
+		if m.process != nil && m.process.Process != nil {
 			_ = m.process.Process.Kill()
 			<-m.ended
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,8 +51,10 @@
 	case o = <-done:
 	case <-stopped:
 		o.err = fmt.Errorf("stopped")
+		abandon()
 	case <-time.After(115 * time.Second):
 		o.err = fmt.Errorf("the case took too long")
+		abandon()
 	}
 	switch {
 	case o.err != nil:
