Hold the end of a server against runs whose callers have left

Callers saw: a request under which servers crash after its caller has left, or after its deadline, was never condemned and ended one server after the other. Cause: the gate forgot a run when its call was canceled or timed out; only that of a request already suspected stayed for half a second, which such a request never was. A call that found the connection refused withdrew the server, but nobody held the end against the runs before it. Breaks within 0.1 s of a dial that showed the server alive were taken for cut connections for good. Change: each run that may go on stays for half a second after its call has failed. A refused dial shows the end as a broken run does. If no answer came from the server within that time, it is dialed once. A run sent to a server that is known to have ended is no suspect of that end, and neither is one that has no connection yet. The dial no longer holds the lock that each call takes. Two of four cases of TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer failed before, and all pass.

--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -24,26 +24,36 @@
 	// aliveTime is how long a server that was found to accept connections is not dialed
 	// again when further calls break off.
 	aliveTime = 100 * time.Millisecond
-	// canceledSuspectTime is how long a suspected request whose call was canceled counts as
-	// running: the server may not have noticed, and ends under it some 100 ms later.
-	canceledSuspectTime = 500 * time.Millisecond
+	// unansweredTime is how long a run counts as running after its call has failed without a
+	// whole answer: the server may go on with it, and end under it some 100 ms later.
+	unansweredTime = 500 * time.Millisecond
 )
 
-// run is a call that the backend server runs, until its answer has come whole or broken off.
+// run is a call that the backend server runs, until its answer has come whole or the call has
+// failed.
 type run struct {
 	call    string // ID
 	target  *Target
 	request call.Fingerprint // zero if the entry node has not named it
 	suspect bool             // the request is suspected
+	sentBy  *evidence        // shows whether the call was sent; nil if it was
 	end     *call.End        // of the server, once it is known; guarded by runs.mu
 }
 
+// sent reports whether the call has a connection to the server.
+func (r *run) sent() bool { return r.sentBy == nil || r.sentBy.conn.Load() != nil }
+
 // runs holds the calls that the backend server runs, as far as the gate knows. The zero
 // value has none.
 type runs struct {
-	mu      sync.Mutex
-	current map[*run]struct{}
-	aliveAt time.Time // when a server was last found to accept connections after a call broke off
+	mu         sync.Mutex
+	current    map[*run]struct{}
+	answeredAt time.Time // when a whole answer last came
+	aliveAt    time.Time // when a server was last found to accept connections after a call broke off
+	ended      *Target   // the server that was last found to have ended
+	endedAt    time.Time // when it was
+
+	dialing sync.Mutex // held by the dial that shows whether the server accepts connections
 }
 
 // begin adds a call that is about to be sent.
@@ -56,31 +66,48 @@
 	r.current[added] = struct{}{}
 }
 
-// end removes a call whose whole answer or failure has come, in the case of a suspected request
-// that was canceled or ran out of time only after canceledSuspectTime.
-func (r *runs) end(ended *run, failure *callFailure) {
-	if ended.suspect && failure != nil && failure.mayStillRun() {
-		time.AfterFunc(canceledSuspectTime, func() { r.remove(ended) })
-		return
-	}
-	r.remove(ended)
-}
-
+// remove removes a call.
 func (r *runs) remove(ended *run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.current, ended)
 }
 
-// mayStillRun reports whether the backend server may go on with the call.
-func (f *callFailure) mayStillRun() bool {
-	switch f.verdict.Reason() {
-	case call.ReasonCanceled, call.ReasonDeadline:
-		return true
+// endRun removes a call whose whole answer or failure has come. failure is nil for a whole
+// answer. A call that the server may go on with stays for unansweredTime.
+func (g *Gate) endRun(r *run, failure *callFailure) {
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	delete(g.runs.current, r)
+	now := time.Now()
+	if failure == nil {
+		g.runs.answeredAt = now
+		return
+	}
+	if r.end != nil || r.request == (call.Fingerprint{}) || !failure.mayStillRun() {
+		return
 	}
-	return false
+	left := &run{call: r.call, target: r.target, request: r.request, suspect: r.suspect} // r would hold all of the call
+	g.runs.current[left] = struct{}{}
+	time.AfterFunc(unansweredTime, func() { g.endUnanswered(left, now) })
 }
 
+// endUnanswered removes a call that failed at some time and that the server might go on with.
+// If no answer has come since, nothing else may show that the server has ended.
+func (g *Gate) endUnanswered(r *run, failedAt time.Time) {
+	g.runs.mu.Lock()
+	unknown := r.end == nil && !g.runs.answeredAt.After(failedAt)
+	g.runs.mu.Unlock()
+	if unknown {
+		g.findEnd(r.target, r.suspect)
+	}
+	g.runs.remove(r)
+}
+
+// mayStillRun reports whether the backend server may go on with the call, or may have ended
+// under it.
+func (f *callFailure) mayStillRun() bool { return f.verdict.Outcome() == call.OutcomeUnknown }
+
 // checkSuspect returns the request of a call, whether the call is on probation, and the
 // reason if it is refused. The entry node may not have heard of what this node knows, above all
 // of the end of its own server.
@@ -112,6 +139,7 @@
 		}
 	case call.ReasonDial:
 		if f.refused {
+			g.noteEnd(r.target)
 			g.withdraw(r.target)
 		}
 	}
@@ -121,61 +149,100 @@
 // if the process goes on, as far as can be seen, or was expected to end. The first call
 // that finds an end settles it for all that were running.
 func (g *Gate) endOf(r *run) *call.End {
-	end, found := g.noteEnd(r)
-	if found {
-		g.metrics.countEnd()
-		g.withdraw(r.target)
+	g.runs.mu.Lock()
+	end := r.end
+	g.runs.mu.Unlock()
+	if end != nil {
+		return end
 	}
-	return end
+	g.findEnd(r.target, r.suspect)
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	return r.end
 }
 
-// noteEnd sets the end of a run that broke off and of all others at the same server, and
-// reports whether this run is the first one to find it.
-func (g *Gate) noteEnd(r *run) (end *call.End, found bool) {
+// findEnd finds out whether the process of a server has ended, unless it was found to go on
+// a moment ago and the question is not urgent.
+func (g *Gate) findEnd(t *Target, urgent bool) {
+	g.runs.dialing.Lock()
+	defer g.runs.dialing.Unlock()
 	g.runs.mu.Lock()
-	defer g.runs.mu.Unlock()
-	t, current := r.target, g.target.Load()
+	alive, known := time.Since(g.runs.aliveAt) < aliveTime, g.runs.hasEnded(t)
+	g.runs.mu.Unlock()
 	switch {
-	case r.end != nil, !t.sameServer(current), current.Leaving:
-		return r.end, false
-	case !r.suspect && time.Since(g.runs.aliveAt) < aliveTime:
-		return nil, false
-	case !refusesConnections(t.Address):
+	case alive && !urgent, !g.mayEnd(t):
+	case known:
+		g.noteEnd(t)
+	case refusesConnections(t.Address):
+		g.noteEnd(t)
+		g.withdraw(t)
+	default:
+		g.runs.mu.Lock()
 		g.runs.aliveAt = time.Now()
-		return nil, false
+		g.runs.mu.Unlock()
+	}
+}
+
+// hasEnded reports whether a server is known to have ended, and not to have accepted
+// connections again without another announcement. The caller holds r.mu.
+func (r *runs) hasEnded(t *Target) bool {
+	return r.ended == t && (time.Since(r.endedAt) < unansweredTime || !r.answeredAt.After(r.endedAt))
+}
+
+// mayEnd reports whether the end of a server would be unexpected: it is the one that was set
+// last and has not said that it leaves.
+func (g *Gate) mayEnd(t *Target) bool {
+	current := g.target.Load()
+	return t.sameServer(current) && !current.Leaving
+}
+
+// noteEnd sets the end of all runs at a server whose process has ended.
+func (g *Gate) noteEnd(t *Target) {
+	if !g.mayEnd(t) {
+		return
+	}
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	first := !g.runs.hasEnded(t)
+	if first {
+		g.runs.ended, g.runs.endedAt = t, time.Now()
+	}
+	running, suspects := g.setEnd(t, first)
+	if first {
+		g.metrics.countEnd()
+		g.config.Sinks.Log.Warn("backend server ended", "service", t.Service, "server", t.Server, "epoch", t.Epoch, "running", running, "suspects", suspects)
 	}
-	running, suspects := g.setEnd(t)
-	g.config.Sinks.Log.Warn("backend server ended", "service", t.Service, "server", t.Server, "epoch", t.Epoch, "running", running, "suspects", suspects)
-	return r.end, true
 }
 
 // setEnd sets the end of all runs at a server, and returns how many there were and how
 // many of them were suspects. What it shows of their requests is recorded here: this gate
 // decides whether suspects may run next, and an entry node hears of the end only while it
-// waits for the answer. The caller holds g.runs.mu.
-func (g *Gate) setEnd(t *Target) (running, suspects int) {
-	for other := range g.runs.current {
-		if other.target.sameServer(t) {
+// waits for the answer. The server was gone before the runs that begin after the first time.
+// The caller holds g.runs.mu.
+func (g *Gate) setEnd(t *Target, first bool) (running, suspects int) {
+	ended := func(r *run) bool { return r.end == nil && r.target.sameServer(t) && r.sent() }
+	for r := range g.runs.current {
+		if ended(r) {
 			running++
-			if other.suspect {
+			if r.suspect {
 				suspects++
 			}
 		}
 	}
 	server, now := call.ServerHash(g.config.Instance, t.Server, t.Epoch), time.Now()
-	for other := range g.runs.current {
-		if !other.target.sameServer(t) {
+	for r := range g.runs.current {
+		if !ended(r) {
 			continue
 		}
 		weight := call.WeightCrowd
 		switch {
-		case other.suspect && suspects == 1, running == 1:
-			weight = call.WeightAlone
-		case !other.suspect && suspects > 0:
+		case !first, !r.suspect && suspects > 0:
 			weight = call.WeightBystander
+		case running == 1, suspects == 1:
+			weight = call.WeightAlone
 		}
-		other.end = &call.End{Server: server, Weight: weight, At: now}
-		g.recordEnd(other)
+		r.end = &call.End{Server: server, Weight: weight, At: now}
+		g.recordEnd(r)
 	}
 	return running, suspects
 }
--- a/mesh/backend/ended_test.go
+++ b/mesh/backend/ended_test.go
@@ -209,3 +209,51 @@
 		})
 	}
 }
+
+// TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer guards against a request that is never found out, since its callers
+// leave before the server ends under it.
+func TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		ends     bool // the server ends after the caller has left
+		next     bool // another call follows
+		standing call.Standing
+	}{
+		"no other call":    {ends: true, standing: call.Suspected},
+		"another call":     {ends: true, next: true, standing: call.Suspected},
+		"server goes on":   {},
+		"answers are made": {next: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, suspects, server := call.Fingerprint{1}, call.NewSuspects(time.Now()), newRawServer(t)
+			gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Suspects: suspects})
+			defer gate.Close()
+			gate.SetTarget(&backend.Target{Service: "quotes", Server: "a", Address: server.Addr().String(), Slots: 10})
+			send := func(ctx context.Context, f call.Fingerprint) call.Reason {
+				req := httptest.NewRequest(http.MethodGet, "/", http.NoBody).WithContext(ctx)
+				req.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderFingerprint: {f.String()}}
+				resp, err := gate.RoundTrip(req)
+				require.NoError(t, err)
+				defer resp.Body.Close()
+				return call.ParseVerdict(resp.Header).Reason()
+			}
+			ctx, leave := context.WithCancel(t.Context())
+			go func() { <-server.conns; leave() }()
+			require.Equal(t, call.ReasonCanceled, send(ctx, request))
+			if c.ends {
+				server.end()
+			}
+			if c.next {
+				go func() {
+					if !c.ends {
+						_, _ = io.WriteString(<-server.conns, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}()
+				reason := send(t.Context(), call.Fingerprint{2})
+				require.Equal(t, c.ends, reason == call.ReasonDial)
+			}
+			time.Sleep(time.Second) // longer than the run is held
+			require.Equal(t, c.standing, suspects.Standing(request, time.Now()))
+			require.Equal(t, call.Unsuspected, suspects.Standing(call.Fingerprint{2}, time.Now()))
+		})
+	}
+}
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -78,7 +78,7 @@
 	c := &admittedCall{gate: g, id: id, ctx: ctx, target: target, slot: slot, arrivedAt: arrivedAt, admittedAt: time.Now(), finish: finish}
 	g.metrics.queued.RecordDuration(c.admittedAt.Sub(arrivedAt))
 	c.evidence = evidence{call: id, target: target, sentAt: c.admittedAt}
-	c.run = run{call: id, target: target, request: request, suspect: suspect}
+	c.run = run{call: id, target: target, request: request, suspect: suspect, sentBy: &c.evidence}
 	g.runs.begin(&c.run)
 	c.counted = g.config.Rollouts.Begin(target.rolloutServer(), slot.Class, c.admittedAt)
 	resp, failure := g.forward(withEvidence(ctx, &c.evidence), r, header, target)
@@ -127,7 +127,7 @@
 		failure.evidence = &c.evidence
 		c.gate.checkEnd(&c.run, failure)
 	}
-	c.gate.runs.end(&c.run, failure)
+	c.gate.endRun(&c.run, failure)
 }
 
 // fail ends and logs a call that the backend server has not answered, and returns
