Hold the end of a server that is back at once against its requests

Callers saw: a request under which servers crash that accept connections again within the gate's look was taken for one whose connection was cut, and went on to the next server. Cause: an end was seen by a refused connection only. The next incarnation announces itself, which is proof of the end as well, but the runs that had broken off were not held against it. Result: TestServerThatIsBackAtOnceIsHeldAgainstItsRequests: the two cases with a next incarnation failed before, the three in which nothing has crashed passed before and after.

--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -214,6 +214,22 @@
 	}
 }
 
+// noteReplacement sets the end of the runs at a server that another incarnation replaces
+// although it has not said that it leaves: it was back before a call that broke off looked
+// whether it accepts connections, or an answer that broke off is still to be read.
+func (g *Gate) noteReplacement(old, t *Target) {
+	if old == nil || t == nil || old.Leaving || t.Service != old.Service {
+		return
+	}
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	running, suspects := g.setEnd(old, !g.runs.hasEnded(old))
+	if running > 0 {
+		g.config.Sinks.Log.Warn("backend server was replaced", "service", old.Service, "server", old.Server, "epoch", old.Epoch,
+			"next", t.Server, "running", running, "suspects", suspects)
+	}
+}
+
 // setEnd sets the end of all runs at a server, and returns how many there were and how
 // many of them were suspects. What it shows of their requests is recorded here: this gate
 // decides whether suspects may run next, and an entry node hears of the end only while it
--- a/mesh/backend/ended_test.go
+++ b/mesh/backend/ended_test.go
@@ -257,3 +257,42 @@
 		})
 	}
 }
+
+// TestServerThatIsBackAtOnceIsHeldAgainstItsRequests guards against a request under which servers end that accept
+// connections again before the gate looks.
+func TestServerThatIsBackAtOnceIsHeldAgainstItsRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves   bool // the server has said so
+		next     backend.Target
+		standing call.Standing
+	}{
+		"next incarnation, same name":  {next: backend.Target{Service: "quotes", Server: "a", Epoch: 2}, standing: call.Suspected},
+		"next incarnation, other name": {next: backend.Target{Service: "quotes", Server: "b", Epoch: 2}, standing: call.Suspected},
+		"server that leaves":           {leaves: true, next: backend.Target{Service: "quotes", Server: "b", Epoch: 2}},
+		"same incarnation":             {next: backend.Target{Service: "quotes", Server: "a", Epoch: 1}},
+		"address of another service":   {next: backend.Target{Service: "rings", Server: "b", Epoch: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, suspects, server := call.Fingerprint{1}, call.NewSuspects(time.Now()), newRawServer(t)
+			gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Suspects: suspects})
+			defer gate.Close()
+			target := backend.Target{Service: "quotes", Server: "a", Epoch: 1, Address: server.Addr().String(), Slots: 10}
+			gate.SetTarget(&target)
+			req := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+			req.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderFingerprint: {request.String()}}
+			go func() { _ = (<-server.conns).Close() }()
+			resp, err := gate.RoundTrip(req)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, call.ReasonBroken, call.ParseVerdict(resp.Header).Reason())
+			if c.leaves {
+				leaving := target
+				leaving.Leaving = true
+				gate.SetTarget(&leaving)
+			}
+			c.next.Address, c.next.Slots = target.Address, target.Slots
+			gate.SetTarget(&c.next)
+			require.Equal(t, c.standing, suspects.Standing(request, time.Now()))
+		})
+	}
+}
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -160,6 +160,7 @@
 	if !t.sameServer(old) {
 		g.resetLimit(old)
 		g.adoptForeseen(t)
+		g.noteReplacement(old, t)
 	}
 	now := time.Now()
 	switch {
