Hold the end of a server against a request that it has just answered whole

Callers saw: a request under which servers crash on the last byte of the answer was answered whole each time, and ended one server after the other; calls beside it were cut. Cause: any whole answer cleared a request, and the run was forgotten with it. So only the runs beside it were held to the end. Change: the gate remembers the last 64 whole answers. An end within 0.1 s of one is held against its request, marked as an end after an answer; a connection that the server closes within that time without notice makes the gate look. While a request has such an end, only an answer that its server survives for 0.1 s clears it, which the gate beside the server finds out and passes on; other requests are cleared by any answer as before. These ends make a request suspected and never condemned by themselves, since a frequent request is answered just before any end: it takes an end on probation. A call without a suspicion allocates no more.

--- a/mesh/backend/ended.go
+++ b/mesh/backend/ended.go
@@ -7,6 +7,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,9 @@
 	// unansweredTime is how long a run counts as running after its call has failed without a
 	// whole answer: the server may go on with it, and end under it some 100 ms later.
 	unansweredTime = 500 * time.Millisecond
+	// maxAnswered is the number of runs whose whole answers have just come that are
+	// remembered, the latest ones.
+	maxAnswered = 64
 )
 
 // run is a call that the backend server runs, until its answer has come whole or the call has
@@ -48,14 +52,22 @@
 type runs struct {
 	mu         sync.Mutex
 	current    map[*run]struct{}
-	answeredAt time.Time // when a whole answer last came
-	aliveAt    time.Time // when a server was last found to accept connections after a call broke off
+	answeredAt time.Time                // when a whole answer last came
+	aliveAt    time.Time                // when a server was last found to accept connections after a call broke off
+	answered   [maxAnswered]answeredRun // a ring; the next one goes to index answers%maxAnswered
+	answers    uint64
 	ended      *Target   // the server that was last found to have ended
 	endedAt    time.Time // when it was
 
 	dialing sync.Mutex // held by the dial that shows whether the server accepts connections
 }
 
+// answeredRun is a run whose whole answer has come. The server may end on its last byte.
+type answeredRun struct {
+	run
+	at time.Time
+}
+
 // begin adds a call that is about to be sent.
 func (r *runs) begin(added *run) {
 	r.mu.Lock()
@@ -82,6 +94,7 @@
 	now := time.Now()
 	if failure == nil {
 		g.runs.answeredAt = now
+		g.endAnswered(r, now)
 		return
 	}
 	if r.end != nil || r.request == (call.Fingerprint{}) || !failure.mayStillRun() {
@@ -92,6 +105,40 @@
 	time.AfterFunc(unansweredTime, func() { g.endUnanswered(left, now) })
 }
 
+// endAnswered remembers a run whose whole answer has come. If servers have ended just after
+// they answered its request, the server of this one must go on for the answer to clear it.
+// The caller holds g.runs.mu.
+func (g *Gate) endAnswered(r *run, at time.Time) {
+	if r.request == (call.Fingerprint{}) {
+		return
+	}
+	if r.end != nil { // its last bytes were still to be read
+		end := *r.end
+		end.Answered = true
+		g.recordEnd(r, end)
+		return
+	}
+	answered := run{call: r.call, target: r.target, request: r.request, suspect: r.suspect}
+	g.runs.answered[g.runs.answers%maxAnswered] = answeredRun{answered, at}
+	g.runs.answers++
+	if !g.config.Suspects.AwaitsSurvival(r.request) {
+		return
+	}
+	time.AfterFunc(call.SurvivalTime, func() {
+		g.findEnd(answered.target, true)
+		if g.survived(answered.target) && g.config.Suspects.RecordSurvival(answered.request, at, time.Now()) {
+			g.config.Sinks.Log.Info(telemetry.SuspicionCleared, "call", answered.call, "request", answered.request.String(), "probation", answered.suspect)
+		}
+	})
+}
+
+// survived reports whether a server is in force and not known to have ended.
+func (g *Gate) survived(t *Target) bool {
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	return t.sameServer(g.target.Load()) && !g.runs.hasEnded(t)
+}
+
 // endUnanswered removes a call that failed at some time and that the server might go on with.
 // If no answer has come since, nothing else may show that the server has ended.
 func (g *Gate) endUnanswered(r *run, failedAt time.Time) {
@@ -140,7 +187,6 @@
 	case call.ReasonDial:
 		if f.refused {
 			g.noteEnd(r.target)
-			g.withdraw(r.target)
 		}
 	}
 }
@@ -164,23 +210,28 @@
 // findEnd finds out whether the process of a server has ended, unless it was found to go on
 // a moment ago and the question is not urgent.
 func (g *Gate) findEnd(t *Target, urgent bool) {
+	if g.hasEnded(t, urgent) {
+		g.noteEnd(t)
+	}
+}
+
+// hasEnded reports whether the process of a server has ended, as findEnd finds out.
+func (g *Gate) hasEnded(t *Target, urgent bool) bool {
 	g.runs.dialing.Lock()
 	defer g.runs.dialing.Unlock()
 	g.runs.mu.Lock()
 	alive, known := time.Since(g.runs.aliveAt) < aliveTime, g.runs.hasEnded(t)
 	g.runs.mu.Unlock()
 	switch {
-	case alive && !urgent, !g.mayEnd(t):
-	case known:
-		g.noteEnd(t)
-	case refusesConnections(t.Address):
-		g.noteEnd(t)
-		g.withdraw(t)
-	default:
-		g.runs.mu.Lock()
-		g.runs.aliveAt = time.Now()
-		g.runs.mu.Unlock()
+	case !g.mayEnd(t), alive && !urgent:
+		return false
+	case known, refusesConnections(t.Address):
+		return true
 	}
+	g.runs.mu.Lock()
+	defer g.runs.mu.Unlock()
+	g.runs.aliveAt = time.Now()
+	return false
 }
 
 // hasEnded reports whether a server is known to have ended, and not to have accepted
@@ -196,22 +247,23 @@
 	return t.sameServer(current) && !current.Leaving
 }
 
-// noteEnd sets the end of all runs at a server whose process has ended.
+// noteEnd sets the end of all runs at a server whose process has ended, and withdraws it.
 func (g *Gate) noteEnd(t *Target) {
 	if !g.mayEnd(t) {
 		return
 	}
 	g.runs.mu.Lock()
-	defer g.runs.mu.Unlock()
 	first := !g.runs.hasEnded(t)
 	if first {
 		g.runs.ended, g.runs.endedAt = t, time.Now()
 	}
 	running, suspects := g.setEnd(t, first)
+	g.runs.mu.Unlock()
 	if first {
 		g.metrics.countEnd()
 		g.config.Sinks.Log.Warn("backend server ended", "service", t.Service, "server", t.Server, "epoch", t.Epoch, "running", running, "suspects", suspects)
 	}
+	g.withdraw(t)
 }
 
 // noteReplacement sets the end of the runs at a server that another incarnation replaces
@@ -231,47 +283,64 @@
 }
 
 // setEnd sets the end of all runs at a server, and returns how many there were and how
-// many of them were suspects. What it shows of their requests is recorded here: this gate
-// decides whether suspects may run next, and an entry node hears of the end only while it
-// waits for the answer. The server was gone before the runs that begin after the first time.
-// The caller holds g.runs.mu.
+// many of them, and of those just answered, were suspects. What it shows of their requests
+// is recorded here: this gate decides whether suspects may run next, and an entry node hears
+// of the end only while it waits for the answer. The server was gone before the runs that
+// begin after the first time. The caller holds g.runs.mu.
 func (g *Gate) setEnd(t *Target, first bool) (running, suspects int) {
-	ended := func(r *run) bool { return r.end == nil && r.target.sameServer(t) && r.sent() }
+	now := time.Now()
+	var ended, answered []*run
 	for r := range g.runs.current {
-		if ended(r) {
-			running++
-			if r.suspect {
-				suspects++
-			}
+		if r.end == nil && r.target.sameServer(t) && r.sent() {
+			ended = append(ended, r)
 		}
 	}
-	server, now := call.ServerHash(g.config.Instance, t.Server, t.Epoch), time.Now()
-	for r := range g.runs.current {
-		if !ended(r) {
-			continue
+	for i := range g.runs.answered {
+		if a := &g.runs.answered[i]; first && a.target.sameServer(t) && now.Sub(a.at) < call.SurvivalTime {
+			answered = append(answered, &a.run)
 		}
-		weight := call.WeightCrowd
-		switch {
-		case !first, !r.suspect && suspects > 0:
-			weight = call.WeightBystander
-		case running == 1, suspects == 1:
-			weight = call.WeightAlone
+	}
+	for _, r := range slices.Concat(ended, answered) {
+		if r.suspect {
+			suspects++
 		}
-		r.end = &call.End{Server: server, Weight: weight, At: now}
-		g.recordEnd(r)
 	}
-	return running, suspects
+	end := call.End{Server: call.ServerHash(g.config.Instance, t.Server, t.Epoch), At: now}
+	for _, r := range ended {
+		own := end
+		own.Weight = weightOf(r, first, suspects, len(ended) == 1)
+		r.end = &own
+		g.recordEnd(r, own)
+	}
+	end.Answered = true
+	for _, r := range answered {
+		end.Weight = weightOf(r, first, suspects, false)
+		g.recordEnd(r, end)
+	}
+	return len(ended), suspects
+}
+
+// weightOf returns the weight of the end of a server as evidence against the request of a
+// run there.
+func weightOf(r *run, first bool, suspects int, alone bool) int {
+	switch {
+	case !first, !r.suspect && suspects > 0:
+		return call.WeightBystander
+	case alone, suspects == 1:
+		return call.WeightAlone
+	}
+	return call.WeightCrowd
 }
 
 // recordEnd records the end of the server against the request of a run.
-func (g *Gate) recordEnd(r *run) {
-	if r.request == (call.Fingerprint{}) || r.end.Weight <= call.WeightBystander {
+func (g *Gate) recordEnd(r *run, end call.End) {
+	if r.request == (call.Fingerprint{}) || end.Weight <= call.WeightBystander {
 		return
 	}
-	before := g.config.Suspects.Standing(r.request, r.end.At)
-	standing := g.config.Suspects.RecordEnd(r.request, *r.end)
+	before := g.config.Suspects.Standing(r.request, end.At)
+	standing := g.config.Suspects.RecordEnd(r.request, end)
 	g.config.Sinks.Log.Info(telemetry.RequestSuspected, "call", r.call, "request", r.request.String(),
-		"weight", r.end.Weight, "before", before.String(), "standing", standing.String())
+		"weight", end.Weight, "answered", end.Answered, "before", before.String(), "standing", standing.String())
 }
 
 // refusesConnections reports whether nothing listens at an address.
--- a/mesh/backend/ended_test.go
+++ b/mesh/backend/ended_test.go
@@ -296,3 +296,55 @@
 		})
 	}
 }
+
+// TestServerThatEndsOnItsLastByteIsHeldAgainstItsRequests guards against a request that is never found out, since its
+// answer has come whole when the server ends.
+func TestServerThatEndsOnItsLastByteIsHeldAgainstItsRequests(t *testing.T) {
+	const length, chunks = "Content-Length: 5\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		pause  time.Duration // between the last byte and the end
+		lives  bool          // the server only closes the connection
+		known  call.Standing // of the request after two such ends
+	}{
+		"length":                   {answer: length, known: call.Suspected},
+		"chunks":                   {answer: chunks, known: call.Suspected},
+		"some ms later":            {answer: length, pause: 30 * time.Millisecond, known: call.Suspected},
+		"connection":               {answer: "\r\n12345", known: call.Suspected},
+		"empty":                    {answer: "Content-Length: 0\r\n\r\n", known: call.Suspected},
+		"connection is closed":     {answer: length, lives: true},
+		"connection ends it":       {answer: "\r\n12345", lives: true},
+		"later":                    {answer: length, pause: 3 * call.SurvivalTime / 2},
+		"connection close, length": {answer: "Connection: close\r\n" + length, lives: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, suspects := call.Fingerprint{1}, call.NewSuspects(time.Now())
+			gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Suspects: suspects})
+			defer gate.Close()
+			for epoch := range uint64(2) {
+				server := newRawServer(t)
+				gate.SetTarget(&backend.Target{Service: "quotes", Server: "a", Epoch: epoch + 1, Address: server.Addr().String(), Slots: 10})
+				go func() {
+					conn := <-server.conns
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.answer)
+					time.Sleep(c.pause)
+					if c.lives {
+						_ = conn.Close()
+					} else {
+						server.end()
+					}
+				}()
+				req := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+				req.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderFingerprint: {request.String()}}
+				resp, err := gate.RoundTrip(req)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				suspects.RecordAnswer(request, time.Now()) // as the entry node does
+				time.Sleep(c.pause + call.SurvivalTime/2)
+			}
+			require.Equal(t, c.known, suspects.Standing(request, time.Now()))
+		})
+	}
+}
--- a/mesh/backend/evidence.go
+++ b/mesh/backend/evidence.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"caroblift.dev/mesh/call"
 )
 
@@ -19,6 +21,40 @@
 	net.Conn
 	number  uint64        // from 1, in the order in which the gate opened them
 	answers atomic.Uint64 // read from it so far
+
+	gate       *Gate
+	target     *Target      // that it was opened to
+	answeredAt atomic.Int64 // time of the last whole answer to a call, in Unix ns; zero if the server closes the connection after it
+	closedAt   atomic.Int64 // when the server closed it, in Unix ns
+}
+
+// Read reads from the connection, and notices that the server closes it.
+func (c *serverConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.closedAt.Store(time.Now().UnixNano())
+		c.checkClose()
+	}
+	return n, err
+}
+
+// answered notes that a whole answer has come on the connection.
+func (c *serverConn) answered(closes bool) {
+	if closes {
+		c.answeredAt.Store(0)
+		return
+	}
+	c.answeredAt.Store(time.Now().UnixNano())
+	c.checkClose()
+}
+
+// checkClose finds out whether the server has ended if it closed the connection just after
+// an answer that did not say so.
+func (c *serverConn) checkClose() {
+	answered, closed := c.answeredAt.Load(), c.closedAt.Load()
+	if answered != 0 && closed != 0 && time.Duration(closed-answered) < call.SurvivalTime {
+		c.gate.findEnd(c.target, false)
+	}
 }
 
 // dialServer wraps a dial function for connections to the backend server.
@@ -28,7 +64,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return &serverConn{Conn: conn, number: g.connections.Add(1)}, nil
+		opened := &serverConn{Conn: conn, number: g.connections.Add(1), gate: g, target: g.target.Load()}
+		if e, ok := ctx.Value(evidenceKey{}).(*evidence); ok {
+			opened.target = e.target
+		}
+		return opened, nil
 	}
 }
 
--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -213,6 +213,9 @@
 	switch err {
 	case io.EOF:
 		c.endRun(nil)
+		if conn := c.evidence.conn.Load(); conn != nil {
+			conn.answered(resp.Close && !endsWithConnection(resp))
+		}
 	case nil:
 		c.endRun(&callFailure{verdict: call.MayHaveRun(call.ReasonCanceled)})
 	default:
@@ -231,6 +234,12 @@
 	return err
 }
 
+// endsWithConnection reports whether the body of an answer ends with its connection, also if
+// the server's process has ended.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // releaseAfterFailure returns the slot of a call that was not answered. Calls
 // that were canceled, have moved or may still run at the backend server keep it
 // for the abort grace.
--- a/mesh/call/suspectnews.go
+++ b/mesh/call/suspectnews.go
@@ -47,11 +47,14 @@
 		if !s.RefusedAt.IsZero() {
 			m.Asked = ageMS(s.RefusedAt, now) + 1
 		}
+		if !s.Survived.IsZero() {
+			m.Survived = ageMS(s.Survived, now) + 1
+		}
 		if s.trials() > 0 {
 			m.Trials, m.Trial = uint32(s.Trials), ageMS(s.TrialAt, now)
 		}
 		for _, e := range s.Ends {
-			m.Ends = append(m.Ends, &wire.End{Server: e.Server, Weight: uint32(e.Weight), Age: ageMS(e.At, now)})
+			m.Ends = append(m.Ends, &wire.End{Server: e.Server, Weight: uint32(e.Weight), Age: ageMS(e.At, now), Answered: e.Answered})
 		}
 		out = append(out, m)
 	}
@@ -81,12 +84,15 @@
 		if m.GetAsked() > 0 {
 			s.RefusedAt = timeBefore(now, m.GetAsked()-1)
 		}
+		if m.GetSurvived() > 0 {
+			s.Survived = timeBefore(now, m.GetSurvived()-1)
+		}
 		if m.GetTrials() > 0 {
 			s.Trials, s.TrialAt = int(min(m.GetTrials(), math.MaxInt32)), timeBefore(now, m.GetTrial())
 		}
 		for _, e := range m.GetEnds()[:min(len(m.GetEnds()), maxEnds)] {
 			if e.GetWeight() >= WeightCrowd && e.GetWeight() <= WeightAlone {
-				s.Ends = append(s.Ends, End{Server: e.GetServer(), Weight: int(e.GetWeight()), At: timeBefore(now, e.GetAge())})
+				s.Ends = append(s.Ends, End{Server: e.GetServer(), Weight: int(e.GetWeight()), At: timeBefore(now, e.GetAge()), Answered: e.GetAnswered()})
 			}
 		}
 		out = append(out, s)
--- a/mesh/call/suspects.go
+++ b/mesh/call/suspects.go
@@ -166,9 +166,33 @@
 }
 
 // RecordAnswer records that a server answered a request whole. The ends before that no
-// longer count. It reports whether the request was suspected until then.
+// longer count, unless a server ended just after it answered the request. It reports whether
+// the request was suspected until then.
 func (s *Suspects) RecordAnswer(f Fingerprint, now time.Time) (cleared bool) {
 	s.answers.record(f, now)
+	return s.recordAnswer(f, now, false, now)
+}
+
+// RecordSurvival records that a server which answered a request whole at a time has gone on
+// for SurvivalTime. The ends before that no longer count. It reports whether the request was
+// suspected until then.
+func (s *Suspects) RecordSurvival(f Fingerprint, answeredAt, now time.Time) (cleared bool) {
+	return s.recordAnswer(f, answeredAt, true, now)
+}
+
+// AwaitsSurvival reports whether only RecordSurvival clears a request.
+func (s *Suspects) AwaitsSurvival(f Fingerprint) bool {
+	if s.known.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byRequest[f]
+	return known != nil && known.endsAnswered()
+}
+
+// recordAnswer records an answer and whether its server was found to go on after it.
+func (s *Suspects) recordAnswer(f Fingerprint, at time.Time, survived bool, now time.Time) (cleared bool) {
 	if s.known.Load() == 0 {
 		return false
 	}
@@ -179,22 +203,26 @@
 		return false
 	}
 	before := known.standing(now)
-	s.recordAnswered(known, now)
+	s.recordAnswered(known, at, survived, now)
+	if before == Unsuspected || known.standing(now) != Unsuspected {
+		return false
+	}
 	if before == Condemned {
 		delete(s.claimed, f)
 		s.duties.add(DropAnswered, f)
 	}
-	return before != Unsuspected
+	return true
 }
 
 // recordAnswered notes that a request with a suspicion was answered. That is news where it
-// takes the evidence away. The caller holds s.mu.
-func (s *Suspects) recordAnswered(known *Suspicion, at time.Time) bool {
-	before, _ := known.weight(at)
-	if at.After(known.Answered) {
-		known.Answered = at
-	}
-	if after, _ := known.weight(at); after == before {
+// takes evidence away. The caller holds s.mu.
+func (s *Suspects) recordAnswered(known *Suspicion, at time.Time, survived bool, now time.Time) bool {
+	before, _ := known.weight(now)
+	known.Answered = latest(known.Answered, at)
+	if survived {
+		known.Survived = latest(known.Survived, at)
+	}
+	if after, _ := known.weight(now); after == before {
 		return false
 	}
 	s.changed(known.Request)
@@ -234,7 +262,10 @@
 		}
 	}
 	if t.Answered.After(known.Answered) {
-		news = s.recordAnswered(known, t.Answered) || news
+		news = s.recordAnswered(known, t.Answered, false, now) || news
+	}
+	if t.Survived.After(known.Survived) {
+		news = s.recordAnswered(known, t.Survived, true, now) || news
 	}
 	news = known.addTrials(min(t.Trials, len(trialDelays)), t.TrialAt) || news
 	known.RefusedAt = latest(known.RefusedAt, t.RefusedAt)
--- a/mesh/call/suspects_test.go
+++ b/mesh/call/suspects_test.go
@@ -217,13 +217,18 @@
 		for range rapid.IntRange(1, 30).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
 			s, f := rapid.SampledFrom(nodes).Draw(t, "node"), printOf(rapid.IntRange(0, 2).Draw(t, "request"))
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
 				s.RecordAnswer(f, now)
 			case 1:
 				rapid.SampledFrom(nodes).Draw(t, "to").Merge(s.TakeNews(10), now)
+			case 2:
+				s.RecordSurvival(f, now.Add(-SurvivalTime), now)
 			default:
-				s.RecordEnd(f, End{Server: rapid.Uint64Range(0, 6).Draw(t, "server"), Weight: rapid.IntRange(0, 2).Draw(t, "weight"), At: now})
+				s.RecordEnd(f, End{
+					Server: rapid.Uint64Range(0, 6).Draw(t, "server"), Weight: rapid.IntRange(0, 2).Draw(t, "weight"),
+					At: now, Answered: rapid.Bool().Draw(t, "answered"),
+				})
 			}
 		}
 		for range 3 {
@@ -245,6 +250,57 @@
 	})
 }
 
+// TestRequestThatEndsServersOnItsLastByteIsCondemned guards against clearing a request by answers whose servers end
+// just after them, in whichever order its answers and ends are heard of.
+func TestRequestThatEndsServersOnItsLastByteIsCondemned(t *testing.T) {
+	for name, answerFirst := range map[string]bool{"answer first": true, "end first": false} {
+		t.Run(name, func(t *testing.T) {
+			now, f := time.Now(), printOf(1)
+			entry, gate := NewSuspects(now), NewSuspects(now)
+			weights := []int{WeightCrowd, WeightCrowd, WeightAlone}
+			for server, weight := range weights {
+				now = now.Add(time.Second)
+				end := End{Server: uint64(server), Weight: weight, At: now, Answered: true}
+				if answerFirst {
+					entry.RecordAnswer(f, now)
+					gate.RecordEnd(f, end)
+				} else {
+					gate.RecordEnd(f, end)
+					entry.RecordAnswer(f, now.Add(time.Millisecond))
+				}
+				news := gate.TakeNews(10)
+				for _, s := range []*Suspects{entry, gate} {
+					s.Merge(news, now)
+					s.Merge(entry.TakeNews(10), now)
+					require.Equal(t, []Standing{Unsuspected, Suspected, Condemned}[server], s.Standing(f, now))
+				}
+			}
+			require.True(t, gate.AwaitsSurvival(f))
+			require.False(t, gate.RecordSurvival(f, now.Add(-time.Minute), now), "the answer came before the ends")
+			now = now.Add(time.Second)
+			require.True(t, gate.RecordSurvival(f, now.Add(-SurvivalTime), now))
+			entry.Merge(gate.TakeNews(10), now)
+			require.Equal(t, Unsuspected, entry.Standing(f, now))
+			require.Len(t, takeDuties(gate, DropAnswered), 1)
+		})
+	}
+}
+
+// TestFrequentRequestIsNotCondemnedByEndsAfterItsAnswers guards against refusing a request that was answered just before
+// many servers ended at once.
+func TestFrequentRequestIsNotCondemnedByEndsAfterItsAnswers(t *testing.T) {
+	now, f := time.Now(), printOf(1)
+	s := NewSuspects(now)
+	for server := range uint64(maxEnds) {
+		require.NotEqual(t, Condemned, s.RecordEnd(f, End{Server: server, Weight: WeightCrowd, At: now, Answered: true}))
+	}
+	now = now.Add(time.Second)
+	require.False(t, s.RecordAnswer(f, now))
+	require.True(t, s.RecordSurvival(f, now, now.Add(SurvivalTime)))
+	require.True(t, s.RecordEnd(f, End{Server: maxEnds, Weight: WeightAlone, At: now.Add(time.Second)}) == Suspected)
+	require.True(t, s.RecordAnswer(f, now.Add(2*time.Second)), "any answer counts again")
+}
+
 // TestSuspectsRunAlone checks that a suspect gets a slot at once, beside other calls but
 // no other suspect, or none.
 func TestSuspectsRunAlone(t *testing.T) {
--- a/mesh/call/suspicion.go
+++ b/mesh/call/suspicion.go
@@ -23,6 +23,8 @@
 	Server uint64    // identifies the incarnation of the server
 	Weight int       // one of the weights below
 	At     time.Time // when it ended
+	// Answered means that the server had answered the request whole, within SurvivalTime.
+	Answered bool
 }
 
 // Weights of an end as evidence against a request that was running.
@@ -39,6 +41,9 @@
 	// condemnedWeight is the evidence from which a request is condemned. It takes at least
 	// two ends, each of which the request was alone to explain, or more of weaker ones.
 	condemnedWeight = 4
+	// maxAnsweredWeight bounds the evidence of ends after answers, but for those that the
+	// request was alone to explain: frequent requests are answered just before any end.
+	maxAnsweredWeight = suspectedWeight
 	// maxEnds is the number of ends that are kept of a request, the latest ones.
 	maxEnds = 8
 	// suspicionTime is how long an end counts, and how long a condemned request is
@@ -47,6 +52,10 @@
 	suspicionTime = 30 * time.Minute
 )
 
+// SurvivalTime is how long a server must go on after a whole answer for the answer to clear a
+// request under which servers have ended just after they answered.
+const SurvivalTime = 100 * time.Millisecond
+
 // trialDelays holds the time before each trial of a condemned request, since the last end
 // or the trial before: it then runs again on probation, to learn whether its service was
 // mended. All nodes together make these trials and no others, since each one ends a
@@ -58,6 +67,7 @@
 	Request   Fingerprint
 	Ends      []End     // of distinct servers
 	Answered  time.Time // when a server was last known to answer the request; zero if never
+	Survived  time.Time // the last such time after which that server was found to go on; zero if never
 	Trials    int       // trials that were claimed, by any node
 	TrialAt   time.Time // when the latest of them was claimed; zero if none
 	RefusedAt time.Time // when it was last refused as condemned; zero if never
@@ -65,15 +75,36 @@
 	witnessed bool // an end was recorded by this node itself
 }
 
-// weight returns the evidence against the request: the ends since it was last answered.
+// weight returns the evidence against the request: the ends since it was last cleared.
 func (s *Suspicion) weight(now time.Time) (weight int, last time.Time) {
+	cleared, answered := s.clearedAt(), 0
 	for _, e := range s.Ends {
-		if e.At.After(s.Answered) && now.Sub(latest(e.At, s.RefusedAt)) < suspicionTime {
+		if !e.At.After(cleared) || now.Sub(latest(e.At, s.RefusedAt)) >= suspicionTime {
+			continue
+		}
+		last = latest(last, e.At)
+		if e.Answered && e.Weight < WeightAlone {
+			answered += e.Weight
+		} else {
 			weight += e.Weight
-			last = latest(last, e.At)
 		}
 	}
-	return weight, last
+	return weight + min(answered, maxAnsweredWeight), last
+}
+
+// clearedAt returns the time of the last answer that clears the request. If a server has
+// ended just after it answered, only an answer that its server survived does.
+func (s *Suspicion) clearedAt() time.Time {
+	if s.endsAnswered() {
+		return s.Survived
+	}
+	return latest(s.Answered, s.Survived)
+}
+
+// endsAnswered reports whether a server has ended just after it answered the request, and
+// none was found to survive an answer since.
+func (s *Suspicion) endsAnswered() bool {
+	return slices.ContainsFunc(s.Ends, func(e End) bool { return e.Answered && e.At.After(s.Survived) })
 }
 
 // standing returns how the request is to be treated.
@@ -88,9 +119,9 @@
 	return Condemned
 }
 
-// trials returns the trials since the request was last answered.
+// trials returns the trials since the request was last cleared.
 func (s *Suspicion) trials() int {
-	if s.TrialAt.After(s.Answered) {
+	if s.TrialAt.After(s.clearedAt()) {
 		return s.Trials
 	}
 	return 0
@@ -109,7 +140,7 @@
 // addTrials takes the number of trials that were claimed by some time, and reports whether
 // it was news.
 func (s *Suspicion) addTrials(count int, at time.Time) bool {
-	if count <= s.trials() || !at.After(s.Answered) {
+	if count <= s.trials() || !at.After(s.clearedAt()) {
 		return false
 	}
 	s.Trials, s.TrialAt = count, at
@@ -118,7 +149,7 @@
 
 // lastChange returns the latest time at which something was learned of the request.
 func (s *Suspicion) lastChange() time.Time {
-	last := latest(latest(s.Answered, s.TrialAt), s.RefusedAt)
+	last := latest(latest(s.Answered, s.Survived), latest(s.TrialAt, s.RefusedAt))
 	for _, e := range s.Ends {
 		last = latest(last, e.At)
 	}
@@ -141,7 +172,8 @@
 			if e.At.Before(known.At) {
 				known.At = e.At
 			}
-			news := e.Weight > known.Weight
+			news := e.Weight > known.Weight || e.Answered && !known.Answered
+			known.Answered = known.Answered || e.Answered
 			known.Weight = max(known.Weight, e.Weight)
 			return news
 		}
--- a/mesh/store/condemned.go
+++ b/mesh/store/condemned.go
@@ -63,6 +63,8 @@
 type condemnedEnd struct {
 	Server string `json:"server"` // hexadecimal
 	Weight int    `json:"weight"`
+
+	Answered bool `json:"answered,omitempty"`
 }
 
 // NewCondemned returns a Condemned; Run does the work.
@@ -297,7 +299,7 @@
 func encodeCondemned(s call.Suspicion) ([]byte, error) {
 	body := condemnedRequest{Trials: s.Trials}
 	for _, e := range s.Ends {
-		body.Ends = append(body.Ends, condemnedEnd{Server: strconv.FormatUint(e.Server, 16), Weight: e.Weight})
+		body.Ends = append(body.Ends, condemnedEnd{Server: strconv.FormatUint(e.Server, 16), Weight: e.Weight, Answered: e.Answered})
 	}
 	encoded, err := json.Marshal(body)
 	return encoded, errors.Wrap(err, "encode condemned request")
@@ -323,7 +325,7 @@
 		if err != nil {
 			return call.Suspicion{}, false
 		}
-		s.Ends = append(s.Ends, call.End{Server: server, Weight: e.Weight, At: now})
+		s.Ends = append(s.Ends, call.End{Server: server, Weight: e.Weight, At: now, Answered: e.Answered})
 	}
 	return s, len(s.Ends) > 0
 }
