--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -56,19 +56,19 @@
 	deadline       time.Time
 	span           trace.Span
 
-	placement         call.Placement
-	demand            call.Demand
-	backlog           time.Duration // expected wait that the last gate reported
-	attempts          int
-	arrivals          int         // attempts that may have reached a backend server, hedges included
-	answer            *result     // the last result if it succeeded; else nil
-	nested            atomic.Bool // a gate recognized it as a call of the backend server of this instance
-	fingerprint       call.Fingerprint
-	fingerprintHeader [1]string // value of call.HeaderFingerprint
-	suspicion         string    // fingerprint for log lines; empty if the request was not suspected when the call entered
-	onProbation       bool      // the request is suspected of ending backend servers
-	onTrial           bool      // it is condemned, and this call is a trial
-	endedServers      int       // servers that ended while they ran this call
+	placement    call.Placement
+	demand       call.Demand
+	backlog      time.Duration // expected wait that the last gate reported
+	attempts     int
+	arrivals     int         // attempts that may have reached a backend server, hedges included
+	answer       *result     // the last result if it succeeded; else nil
+	nested       atomic.Bool // a gate recognized it as a call of the backend server of this instance
+	fingerprint  call.Fingerprint
+	headerValues []string // that setHeader has set
+	suspicion    string   // fingerprint for log lines; empty if the request was not suspected when the call entered
+	onProbation  bool     // the request is suspected of ending backend servers
+	onTrial      bool     // it is condemned, and this call is a trial
+	endedServers int      // servers that ended while they ran this call
 }
 
 // result is the result of one attempt.
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -270,21 +270,22 @@
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
 	h := x.r.Header
-	h[call.HeaderID] = []string{x.id}
-	h[call.HeaderService] = []string{x.target}
+	x.headerValues = make([]string, 0, maxSetHeaders)
+	x.setHeader(call.HeaderID, x.id)
+	x.setHeader(call.HeaderService, x.target)
 	if service := x.proxy.config.Service; service != "" {
-		h[call.HeaderCaller] = []string{service}
+		x.setHeader(call.HeaderCaller, service)
 	}
 	if x.workspace != nil {
-		h[call.HeaderWorkspace] = []string{x.workspace.Name}
+		x.setHeader(call.HeaderWorkspace, x.workspace.Name)
 	}
 	if x.idempotent {
-		h[call.HeaderRepeat] = []string{call.Yes}
+		x.setHeader(call.HeaderRepeat, call.Yes)
 	} else {
 		call.HideIdempotencyKeys(h)
 	}
 	if body.Empty() {
-		h[call.HeaderEmpty] = []string{call.Yes}
+		x.setHeader(call.HeaderEmpty, call.Yes)
 	}
 	reason := call.Reason("")
 	if x.ctx.Err() != nil {
@@ -303,6 +304,17 @@
 	return reason
 }
 
+// maxSetHeaders is the number of headers that setHeader sets.
+const maxSetHeaders = 7
+
+// setHeader sets a header of all attempts, whose value it keeps in the exchange to save an
+// allocation.
+func (x *exchange) setHeader(name, value string) {
+	x.headerValues = append(x.headerValues, value)
+	n := len(x.headerValues)
+	x.r.Header[name] = x.headerValues[n-1 : n : n]
+}
+
 // announceClose adds Connection: close to an answer that precedes the end of a
 // streamed body: the rest of the body must not be taken for a request.
 func (x *exchange) announceClose() {
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -18,8 +18,7 @@
 // returns the reason if the call is refused.
 func (x *exchange) checkStanding() call.Reason {
 	x.fingerprint = call.FingerprintOf(x.target, x.r.Host, x.r.Method, x.r.RequestURI, x.body.Buffered())
-	x.fingerprintHeader[0] = x.fingerprint.String()
-	x.r.Header[call.HeaderFingerprint] = x.fingerprintHeader[:]
+	x.setHeader(call.HeaderFingerprint, x.fingerprint.String())
 	now := time.Now()
 	standing, trial := x.proxy.config.Suspects.Admit(x.fingerprint, now)
 	if standing == call.Unsuspected {
