Bound the answers that a node beside a server buffers together

Callers would see: large or endless answers of a server that entry nodes leave unread fill the memory of the node beside the server, and the calls of all its other callers end with it. One answer took 1 MB at most, but nothing bounded how many there were: a slot is free again once an answer is buffered whole. Change: 32 MB for all of them; an answer for which there is no room is passed on as it comes, unpaced.

--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -93,6 +93,7 @@
 	metrics  *metrics
 
 	connections atomic.Uint64 // opened to backend servers so far
+	buffered    atomic.Int64  // bytes of answers that are buffered
 	runs        runs
 
 	mu        sync.Mutex // guards the fields below
--- a/mesh/backend/link.go
+++ b/mesh/backend/link.go
@@ -17,16 +17,21 @@
 // bytes. Small answers wait for at most one part, 25 ms on a link of 5 Mbit/s.
 const maxPacedRead = 16 << 10
 
+// maxBufferedAnswers bounds the answers that are buffered at once, in bytes, and so the memory
+// that backend servers that send large answers can take together with entry nodes that don't
+// read them: a sixth of the smallest instances in use.
+const maxBufferedAnswers = 32 << 20
+
 // pace reserves time on the link for a large answer to another node and returns
 // how long the answer waits for it. The answer is buffered whole, so that the
 // backend server is free for the next call meanwhile; so is one of unknown
-// size, to learn its size. Small answers and those above
-// hop.MaxBufferedResponse are not paced. pace returns an error when the answer
+// size, to learn its size. Small answers, those above hop.MaxBufferedResponse and those
+// for which there is no room are not paced. pace returns an error when the answer
 // broke off.
 func (g *Gate) pace(ctx context.Context, resp *http.Response, class string) (time.Duration, error) {
 	sizeUnknown := resp.ContentLength < 0
 	if sizeUnknown { // buffering the answer sets ContentLength
-		if err := hop.BufferResponse(resp, hop.MaxBufferedResponse); err != nil {
+		if _, err := g.buffer(resp); err != nil {
 			return 0, err
 		}
 	}
@@ -45,7 +50,7 @@
 		return 0, nil
 	}
 	if !sizeUnknown {
-		if err := hop.BufferResponse(resp, hop.MaxBufferedResponse); err != nil {
+		if ok, err := g.buffer(resp); !ok {
 			return 0, err
 		}
 	}
@@ -57,6 +62,32 @@
 	return start.Sub(now), nil
 }
 
+// buffer buffers an answer of up to hop.MaxBufferedResponse until it has been passed on. It
+// returns false if there is no room for it or if the answer broke off, with the error.
+func (g *Gate) buffer(resp *http.Response) (ok bool, err error) {
+	held := resp.ContentLength
+	if held < 0 {
+		held = hop.MaxBufferedResponse
+	}
+	if g.buffered.Add(held) > maxBufferedAnswers {
+		g.buffered.Add(-held)
+		return false, nil
+	}
+	if err := hop.BufferResponse(resp, hop.MaxBufferedResponse); err != nil {
+		g.buffered.Add(-held)
+		return false, err
+	}
+	if resp.ContentLength >= 0 {
+		g.buffered.Add(resp.ContentLength - held)
+		held = resp.ContentLength
+	}
+	resp.Body = hop.OnDone(resp.Body, func(err error) error {
+		g.buffered.Add(-held)
+		return err
+	})
+	return true, nil
+}
+
 // pacedBody is a body that is read no faster than its reservation on the link
 // allows.
 type pacedBody struct {
--- a/mesh/backend/link_test.go
+++ b/mesh/backend/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/hop"
 )
 
 // TestTurn checks that large answers are sent one after the other at the rate of
@@ -87,3 +89,45 @@
 		require.InEpsilon(t, before, after, 0.1)
 	})
 }
+
+// endlessReader yields bytes without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestAnswersThatNobodyReadsTakeBoundedMemory guards against a node that buffers the large and endless answers of its
+// server, whose slots are free again, for as many calls as entry nodes leave unread.
+func TestAnswersThatNobodyReadsTakeBoundedMemory(t *testing.T) {
+	const calls = 4 * maxBufferedAnswers / hop.MaxBufferedResponse
+	for name, c := range map[string]struct {
+		length   int64
+		body     func() io.Reader
+		buffered int64 // of all calls, at the most
+	}{
+		"length":  {hop.MaxBufferedResponse, func() io.Reader { return io.LimitReader(endlessReader{}, hop.MaxBufferedResponse) }, maxBufferedAnswers},
+		"chunks":  {-1, func() io.Reader { return io.LimitReader(endlessReader{}, hop.MaxBufferedResponse) }, maxBufferedAnswers},
+		"endless": {-1, func() io.Reader { return endlessReader{} }, maxBufferedAnswers},
+		"small":   {-1, func() io.Reader { return io.LimitReader(endlessReader{}, 100) }, 100 * calls},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewGate(GateConfig{LinkRate: 1e9})
+			defer g.Close()
+			var answers []*http.Response
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range calls {
+				resp := &http.Response{Body: io.NopCloser(c.body()), ContentLength: c.length}
+				_, err := g.pace(t.Context(), resp, "class")
+				require.NoError(t, err)
+				answers = append(answers, resp)
+			}
+			runtime.ReadMemStats(&after)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(5*maxBufferedAnswers), "garbage of growing buffers included")
+			require.LessOrEqual(t, g.buffered.Load(), c.buffered)
+			for _, resp := range answers {
+				require.NoError(t, resp.Body.Close())
+			}
+			require.Zero(t, g.buffered.Load())
+		})
+	}
+}
--- a/mesh/backendtest/endless.go
+++ b/mesh/backendtest/endless.go
@@ -64,14 +64,19 @@
 			break
 		}
 	}
+	WriteEndlessly(conn, begin, repeat)
+}
+
+// WriteEndlessly writes a beginning, and then a text again and again until the connection
+// fails. With an empty text it waits for that.
+func WriteEndlessly(conn net.Conn, begin, text string) {
 	if _, err := io.WriteString(conn, begin); err != nil {
 		return
 	}
-	repeatEndlessly(conn, repeat)
-}
-
-// repeatEndlessly writes a text again and again until the connection fails.
-func repeatEndlessly(conn net.Conn, text string) {
+	if text == "" {
+		_, _ = io.Copy(io.Discard, conn)
+		return
+	}
 	for block := bytes.Repeat([]byte(text), 1+(16<<10)/len(text)); ; {
 		if _, err := conn.Write(block); err != nil {
 			return
@@ -97,10 +102,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(sendTimeout))
-	if _, err := io.WriteString(conn, begin); err != nil {
-		return
-	}
-	repeatEndlessly(conn, repeat)
+	WriteEndlessly(conn, begin, repeat)
 }
 
 // sendTimeout bounds the time for which SendEndlessly sends.
