Count each server that ends under an attempt of a hedged call

Callers would see: a hedged call whose two attempts ended their servers is sent to a third one, and what runs there is lost with it. Cause: the limit of ended servers counted results of the loop of attempts, and a race has one for two attempts. Evidence: TestCallWhoseServersEndInMidAnswerIsRepeatedOnceAtMost, case "hedged, bystander", on: 3 attempts, 2 wanted. Change: each end that an attempt reports is counted. Result: the test passes, with answers cut by the own server and by another one, within the buffer and beyond it.

--- a/mesh/caller/exchange.go
+++ b/mesh/caller/exchange.go
@@ -64,11 +64,11 @@
 	answer       *result     // the last result if it succeeded; else nil
 	nested       atomic.Bool // a gate recognized it as a call of the backend server of this instance
 	fingerprint  call.Fingerprint
-	headerValues []string // that setHeader has set
-	suspicion    string   // fingerprint for log lines; empty if the request was not suspected when the call entered
-	onProbation  bool     // the request is suspected of ending backend servers
-	onTrial      bool     // it is condemned, and this call is a trial
-	endedServers int      // servers that ended while they ran this call
+	headerValues []string     // that setHeader has set
+	suspicion    string       // fingerprint for log lines; empty if the request was not suspected when the call entered
+	onProbation  bool         // the request is suspected of ending backend servers
+	onTrial      bool         // it is condemned, and this call is a trial
+	endedServers atomic.Int32 // servers that ended while they ran this call, in attempts of a race too
 }
 
 // result is the result of one attempt.
--- a/mesh/caller/suspect.go
+++ b/mesh/caller/suspect.go
@@ -46,6 +46,7 @@
 // recordEnd records what a gate reports of the end of its backend server while it ran the
 // call.
 func (x *exchange) recordEnd(end call.End) {
+	x.endedServers.Add(1)
 	before := x.standing()
 	standing := x.proxy.config.Suspects.RecordEnd(x.fingerprint, end)
 	x.proxy.config.Sinks.Log.Info(telemetry.RequestSuspected, "call", x.id, "request", x.fingerprint.String(),
@@ -77,13 +78,11 @@
 // met a server.
 func (x *exchange) mayRunElsewhere(last call.Verdict) bool {
 	switch last.Reason() {
-	case call.ReasonEnded:
-		x.endedServers++
 	case call.ReasonNoServer, call.ReasonVersion, call.ReasonLeaving, call.ReasonDial, call.ReasonRefused:
 		return true
 	}
 	if x.onProbation {
 		return false
 	}
-	return x.endedServers < maxEndedServers && (x.arrivals == 0 || x.standing() == call.Unsuspected)
+	return x.endedServers.Load() < maxEndedServers && (x.arrivals == 0 || x.standing() == call.Unsuspected)
 }
