--- a/mesh/backend/ended_test.go
+++ b/mesh/backend/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -143,8 +144,7 @@
 	s.all.Range(func(conn, _ any) bool { _ = conn.(net.Conn).Close(); return true })
 }
 
-// TestServerThatEndsInMidAnswerIsHeldAgainstItsRequests guards against forgetting a run when the header of its answer
-// has come: its request is never found out, and another one that shared the server is blamed alone.
+// TestServerThatEndsInMidAnswerIsHeldAgainstItsRequests guards against forgetting a run when the header of its answer has come.
 func TestServerThatEndsInMidAnswerIsHeldAgainstItsRequests(t *testing.T) {
 	now := time.Now()
 	deadly, other := call.Fingerprint{1}, call.Fingerprint{2}
@@ -210,8 +210,7 @@
 	}
 }
 
-// TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer guards against a request that is never found out, since its callers
-// leave before the server ends under it.
+// TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer guards against forgetting a run when its caller has left.
 func TestRunWhoseCallerLeftIsHeldToTheEndOfItsServer(t *testing.T) {
 	for name, c := range map[string]struct {
 		ends     bool // the server ends after the caller has left
@@ -258,8 +257,7 @@
 	}
 }
 
-// TestServerThatIsBackAtOnceIsHeldAgainstItsRequests guards against a request under which servers end that accept
-// connections again before the gate looks.
+// TestServerThatIsBackAtOnceIsHeldAgainstItsRequests guards against taking an end for a cut connection.
 func TestServerThatIsBackAtOnceIsHeldAgainstItsRequests(t *testing.T) {
 	for name, c := range map[string]struct {
 		leaves   bool // the server has said so
@@ -297,8 +295,7 @@
 	}
 }
 
-// TestServerThatEndsOnItsLastByteIsHeldAgainstItsRequests guards against a request that is never found out, since its
-// answer has come whole when the server ends.
+// TestServerThatEndsOnItsLastByteIsHeldAgainstItsRequests guards against forgetting a run when its whole answer has come.
 func TestServerThatEndsOnItsLastByteIsHeldAgainstItsRequests(t *testing.T) {
 	const length, chunks = "Content-Length: 5\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n"
 	for name, c := range map[string]struct {
@@ -348,3 +345,61 @@
 		})
 	}
 }
+
+// TestAnswersThatBreakOffOtherwiseAreHeldAgainstNobody guards against taking cut connections and planned stops for ends.
+func TestAnswersThatBreakOffOtherwiseAreHeldAgainstNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves bool // the server has said so, and ends
+		unread bool // the answer is left unread while another call finds that the server has ended
+		known  call.Standing
+	}{
+		"connection is cut":                {},
+		"planned stop":                     {leaves: true},
+		"unread, server ended after all":   {unread: true, known: call.Suspected},
+		"unread, server ended, was to end": {unread: true, leaves: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, suspects, server := call.Fingerprint{1}, call.NewSuspects(time.Now()), newRawServer(t)
+			gate := backend.NewGate(backend.GateConfig{Policy: func(string) record.Policy { return record.Policy{} }, Suspects: suspects})
+			defer gate.Close()
+			target := backend.Target{Service: "quotes", Server: "a", Epoch: 1, Address: server.Addr().String(), Slots: 10}
+			gate.SetTarget(&target)
+			send := func(f call.Fingerprint) *http.Response {
+				req := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+				req.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderFingerprint: {f.String()}}
+				resp, err := gate.RoundTrip(req)
+				require.NoError(t, err)
+				return resp
+			}
+			answering := make(chan net.Conn, 1)
+			go func() {
+				conn := <-server.conns
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345")
+				answering <- conn
+			}()
+			resp := send(request)
+			defer resp.Body.Close()
+			conn := <-answering
+			if c.leaves {
+				leaving := target
+				leaving.Leaving = true
+				gate.SetTarget(&leaving)
+			}
+			if c.leaves || c.unread {
+				server.end()
+			} else {
+				require.NoError(t, conn.Close())
+			}
+			if c.unread {
+				require.NoError(t, send(call.Fingerprint{2}).Body.Close())
+			} else {
+				_, err := io.Copy(io.Discard, resp.Body)
+				var ended *hop.EndedError
+				require.Error(t, err)
+				require.False(t, errors.As(err, &ended))
+			}
+			require.Equal(t, c.known, suspects.Standing(request, time.Now()))
+			require.Equal(t, call.Unsuspected, suspects.Standing(call.Fingerprint{2}, time.Now()))
+		})
+	}
+}
--- a/mesh/backend/link_test.go
+++ b/mesh/backend/link_test.go
@@ -95,8 +95,7 @@
 
 func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
 
-// TestAnswersThatNobodyReadsTakeBoundedMemory guards against a node that buffers the large and endless answers of its
-// server, whose slots are free again, for as many calls as entry nodes leave unread.
+// TestAnswersThatNobodyReadsTakeBoundedMemory guards against buffering answers without bound for entry nodes that leave them unread.
 func TestAnswersThatNobodyReadsTakeBoundedMemory(t *testing.T) {
 	const calls = 4 * maxBufferedAnswers / hop.MaxBufferedResponse
 	for name, c := range map[string]struct {
--- a/mesh/call/suspects_test.go
+++ b/mesh/call/suspects_test.go
@@ -250,8 +250,7 @@
 	})
 }
 
-// TestRequestThatEndsServersOnItsLastByteIsCondemned guards against clearing a request by answers whose servers end
-// just after them, in whichever order its answers and ends are heard of.
+// TestRequestThatEndsServersOnItsLastByteIsCondemned guards against clearing a request by answers that their servers don't survive.
 func TestRequestThatEndsServersOnItsLastByteIsCondemned(t *testing.T) {
 	for name, answerFirst := range map[string]bool{"answer first": true, "end first": false} {
 		t.Run(name, func(t *testing.T) {
@@ -286,8 +285,7 @@
 	}
 }
 
-// TestFrequentRequestIsNotCondemnedByEndsAfterItsAnswers guards against refusing a request that was answered just before
-// many servers ended at once.
+// TestFrequentRequestIsNotCondemnedByEndsAfterItsAnswers guards against refusing a request that was answered just before many ends.
 func TestFrequentRequestIsNotCondemnedByEndsAfterItsAnswers(t *testing.T) {
 	now, f := time.Now(), printOf(1)
 	s := NewSuspects(now)
--- a/mesh/hop/ended_test.go
+++ b/mesh/hop/ended_test.go
@@ -30,8 +30,7 @@
 
 func (*failingBody) Close() error { return nil }
 
-// TestEndOfServerReachesEntry guards against an entry node that takes an answer for complete, or does not hear of the
-// end of the backend server, when the server ends in the middle of the answer.
+// TestEndOfServerReachesEntry guards against an entry node that takes an answer for complete although its server has ended.
 func TestEndOfServerReachesEntry(t *testing.T) {
 	end := call.End{Server: 7, Weight: call.WeightAlone}
 	for name, c := range map[string]struct {
