--- /dev/null
+++ b/review/stand2/link.go
@@ -0,0 +1,77 @@
+package main
+
+// This file is a proxy between a machine and the store that carries no more bytes a second than
+// the link of the machine.
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// link is the link of one machine.
+type link struct {
+	bytesPerS float64
+	mu        sync.Mutex
+	freeAt    [2]time.Time // by direction, when the bytes taken so far have passed
+}
+
+// serve forwards the connections that come to an address.
+func (l *link) serve(address, to string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			go l.copy(out, in, 0)
+			go l.copy(in, out, 1)
+		}
+	}()
+	return nil
+}
+
+// copy forwards one direction of a connection, in pieces that each take their time on the link.
+func (l *link) copy(to, from net.Conn, direction int) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			l.wait(n, direction)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				time.Sleep(time.Millisecond)
+			}
+			return
+		}
+	}
+}
+
+// wait waits until n more bytes have passed the link.
+func (l *link) wait(n, direction int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.freeAt[direction].Before(now) {
+		l.freeAt[direction] = now
+	}
+	l.freeAt[direction] = l.freeAt[direction].Add(time.Duration(float64(n) / l.bytesPerS * float64(time.Second)))
+	until := l.freeAt[direction]
+	l.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
