--- a/review/stand2/chaos.go
+++ b/review/stand2/chaos.go
@@ -67,7 +67,12 @@
 						q.method, q.path, q.body, q.chunked = http.MethodGet, strings.Replace(q.path, "/book/", "/read/", 1), nil, false
 					}
 					if rand.IntN(20) == 0 { // leaves
-						time.AfterFunc(time.Duration(rand.IntN(100))*time.Millisecond, func() { q := c.conn; if q != nil { _ = q.Close() } })
+						time.AfterFunc(time.Duration(rand.IntN(100))*time.Millisecond, func() {
+							q := c.conn
+							if q != nil {
+								_ = q.Close()
+							}
+						})
 					}
 					a := c.send(q)
 					if a.err == nil {
--- a/review/stand2/deadly.go
+++ b/review/stand2/deadly.go
@@ -4,11 +4,10 @@
 // machine.
 
 import (
-	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +63,7 @@
 					} else {
 						other.Add(1)
 					}
-					time.Sleep(300 * time.Millisecond)
+					time.Sleep(time.Duration(rand.IntN(2*envInt("PAUSE", 150))) * time.Millisecond)
 				}
 			})
 		}
@@ -82,10 +81,7 @@
 		time.Sleep(1200 * time.Millisecond)
 	}
 	wg.Wait()
-	runs, crashes, late, err := s.deadlyRuns(ids)
-	if err != nil {
-		return false, err
-	}
+	runs, crashes, late := s.deadlyRuns(ids)
 	r.say("deadly request: sent %d times by its consumer, %d runs, %d servers ended by it, %d runs later than 3 s after the third end", sent, runs, crashes, late)
 	r.say("ordinary requests: %d good, %d others", good.Load(), other.Load())
 	return late > 3, nil
@@ -93,25 +89,16 @@
 
 // deadlyRuns counts, by the ledgers of the servers, the runs of the requests with the given
 // IDs, the ends, and the runs later than the stability window after the third end.
-func (s *site) deadlyRuns(ids []string) (runs, crashes, late int, err error) {
+func (s *site) deadlyRuns(ids []string) (runs, crashes, late int) {
 	wanted := map[string]bool{}
 	for _, id := range ids {
 		wanted[id] = true
 	}
 	var ran, ended []time.Time
 	for _, m := range s.machines {
-		file, err := os.Open(m.ledger)
-		if err != nil {
-			return 0, 0, 0, err
-		}
-		lines := bufio.NewScanner(file)
-		for lines.Scan() {
-			fields := strings.Fields(lines.Text())
-			if len(fields) < 4 || !wanted[fields[3]] {
-				continue
-			}
-			at, err := time.Parse("15:04:05.000", fields[0])
-			if err != nil {
+		for _, fields := range m.runs() {
+			at, err := time.Parse(clockLayout, fields[0])
+			if err != nil || !wanted[fields[3]] {
 				continue
 			}
 			switch fields[2] {
@@ -121,7 +108,6 @@
 				ended = append(ended, at)
 			}
 		}
-		_ = file.Close()
 	}
 	sortTimes(ended)
 	if len(ended) >= 3 {
@@ -131,5 +117,5 @@
 			}
 		}
 	}
-	return len(ran), len(ended), late, nil
+	return len(ran), len(ended), late
 }
--- a/review/stand2/deadlysplit.go
+++ b/review/stand2/deadlysplit.go
@@ -1,10 +1,11 @@
 package main
 
+// This file plays a deadly request on a route that is split among services.
+
 import (
 	"fmt"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,9 +13,10 @@
 
 func init() { cases["deadlysplit"] = deadlySplit }
 
-// deadlySplit plays a deadly request on a route that is split among services.
+// deadlySplit reports whether the deadly request reached servers more than three times later
+// than the stability window after it had ended the third.
 func deadlySplit(r *recorder, trouble bool) (bool, error) {
-	s, err := newSite(r, "alpha", "beta", "gamma", "alpha", "beta", "gamma", "alpha", "beta", "gamma")
+	s, err := newSite(r, "alpha", "beta", "gamma", "delta", "alpha", "beta", "gamma", "delta", "alpha", "beta", "gamma", "delta")
 	if err != nil {
 		return false, err
 	}
@@ -23,12 +25,9 @@
 	if os.Getenv("KIND") == "safe" {
 		kind, method = "safe", http.MethodGet
 	}
-	gap := 4000
-	if n, err := strconv.Atoi(os.Getenv("GAP")); err == nil {
-		gap = n
-	}
-	services := []string{"alpha", "beta", "gamma"}
-	s.configure(7, services, route{name: "r-book", prefix: "/book/", kind: kind, split: map[string]int{"alpha": 40, "beta": 30, "gamma": 30}, timeoutS: 2.5, attempts: 2, sloS: 0.8, priority: 1})
+	const gap = 4500
+	services := []string{"alpha", "beta", "gamma", "delta"}
+	s.configure(7, services, route{name: "r-book", prefix: "/book/", kind: kind, split: map[string]int{"alpha": 25, "beta": 25, "gamma": 25, "delta": 25}, timeoutS: 2.5, attempts: 2, sloS: 0.8, priority: 1})
 	if trouble {
 		for _, m := range s.machines {
 			m.deadly = deadlyText
@@ -56,7 +55,7 @@
 					} else {
 						other.Add(1)
 					}
-					time.Sleep(100 * time.Millisecond)
+					time.Sleep(200 * time.Millisecond)
 				}
 			})
 		}
@@ -71,13 +70,10 @@
 		a := c.send(request{id: id, method: method, path: "/book/w60/" + deadlyText, timeout: 5 * time.Second})
 		r.note("deadly at %s: %v", m.name, a)
 		c.close()
-		time.Sleep(time.Duration(gap) * time.Millisecond)
+		time.Sleep(gap * time.Millisecond)
 	}
 	wg.Wait()
-	runs, crashes, late, err := s.deadlyRuns(ids)
-	if err != nil {
-		return false, err
-	}
+	runs, crashes, late := s.deadlyRuns(ids)
 	r.say("deadly request: sent %d times by its consumer, %d runs, %d servers ended by it, %d runs later than 3 s after the third end", sent, runs, crashes, late)
 	r.say("ordinary requests: %d good, %d others", good.Load(), other.Load())
 	return late > 3, nil
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	stand2 server ...          a backend server
-//	stand2 case NAME RECORD    a case, whose record is written to a file
+//	stand2 case NAME RECORD    a case or a trial, whose record is written to a file
 //
 // The status is 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 package main
--- a/review/stand2/popular.go
+++ b/review/stand2/popular.go
@@ -1,5 +1,8 @@
 package main
 
+// This file plays backend servers that crash for reasons of their own while a page is asked for
+// by many, always with the same request.
+
 import (
 	"net/http"
 	"os"
@@ -11,6 +14,7 @@
 
 func init() { cases["popular"] = popular }
 
+// envInt returns a number of the environment, or another one.
 func envInt(key string, otherwise int) int {
 	if n, err := strconv.Atoi(os.Getenv(key)); err == nil {
 		return n
@@ -18,69 +22,90 @@
 	return otherwise
 }
 
-// popular plays servers that crash one after the other while all requests are the same.
-func popular(r *recorder, trouble bool) (bool, error) {
-	n := envInt("SERVERS", 6)
-	services := make([]string, n)
-	for i := range services {
-		services[i] = "orders"
+// tally counts what became of requests.
+type tally struct{ sent, served atomic.Int64 }
+
+func (t *tally) add(a answer) {
+	t.sent.Add(1)
+	if a.err == nil && a.status == http.StatusOK {
+		t.served.Add(1)
 	}
-	s, err := newSite(r, services...)
+}
+
+// popular reports whether, in steady state, the requests on a route that was added later are
+// served less than a quarter as often as those on the first route.
+func popular(r *recorder, trouble bool) (bool, error) {
+	s, err := newSite(r, "news", "quotes", "news", "quotes", "news", "news", "news", "news")
 	if err != nil {
 		return false, err
 	}
 	defer s.end()
-	kind, method := "unsafe", http.MethodPost
-	if os.Getenv("KIND") == "safe" {
-		kind, method = "safe", http.MethodGet
-	}
-	s.configure(7, []string{"orders"}, route{name: "r-book", prefix: "/book/", kind: kind, service: "orders", timeoutS: 2.5, attempts: 2, sloS: 0.8, priority: 1})
+	services := []string{"news", "quotes"}
+	first := route{name: "r-quote", prefix: "/quote/", kind: "safe", service: "quotes", timeoutS: 2.5, attempts: 2, sloS: 0.8, priority: 1}
+	added := route{name: "r-news", prefix: "/news/", kind: "safe", service: "news", timeoutS: 2.5, attempts: 2, sloS: 0.8, priority: 1}
+	s.configure(7, services, first)
 	if err := s.startAll(); err != nil {
 		return false, err
 	}
 	for _, m := range s.machines {
 		go s.keepServer(m, 3*time.Second)
 	}
-	var good, other, goodLate, otherLate atomic.Int64
+	s.configure(9, services, first, added)
+	time.Sleep(3 * time.Second)
+	var quotes, news [2]tally // until and from the steady state
+	var steady atomic.Int32
+	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	begun := time.Now()
-	until := begun.Add(40 * time.Second)
+	ask := func(m *machine, path string, fixed bool, tallies *[2]tally, pause time.Duration) {
+		c := &consumer{address: m.ip + ":8141"}
+		defer c.close()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+			}
+			q := request{method: http.MethodGet, path: path, timeout: 4 * time.Second}
+			if !fixed {
+				q.path += newID()
+			}
+			phase := steady.Load()
+			a := c.send(q)
+			r.note("%s at %s: %v", q.path, m.name, a)
+			tallies[phase].add(a)
+		}
+	}
 	for _, m := range s.machines {
-		for range envInt("CLIENTS", 2) {
-			wg.Go(func() {
-				c := &consumer{address: m.ip + ":8141"}
-				defer c.close()
-				for time.Now().Before(until) {
-					a := c.send(request{method: method, path: "/book/w" + strconv.Itoa(envInt("WORK", 60)) + "/new", timeout: 5 * time.Second})
-					r.note("ordinary at %s: %v", m.name, a)
-					late := time.Since(begun) > 25*time.Second
-					switch ok := a.err == nil && a.status == http.StatusOK; {
-					case ok && late:
-						goodLate.Add(1)
-					case ok:
-						good.Add(1)
-					case late:
-						otherLate.Add(1)
-					default:
-						other.Add(1)
-					}
-					time.Sleep(time.Duration(envInt("PAUSE", 300)) * time.Millisecond)
-				}
-			})
+		wg.Go(func() { ask(m, "/quote/w30/", false, &quotes, 200*time.Millisecond) })
+		if m.service == "news" {
+			wg.Go(func() { ask(m, "/news/w180/today", true, &news, time.Millisecond) })
 		}
 	}
 	time.Sleep(5 * time.Second)
 	if trouble {
-		for i := range envInt("KILLS", 2) {
+		crashed := 0
+		for _, m := range s.machines {
+			if m.service != "news" || crashed == envInt("CRASHES", 6) {
+				continue
+			}
+			crashed++
 			s.mu.Lock()
-			p := s.machines[i%n].server
+			p := m.server
 			s.mu.Unlock()
-			r.note("server of %s is killed", s.machines[i%n].name)
+			r.say("the server of %s crashes", m.name)
 			_ = p.cmd.Process.Kill()
-			time.Sleep(time.Duration(envInt("GAP", 1200)) * time.Millisecond)
+			time.Sleep(5 * time.Second) // it is back after 3 s
 		}
 	}
+	time.Sleep(5 * time.Second)
+	r.say("steady state: all servers have been running for %v", 5*time.Second)
+	steady.Store(1)
+	time.Sleep(15 * time.Second)
+	close(stop)
 	wg.Wait()
-	r.say("until 25 s: %d good, %d others; after: %d good, %d others", good.Load(), other.Load(), goodLate.Load(), otherLate.Load())
-	return goodLate.Load() < otherLate.Load()/3, nil
+	for i, when := range []string{"before", "in steady state"} {
+		r.say("%s: first route %d of %d served, added route %d of %d", when, quotes[i].served.Load(), quotes[i].sent.Load(), news[i].served.Load(), news[i].sent.Load())
+	}
+	share := func(t *tally) float64 { return float64(t.served.Load()) / float64(max(1, t.sent.Load())) }
+	return news[1].sent.Load() >= 20 && share(&news[1]) < share(&quotes[1])/4, nil
 }
--- a/review/stand2/probe.go
+++ b/review/stand2/probe.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -60,9 +62,9 @@
 				seen := ""
 				for _, m := range s.machines {
 					f, _ := os.ReadFile(m.ledger)
-					sc := bufio.NewScanner(bytesReader(f))
+					sc := bufio.NewScanner(bytes.NewReader(f))
 					for sc.Scan() {
-						if l := sc.Text(); contains(l, id) && contains(l, " run ") {
+						if l := sc.Text(); strings.Contains(l, id) && strings.Contains(l, " run ") {
 							seen = l
 						}
 					}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -29,7 +29,7 @@
 	slots                               int
 	born                                int64
 	deadly                              string // a body or path that holds this ends the process once its run has begun
-	lossy                               bool // some requests are rejected, and some answers lost
+	lossy                               bool   // some requests are rejected, and some answers lost
 	ledger                              *os.File
 	ledgerMu                            sync.Mutex
 	running                             chan struct{}
@@ -80,7 +80,7 @@
 func (s *backendServer) note(format string, args ...any) {
 	s.ledgerMu.Lock()
 	defer s.ledgerMu.Unlock()
-	fmt.Fprintf(s.ledger, "%s %s %s\n", time.Now().UTC().Format("15:04:05.000"), s.id, fmt.Sprintf(format, args...))
+	fmt.Fprintf(s.ledger, "%s %s %s\n", time.Now().UTC().Format(clockLayout), s.id, fmt.Sprintf(format, args...))
 }
 
 // announce sends heartbeats until the process ends.
@@ -209,7 +209,11 @@
 	}
 	w.Header().Set(name("stamp"), "stamp."+id+"."+strconv.Itoa(length))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(length))
+	if strings.Contains(target, "/chunked") {
+		_ = http.NewResponseController(w).Flush() // the answer has no length
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
 	_, err := w.Write(bytes.Repeat([]byte{'a'}, length))
 	s.note("answered %s 200 %d error=%v", id, length, err)
 }
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -4,13 +4,16 @@
 // backend servers as processes.
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -49,6 +52,7 @@
 	stop     chan struct{}
 	mu       sync.Mutex // guards the processes of machines
 	program  string
+	ending   sync.Once
 }
 
 // recorder writes what was sent, answered and run.
@@ -60,7 +64,7 @@
 func (r *recorder) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%s %s\n", time.Now().UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%s %s\n", time.Now().UTC().Format(clockLayout), fmt.Sprintf(format, args...))
 }
 
 // say writes a line to the record and to the standard output.
@@ -76,11 +80,18 @@
 		return nil, err
 	}
 	s := &site{dir: dir, store: newPlatformStore(), record: record, stop: make(chan struct{}), program: "target/caroblift"}
-	net1, net2 := 16+rand.IntN(200), 1+rand.IntN(250)
-	s.address = fmt.Sprintf("127.%d.%d.250:8142", net1, net2)
-	if err := s.store.serve(s.address); err != nil {
+	net1, net2 := 0, 0
+	for range 5 { // until the address is free
+		net1, net2 = 16+rand.IntN(200), 1+rand.IntN(250)
+		s.address = fmt.Sprintf("127.%d.%d.250:8142", net1, net2)
+		if err = s.store.serve(s.address); err == nil {
+			break
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
+	go s.endOnSignal()
 	template, err := os.ReadFile(filepath.Join(dataDir(), "settings.txt"))
 	if err != nil {
 		return nil, err
@@ -119,6 +130,15 @@
 	return nil
 }
 
+// endOnSignal ends all processes when this one is asked to end, and then this one.
+func (s *site) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	s.end()
+	os.Exit(2)
+}
+
 // start starts a program whose output is appended to a file.
 func start(output string, env []string, program string, args ...string) (*process, error) {
 	out, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -129,13 +149,19 @@
 	p := &process{cmd: exec.Command(program, args...), ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr, p.cmd.Env = out, out, env
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
+	started := make(chan error)
+	go func() { // in a thread that lasts as long as the process, which is ended with its parent thread
+		runtime.LockOSThread()
+		err := p.cmd.Start()
+		started <- err
+		if err == nil {
+			p.err = p.cmd.Wait()
+			close(p.ended)
+		}
+	}()
+	if err := <-started; err != nil {
 		return nil, err
 	}
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.ended)
-	}()
 	return p, nil
 }
 
@@ -176,6 +202,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	select {
+	case <-s.stop:
+		return errors.New("the deployment has ended")
+	default:
+	}
 	m.incarnation++
 	args := []string{
 		"server", "-id", fmt.Sprintf("i-%s-%d", m.name, m.incarnation), "-service", m.service, "-zone", m.zone,
@@ -243,8 +274,10 @@
 	return fmt.Errorf("%s is not ready", m.name)
 }
 
-// end ends all processes and adds the ledgers to the record.
-func (s *site) end() {
+// end ends all processes and adds the ledgers to the record. Only the first call has an effect.
+func (s *site) end() { s.ending.Do(s.endAll) }
+
+func (s *site) endAll() {
 	close(s.stop)
 	s.mu.Lock()
 	for _, m := range s.machines {
@@ -308,15 +341,23 @@
 	})
 }
 
-// free reports whether an address can be listened on.
-func free(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err == nil {
-		_ = l.Close()
+// clockLayout is the form of the times in ledgers and records.
+const clockLayout = "15:04:05.000"
+
+// runs returns the lines of the ledger of the machine's servers, split into fields: the time, the
+// ID of the incarnation, what was done, the ID of the request, and more.
+func (m *machine) runs() [][]string {
+	data, _ := os.ReadFile(m.ledger)
+	var lines [][]string
+	for line := range strings.Lines(string(data)) {
+		if fields := strings.Fields(line); len(fields) > 3 {
+			lines = append(lines, fields)
+		}
 	}
-	return err == nil
+	return lines
 }
 
+// sortTimes sorts times in place.
 func sortTimes(times []time.Time) {
 	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
 }
--- a/review/stand2/slowreaders.go
+++ b/review/stand2/slowreaders.go
@@ -4,9 +4,10 @@
 // ones that read at once.
 
 import (
+	"fmt"
 	"net/http"
 	"os"
-	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,10 +38,7 @@
 	entry := s.machines[0].ip + ":8141"
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	crowd := 150
-	if n, err := strconv.Atoi(os.Getenv("CROWD")); err == nil {
-		crowd = n
-	}
+	crowd := envInt("CROWD", 150)
 	var opened, taken atomic.Int64
 	if trouble {
 		for range crowd {
@@ -48,8 +46,9 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
+	var ids sync.Map // of the requests without an answer on kept connections
 	var lost, good, refused, failed, connErrors atomic.Int64
-	until := time.Now().Add(30 * time.Second)
+	until := time.Now().Add(20 * time.Second)
 	for i := range 6 {
 		wg.Go(func() {
 			c := &consumer{address: entry}
@@ -64,6 +63,7 @@
 				switch {
 				case a.err != nil && a.kept:
 					lost.Add(1)
+					ids.Store(a.id, true)
 				case a.err != nil:
 					connErrors.Add(1)
 				case a.status == http.StatusOK:
@@ -80,22 +80,59 @@
 	time.Sleep(time.Until(until))
 	close(stop)
 	wg.Wait()
+	answered, bookings := s.answered(&ids)
+	r.say("largest memory of the node: %s", s.machines[0].peakMemory())
 	r.say("crowd: %d connections opened, %d bytes taken", opened.Load(), taken.Load())
 	r.say("ordinary: %d good, %d refused with 503, %d other failures, %d without an answer on kept connections, %d on new ones", good.Load(), refused.Load(), failed.Load(), lost.Load(), connErrors.Load())
-	return lost.Load() > 3, nil
+	r.say("of those on kept connections %d were run and answered by their servers, %d of them bookings", answered, bookings)
+	return answered > 3, nil
+}
+
+// answered counts, by the ledgers of the servers, the requests that were answered, and those
+// that were also bookings.
+func (s *site) answered(ids *sync.Map) (answered, bookings int) {
+	booked := map[string]bool{}
+	for _, m := range s.machines {
+		for _, fields := range m.runs() {
+			if _, ok := ids.Load(fields[3]); !ok {
+				continue
+			}
+			switch {
+			case fields[2] == "run" && fields[4] == http.MethodPost:
+				booked[fields[3]] = true
+			case fields[2] == "answered":
+				answered++
+				if booked[fields[3]] {
+					bookings++
+				}
+			}
+		}
+	}
+	return answered, bookings
+}
+
+// peakMemory returns the largest memory that the node has had, as the kernel says it.
+func (m *machine) peakMemory() string {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.node.cmd.Process.Pid))
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			return strings.TrimSpace(rest)
+		}
+	}
+	return "not known"
 }
 
-// readSlowly asks for a large download and takes some KB a second of it, again and again.
-// chunk is what a slow reader takes at most every 250 ms.
-var chunk = chunkSize()
+// large is the end of the path of a large download.
+var large = envText("LARGE", "b900000/y")
 
-func chunkSize() int {
-	if n, err := strconv.Atoi(os.Getenv("CHUNK")); err == nil {
-		return n
+func envText(key, otherwise string) string {
+	if text := os.Getenv(key); text != "" {
+		return text
 	}
-	return 1024
+	return otherwise
 }
 
+// readSlowly asks for a large download and takes 16 KB a second of it, again and again.
 func readSlowly(address string, stop chan struct{}, opened, taken *atomic.Int64) {
 	for {
 		select {
@@ -109,9 +146,9 @@
 			continue
 		}
 		opened.Add(1)
-		q := request{id: newID(), method: http.MethodGet, path: "/pull/w20/b900000/y", timeout: 20 * time.Second}
+		q := request{id: newID(), method: http.MethodGet, path: "/pull/w20/" + large, timeout: 20 * time.Second}
 		_, _ = c.Write(q.bytes())
-		buffer := make([]byte, chunk)
+		buffer := make([]byte, 4096)
 		for {
 			select {
 			case <-stop:
