--- a/review/stand2/link.go
+++ b/review/stand2/link.go
@@ -14,7 +14,8 @@
 type link struct {
 	bytesPerS float64
 	mu        sync.Mutex
-	freeAt    [2]time.Time // by direction, when the bytes taken so far have passed
+	freeAt    [2]time.Time  // by direction, when the bytes taken so far have passed
+	silence   chan struct{} // closed when the connections that are open go silent for good
 }
 
 // serve forwards the connections that come to an address.
@@ -34,20 +35,33 @@
 				_ = in.Close()
 				continue
 			}
-			go l.copy(out, in, 0)
-			go l.copy(in, out, 1)
+			l.mu.Lock()
+			if l.silence == nil {
+				l.silence = make(chan struct{})
+			}
+			silence := l.silence
+			l.mu.Unlock()
+			go l.copy(out, in, 0, silence)
+			go l.copy(in, out, 1, silence)
 		}
 	}()
 	return nil
 }
 
 // copy forwards one direction of a connection, in pieces that each take their time on the link.
-func (l *link) copy(to, from net.Conn, direction int) {
+func (l *link) copy(to, from net.Conn, direction int, silence chan struct{}) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
+		select {
+		case <-silence:
+			_, _ = io.Copy(io.Discard, from) // acknowledged and lost
+			time.Sleep(time.Minute)
+			return
+		default:
+		}
 		if n > 0 {
 			l.wait(n, direction)
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -75,3 +89,13 @@
 	l.mu.Unlock()
 	time.Sleep(time.Until(until))
 }
+
+// goSilent makes the connections that are open now lose all that is sent on them.
+func (l *link) goSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silence != nil {
+		close(l.silence)
+	}
+	l.silence = make(chan struct{})
+}
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -52,6 +52,7 @@
 	stop     chan struct{}
 	mu       sync.Mutex // guards the processes of machines
 	program  string
+	links    []*link // between machines and the store; empty if there are none
 	ending   sync.Once
 }
 
@@ -114,6 +115,7 @@
 	for _, m := range s.machines {
 		address := net.JoinHostPort(m.ip, "8142")
 		l := &link{bytesPerS: mbps * 1e6 / 8}
+		s.links = append(s.links, l)
 		if err := l.serve(address, s.address); err != nil {
 			return err
 		}
