--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -139,7 +139,7 @@
 	rev := s.rev
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	answerJSON(w, http.StatusOK, map[string]any{"items": items, "more": false, name("currentRev"): rev})
+	answerJSON(w, http.StatusOK, map[string]any{"items": items, "more": false, name("storeRevision"): rev})
 }
 
 func (s *platformStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -158,7 +158,7 @@
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			answerJSON(w, http.StatusOK, map[string]any{"events": events, name("currentRev"): rev})
+			answerJSON(w, http.StatusOK, map[string]any{"events": events, name("storeRevision"): rev})
 			return
 		}
 		select {
@@ -166,7 +166,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timer.C:
-			answerJSON(w, http.StatusOK, map[string]any{"events": events, name("currentRev"): rev})
+			answerJSON(w, http.StatusOK, map[string]any{"events": events, name("storeRevision"): rev})
 			return
 		}
 	}
