--- a/review/stand2/deadly.go
+++ b/review/stand2/deadly.go
@@ -15,7 +15,10 @@
 
 func init() {
 	cases["deadlychunked"] = func(r *recorder, trouble bool) (bool, error) {
-		return deadlyBody(r, trouble, os.Getenv("LENGTH") == "")
+		return deadlyBody(r, trouble, os.Getenv("LENGTH") == "", false)
+	}
+	cases["deadlyquery"] = func(r *recorder, trouble bool) (bool, error) {
+		return deadlyBody(r, trouble, false, os.Getenv("QUERY") == "")
 	}
 }
 
@@ -25,10 +28,11 @@
 const stabilityWindow = 3 * time.Second
 
 // deadlyBody plays a booking whose body ends servers, among others at the same path, whose
-// bodies are harmless. All bodies are short, and sent in chunks or with a length. It reports
+// bodies are harmless. All bodies are short, and sent in chunks or with a length. With query the
+// deadly one has another query each time. It reports
 // whether the deadly one reached servers more than three times later than the stability window
 // after it had ended the third.
-func deadlyBody(r *recorder, trouble, chunked bool) (bool, error) {
+func deadlyBody(r *recorder, trouble, chunked, query bool) (bool, error) {
 	s, err := newSite(r, "orders", "orders", "orders", "orders", "orders", "orders")
 	if err != nil {
 		return false, err
@@ -75,7 +79,11 @@
 		c := &consumer{address: m.ip + ":8141"}
 		id := newID()
 		ids = append(ids, id)
-		a := c.send(request{id: id, method: http.MethodPost, path: "/book/w60/new", timeout: 5 * time.Second, body: []byte(deadlyText), chunked: chunked})
+		path := "/book/w60/new"
+		if query {
+			path += fmt.Sprintf("?sent=%d", time.Now().UnixMilli())
+		}
+		a := c.send(request{id: id, method: http.MethodPost, path: path, timeout: 5 * time.Second, body: []byte(deadlyText), chunked: chunked})
 		r.note("deadly at %s: %v", m.name, a)
 		c.close()
 		time.Sleep(1200 * time.Millisecond)
--- a/review/stand2/link.go
+++ b/review/stand2/link.go
@@ -15,6 +15,8 @@
 	bytesPerS float64
 	mu        sync.Mutex
 	freeAt    [2]time.Time  // by direction, when the bytes taken so far have passed
+	delay     time.Duration // of each answer's pieces, while it is set
+	resets    bool          // connections are reset, those that are open as soon as bytes come
 	silence   chan struct{} // closed when the connections that are open go silent for good
 }
 
@@ -30,6 +32,10 @@
 			if err != nil {
 				return
 			}
+			if l.resetting() {
+				reset(in)
+				continue
+			}
 			out, err := net.Dial("tcp", to)
 			if err != nil {
 				_ = in.Close()
@@ -62,6 +68,11 @@
 			return
 		default:
 		}
+		if l.resetting() {
+			reset(to)
+			reset(from)
+			return
+		}
 		if n > 0 {
 			l.wait(n, direction)
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -86,6 +97,9 @@
 	}
 	l.freeAt[direction] = l.freeAt[direction].Add(time.Duration(float64(n) / l.bytesPerS * float64(time.Second)))
 	until := l.freeAt[direction]
+	if direction == 1 {
+		until = until.Add(l.delay)
+	}
 	l.mu.Unlock()
 	time.Sleep(time.Until(until))
 }
@@ -99,3 +113,31 @@
 	}
 	l.silence = make(chan struct{})
 }
+
+// setDelay delays what the store sends from now on.
+func (l *link) setDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// setResets begins or ends to reset connections.
+func (l *link) setResets(resets bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resets = resets
+}
+
+func (l *link) resetting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.resets
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
