--- a/review/stand2/bigconfig.go
+++ b/review/stand2/bigconfig.go
@@ -13,13 +13,14 @@
 
 // Figures of the pages.
 const (
-	linkMbps     = 5    // of the slowest machines
-	idleRoutes   = 1600 // of the configuration at first
-	addedRoutes  = 1640 // by which a configuration grows
+	linkMbps     = 7    // of most machines of cantabria-fuel-grown
+	idleRoutes   = 1120 // of its configuration at first
+	addedFirst   = 1640 // by which it grows, in two steps
+	addedSecond  = 1400
 	recoverAfter = 15 * time.Second
 )
 
-// bigConfig plays a configuration that grows by many routes, after which all nodes are killed at
+// bigConfig plays a configuration that grows by many routes twice, after which all nodes are killed at
 // once and start again. It reports whether less than a quarter of the requests was served that
 // were sent later than recoverS after the machines were back.
 func bigConfig(r *recorder, trouble bool) (bool, error) {
@@ -84,10 +85,22 @@
 	}
 	time.Sleep(8 * time.Second)
 	if trouble {
-		s.configure(9, []string{"orders"}, routes(idleRoutes+addedRoutes)...)
+		s.configure(9, []string{"orders"}, routes(idleRoutes+addedFirst)...)
 		r.say("configuration of %d bytes", s.configBytes())
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(6 * time.Second)
+	if trouble {
+		s.configure(11, []string{"orders"}, routes(idleRoutes+addedFirst+addedSecond)...)
+		r.say("configuration of %d bytes", s.configBytes())
+	}
+	time.Sleep(6 * time.Second)
+	for _, m := range s.machines {
+		a := (&consumer{address: m.ip + ":8141"}).send(request{method: http.MethodGet, path: fmt.Sprintf("/idle%05d/w5", idleRoutes+addedFirst+addedSecond-1), timeout: 3 * time.Second})
+		r.note("newest route at %s: %v", m.name, a)
+		if trouble && a.status != http.StatusOK {
+			return false, fmt.Errorf("%s does not serve the newest route: %v", m.name, a)
+		}
+	}
 	r.say("all nodes are killed")
 	for _, m := range s.machines {
 		m.node.kill()
