Tell a reset from the end of an answer when a write was told of it

Cause: callers of a server that answered a long upload early, without a length, and reset the connection got the part of the answer as a complete one. Such an answer ends with its connection. The kernel reports a pending socket error once: when the write of the upload got ECONNRESET, the read of the answer saw an end of file as after a close in order.

Change: connections of hop.Dialer, which are those to backend servers and to the platform's store, remember that a write was told of a break, and report it to the read that meets the end of file. It waits for a write in progress only if the kernel says that the connection is closed both ways, since the write returns at once then. After a close in order a write gets EPIPE, which leaves the end of file as it is: an answer that a server ends in order stays whole.

--- a/mesh/hop/closed_other.go
+++ b/mesh/hop/closed_other.go
@@ -9,3 +9,6 @@
 // ClosedByPeer returns false: whether the other end has closed a connection is not known
 // before all that it sent has been read.
 func ClosedByPeer(net.Conn) bool { return false }
+
+// broken returns false, since the kernel isn't asked.
+func broken(net.Conn) bool { return false }
--- /dev/null
+++ b/mesh/hop/conn.go
@@ -0,0 +1,81 @@
+package hop
+
+// This file defines the connections on which answers of HTTP/1 are read, whose body may end
+// with the connection.
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// errReset is the error of reading from a connection whose break was reported to a write.
+var errReset = errors.New("connection broke off while it was written to")
+
+// Dialer opens connections on which a read reports io.EOF only if the peer has closed its
+// side of the connection in order.
+type Dialer struct{ net.Dialer }
+
+// DialContext opens a connection. Its errors are those of net.Dialer.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// conn is a connection of a Dialer. The kernel reports the error that breaks a connection
+// once: if a write is told of a reset, reads see an end of file as after a close.
+type conn struct {
+	net.Conn
+	writing sync.Mutex // held by a write
+	reset   bool       // a write was told that the connection broke; guarded by writing
+}
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if breaks(err) {
+		c.reset = true
+	}
+	return n, err
+}
+
+// Read reads from the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && c.wasReset() {
+		err = errReset
+	}
+	return n, err
+}
+
+// wasReset reports whether an end of file stands for a break that a write was told of. A
+// write in progress may be: on a broken connection it returns at once, while one whose peer
+// has closed only its own side may go on for long.
+func (c *conn) wasReset() bool {
+	if !broken(c.Conn) {
+		return false
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.reset
+}
+
+// NetConn returns the connection of the net package.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// breaks reports whether the error of a write says that the connection broke before the peer
+// had closed its side. EPIPE is what the kernel reports after that, or if it has reported
+// the break already.
+func breaks(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
--- a/mesh/hop/dial.go
+++ b/mesh/hop/dial.go
@@ -13,14 +13,14 @@
 // unacknowledged for unackedTimeout (on Linux), or when keep-alive probes get no
 // reply. A peer that is slow but alive acknowledges at once, so it is not
 // affected.
-func NewDialer(unackedTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func NewDialer(unackedTimeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout: max(2*unackedTimeout, time.Second),
 		Control: setUserTimeout(unackedTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		},
-	}
+	}}
 }
 
 // IsDialError reports whether err says that no connection was established. It does
