Take an answer with a status outside 100 to 599 for a broken one

Cause: net/http reads any three characters that are a number as a status, and panics when it is told to write one below 100. A server that answered 000 ended the connection of callers at its own node without an answer, and the stream between two nodes. Readers that compare the status took it for a success: a write to the store that was answered so counted as acknowledged.

An invalid one is an error of the transport, so the call may have run, the server has failed, and nothing that the head states counts. RFC 9110 calls 600 to 999 invalid too; they were passed on. The connection is not closed if the answer has no body: net/http may have given it to another call.

--- a/mesh/backend/forward.go
+++ b/mesh/backend/forward.go
@@ -224,7 +224,7 @@
 }
 
 // send sends a request and classifies the answer or the error.
-func (g *Gate) send(ctx context.Context, transport *http.Transport, out *http.Request) (*http.Response, *callFailure) {
+func (g *Gate) send(ctx context.Context, transport hop.Transport, out *http.Request) (*http.Response, *callFailure) {
 	resp, err := transport.RoundTrip(out)
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close()
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -86,8 +86,8 @@
 // server passes the gate, so its count of calls in progress is exact.
 type Gate struct {
 	config   GateConfig
-	pooled   *http.Transport // keeps idle connections
-	unpooled *http.Transport // opens a connection for each call
+	pooled   hop.Transport // keeps idle connections
+	unpooled hop.Transport // opens a connection for each call
 	target   atomic.Pointer[Target]
 	calls    *hop.CallRegistry
 	metrics  *metrics
@@ -132,12 +132,12 @@
 	}
 	g := &Gate{config: config, calls: hop.NewCallRegistry(), metrics: newMetrics(config.Sinks.Scope), link: call.NewLink(config.LinkRate)}
 	g.admission.SetLink(g.link)
-	g.pooled = &http.Transport{
+	g.pooled = hop.Transport{Transport: &http.Transport{
 		DialContext: g.dialServer(hop.NewDialer(config.SilenceTimeout).DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: maxServerConns, MaxConnsPerHost: maxServerConns, IdleConnTimeout: idleConnTimeout,
 		MaxResponseHeaderBytes: hop.MaxHeaderBytes,
-	}
-	g.unpooled = g.pooled.Clone()
+	}}
+	g.unpooled = hop.Transport{Transport: g.pooled.Clone()}
 	g.unpooled.DisableKeepAlives = true
 	return g
 }
--- a/mesh/node/calls.go
+++ b/mesh/node/calls.go
@@ -6,6 +6,7 @@
 import (
 	"caroblift.dev/mesh/backend"
 	"caroblift.dev/mesh/caller"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/peer"
 	"caroblift.dev/mesh/record"
 )
@@ -20,7 +21,7 @@
 func (n *Node) assembleCalls() {
 	s := n.settings.GetCalls()
 	silent := ms(s.GetSilent())
-	n.hopTransport = peer.NewTransport(silent, &n.callBytes)
+	n.hopTransport = hop.Transport{Transport: peer.NewTransport(silent, &n.callBytes)}
 	n.hopTransport.HTTP2.MaxReceiveBufferPerStream = maxStreamBuffer
 	n.hopTransport.HTTP2.SendPingTimeout = silent / 2 // detects a lost connection after 1.5 times calls.silent
 	gate := backend.GateConfig{
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -28,6 +28,7 @@
 	"caroblift.dev/mesh/call"
 	"caroblift.dev/mesh/caller"
 	"caroblift.dev/mesh/connlimit"
+	"caroblift.dev/mesh/hop"
 	"caroblift.dev/mesh/operator"
 	"caroblift.dev/mesh/peer"
 	"caroblift.dev/mesh/quota"
@@ -68,7 +69,7 @@
 	pool           *peer.Pool
 	inboundBytes   peer.ByteCounter // control bytes of accepted connections
 	callBytes      peer.ByteCounter // bytes of calls to and from other nodes
-	hopTransport   *http.Transport
+	hopTransport   hop.Transport
 	announcer      *backend.Announcer
 	operator       *operator.Service
 	servers        []*http.Server
--- a/mesh/store/client.go
+++ b/mesh/store/client.go
@@ -55,7 +55,7 @@
 	config.Sinks = config.Sinks.WithDefaults()
 	dialer := &net.Dialer{Timeout: config.Timeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: hop.MaxHeaderBytes}
-	c := &Client{config: config, http: &http.Client{Transport: transport}, calls: map[string]*atomic.Uint64{}}
+	c := &Client{config: config, http: &http.Client{Transport: hop.Transport{Transport: transport}}, calls: map[string]*atomic.Uint64{}}
 	for _, kind := range callKinds {
 		c.calls[kind] = new(atomic.Uint64)
 	}
