Look at the error of a write only if there is one

Cause: errors.As makes its target escape, so that each write on a connection of hop.Dialer allocated. Change: the error is looked at only if a write has failed.

--- a/mesh/hop/conn.go
+++ b/mesh/hop/conn.go
@@ -42,7 +42,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if breaks(err) {
+	if err != nil && breaks(err) {
 		c.reset = true
 	}
 	return n, err
