Take an answer with an invalid field name for a broken one

Cause: net/http reads a header field whose name holds a blank, and leaves it out when it writes a header. Callers got such answers as they were, without the field; where the name was that of a length or an encoding, with a body other than the one that the server had framed. Trailers lost fields in the same way.

Change: hop.Transport refuses a head in which the name of a field, or of a listed trailer, is no token. The gate checks the trailer at the end of the body, and an invalid one is a broken end. Such an answer is no evidence for anything.

Control bytes and other separators were refused before.

--- a/mesh/backend/admitted.go
+++ b/mesh/backend/admitted.go
@@ -124,11 +124,17 @@
 	return resp
 }
 
-// endAnswer ends the call's run when the answer has come whole, which err says by io.EOF,
-// has broken off, or was closed early, for which err is nil. It returns the error that the
+// endAnswer ends the call's run when the answer has come to its end, which err says by io.EOF,
+// has broken off, or was closed early, for which err is nil. An answer whose trailer is not
+// valid has broken off. It returns the error that the
 // reader of the answer gets.
 func (c *admittedCall) endAnswer(resp *http.Response, err error) error {
 	g, ended := c.gate, c.ctx.Err() != nil
+	if err == io.EOF {
+		if invalid := hop.CheckTrailer(resp); invalid != nil {
+			err = invalid
+		}
+	}
 	call.StripMeshHeaders(resp.Trailer)
 	switch err {
 	case io.EOF:
--- a/mesh/backend/oddhead_test.go
+++ b/mesh/backend/oddhead_test.go
@@ -1,6 +1,8 @@
 package backend_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -39,24 +41,35 @@
 	return gate
 }
 
-// reasonOf sends a call through a gate, and returns the reason and Caroblift-Ran of its answer.
-func reasonOf(gate *backend.Gate, path string) (reason call.Reason, ran string) {
+// oddAnswer is what a gate makes of an answer.
+type oddAnswer struct {
+	reason call.Reason // ReasonBroken also if the answer breaks off after its head
+	ran    string
+	header http.Header
+	body   string
+}
+
+// sendCall sends a call through a gate and reads its answer.
+func sendCall(gate *backend.Gate, path string) oddAnswer {
 	r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 	r.Header = http.Header{call.HeaderID: {"id"}, call.HeaderService: {"quotes"}, call.HeaderDeadline: {"5000"}}
 	resp, _ := gate.RoundTrip(r)
-	_ = resp.Body.Close()
-	return call.Reason(resp.Header.Get(call.HeaderReason)), resp.Header.Get(call.HeaderRan)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return oddAnswer{reason: call.ReasonBroken, ran: call.OutcomeUnknown.String()}
+	}
+	return oddAnswer{call.Reason(resp.Header.Get(call.HeaderReason)), resp.Header.Get(call.HeaderRan), resp.Header, string(body)}
 }
 
 // requireBroken requires that an answer counts as broken off, and that its call ends.
-func requireBroken(t *testing.T, answer string) {
-	gate := oddServer(t, answer, 1)
-	reason, ran := reasonOf(gate, "/odd")
-	require.Equal(t, call.ReasonBroken, reason)
-	require.Equal(t, call.OutcomeUnknown.String(), ran)
+func requireBroken(t *testing.T, odd string) {
+	gate := oddServer(t, odd, 1)
+	answer := sendCall(gate, "/odd")
+	require.Equal(t, call.ReasonBroken, answer.reason)
+	require.Equal(t, call.OutcomeUnknown.String(), answer.ran)
 	require.Eventually(t, func() bool { return gate.InFlight() == 0 }, time.Second, time.Millisecond)
-	reason, _ = reasonOf(gate, "/good")
-	require.Empty(t, reason)
+	require.Empty(t, sendCall(gate, "/good").reason)
 }
 
 // TestOddStatusIsNoAnswer guards against passing on an answer whose status no caller could be sent.
@@ -70,21 +83,63 @@
 	}
 }
 
+// TestOddNameIsNoAnswer guards against passing on an answer with a header field that no caller could be sent, or a body of another length than it says.
+func TestOddNameIsNoAnswer(t *testing.T) {
+	for name, line := range backendtest.OddLines {
+		for endName, end := range answerEnds {
+			for _, status := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 404 Odd", "HTTP/1.1 500 Odd", "HTTP/2.0 200 OK"} {
+				for _, before := range []string{"", "Server: x\r\n"} {
+					t.Run(fmt.Sprintf("%s/%s/%s/%d", name, endName, status, len(before)), func(t *testing.T) {
+						t.Parallel()
+						requireBroken(t, status+"\r\n"+before+line+end)
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestOddTrailerIsNoAnswer guards against passing on an answer without a part of its trailer.
+func TestOddTrailerIsNoAnswer(t *testing.T) {
+	const head, body = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "\r\n4\r\nbody\r\n0\r\n"
+	answers := map[string]string{"declared": head + "Trailer: Odd Name\r\n" + body + "\r\n"}
+	for name, line := range backendtest.OddLines {
+		answers[name] = head + body + "Sum: 1\r\n" + line + "\r\n"
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) { requireBroken(t, answer) })
+	}
+}
+
+// TestOddInterimAnswerIsDropped checks that nothing of an interim answer reaches the caller.
+func TestOddInterimAnswerIsDropped(t *testing.T) {
+	for name, line := range backendtest.OddLines {
+		t.Run(name, func(t *testing.T) {
+			gate := oddServer(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", 1)
+			answer := sendCall(gate, "/odd")
+			if answer.reason == "" {
+				require.Equal(t, "good", answer.body)
+				require.NotContains(t, answer.header, "Odd")
+			}
+		})
+	}
+}
+
 // TestOddHeadEndsNoOtherCall guards against closing the connection of an answer without a body under the call that got it next.
 func TestOddHeadEndsNoOtherCall(t *testing.T) {
 	const concurrent = 16
-	gate := oddServer(t, "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", 2*concurrent)
+	gate := oddServer(t, "HTTP/1.1 600 Odd\r\nOdd Name: 1\r\nContent-Length: 0\r\n\r\n", 2*concurrent)
 	var all sync.WaitGroup
 	for range concurrent {
 		all.Go(func() {
 			for range 50 {
-				reasonOf(gate, "/odd")
+				sendCall(gate, "/odd")
 			}
 		})
 		all.Go(func() {
 			for range 50 {
-				if reason, _ := reasonOf(gate, "/good"); reason != "" {
-					t.Error("a good call failed: ", reason)
+				if answer := sendCall(gate, "/good"); answer.reason != "" {
+					t.Error("a good call failed: ", answer.reason)
 				}
 			}
 		})
--- a/mesh/backendtest/raw.go
+++ b/mesh/backendtest/raw.go
@@ -51,3 +51,22 @@
 
 // OddStatuses are statuses that no answer may have.
 var OddStatuses = []string{"000", "001", "042", "099", "+99", "600", "999"}
+
+// OddLines are header lines whose name is no token.
+var OddLines = map[string]string{
+	"blank within":             "Odd Name: 1\r\n",
+	"blank before the colon":   "Odd : 1\r\n",
+	"blanks":                   "O d d  : 1\r\n",
+	"blank in a length":        "Content -Length: 2\r\n",
+	"blank after a length":     "Content-Length : 2\r\n",
+	"blank after an encoding":  "Transfer-Encoding : chunked\r\n",
+	"blank after a connection": "Connection : close\r\n",
+	"tab":                      "Odd\t: 1\r\n",
+	"control byte":             "O\x01dd: 1\r\n",
+	"NUL":                      "O\x00dd: 1\r\n",
+	"DEL":                      "O\x7fdd: 1\r\n",
+	"carriage return":          "O\rdd: 1\r\n",
+	"separator":                "O(d)d: 1\r\n",
+	"byte beyond ASCII":        "O\xffdd: 1\r\n",
+	"none":                     ": 1\r\n",
+}
--- a/mesh/caller/oddhead_test.go
+++ b/mesh/caller/oddhead_test.go
@@ -61,6 +61,7 @@
 							}()
 							<-arrived
 						}
+						defer close(release)
 						resp, err := get("/odd")
 						require.NoError(t, err)
 						require.NoError(t, resp.Body.Close())
@@ -71,8 +72,8 @@
 						require.NoError(t, err)
 						require.NoError(t, resp.Body.Close())
 						require.Equal(t, http.StatusOK, resp.StatusCode)
-						close(release)
 						if http2 {
+							release <- struct{}{}
 							require.Equal(t, http.StatusOK, <-slow)
 						}
 					})
@@ -86,3 +87,14 @@
 func TestOddStatusIsBadGateway(t *testing.T) {
 	requireOddAnswer(t, "HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nbody")
 }
+
+// TestOddNameIsBadGateway guards against a success made of an answer with a header field that can't be passed on.
+func TestOddNameIsBadGateway(t *testing.T) {
+	for name, answer := range map[string]string{
+		"field":   "HTTP/1.1 200 OK\r\nOdd Name: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\nbody",
+		"failure": "HTTP/1.1 500 Odd\r\nOdd Name: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { requireOddAnswer(t, answer) })
+	}
+}
--- a/mesh/hop/transport.go
+++ b/mesh/hop/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Transport is an http.Transport for which an answer whose head is not valid is a broken one:
@@ -38,5 +39,23 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Errorf("answer has invalid status %.20q", resp.Status)
 	}
+	if err := checkNames(resp.Header); err != nil {
+		return err
+	}
+	return CheckTrailer(resp)
+}
+
+// CheckTrailer returns an error if the trailer of an answer is not valid. The names are known
+// when the answer's head has been read if the head lists them, and else at the end of the body.
+func CheckTrailer(resp *http.Response) error { return checkNames(resp.Trailer) }
+
+// checkNames returns an error if a name is no token. net/http reads names with blanks, and
+// leaves out such fields when it writes a header.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("answer has invalid field name %.80q", name)
+		}
+	}
 	return nil
 }
--- a/mesh/store/oddhead_test.go
+++ b/mesh/store/oddhead_test.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// TestOddNameAcknowledgesNothing guards against the same with a header field whose name is no token.
+func TestOddNameAcknowledgesNothing(t *testing.T) {
+	for name, line := range backendtest.OddLines {
+		t.Run(name, func(t *testing.T) {
+			requireUnknown(t, "HTTP/1.1 200 OK\r\n"+line+"ETag: \"7\"\r\nContent-Length: 2\r\n\r\n{}")
+		})
+	}
+}
+
 // requireUnknown requires that a response counts as lost.
 func requireUnknown(t *testing.T, response string) {
 	address := backendtest.ServeRaw(t, func(*http.Request) string { return response })
