Read an early answer to its end when the upload fails

Cause: when the write of an upload failed, because the server had answered early and closed the connection, net/http closed the connection with the answer still unread in it. Callers got 502 for an answer that had arrived whole.

Change: a failed write on a connection of hop.Dialer returns once a read has met the end of the connection, or the connection is closed. A broken connection has its end behind the bytes that have arrived, so the reader finds it without a wait.

--- a/mesh/backend/earlyanswer_test.go
+++ b/mesh/backend/earlyanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -92,3 +93,31 @@
 		}
 	}
 }
+
+// TestEarlyAnswerClosedInOrderIsWhole guards against the loss of an answer that a server sent before it had read the request, and ended in order.
+func TestEarlyAnswerClosedInOrderIsWhole(t *testing.T) {
+	ends := map[string]func(*net.TCPConn){
+		"reads on": func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+		},
+	}
+	for _, pause := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		ends["resets after "+pause.String()] = func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(pause)
+		}
+	}
+	for headName, head := range earlyHeads {
+		for bodyName, body := range earlyBodies {
+			for endName, end := range ends {
+				for name, u := range uploads {
+					t.Run(fmt.Sprintf("%s/%s/%s/%s", headName, bodyName, endName, name), func(t *testing.T) {
+						t.Parallel()
+						require.EqualValues(t, uploadCalls, countWhole(t, backendtest.ServeEarly(t, head+body, end), body, u.length, u.pause))
+					})
+				}
+			}
+		}
+	}
+}
--- a/mesh/hop/conn.go
+++ b/mesh/hop/conn.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, ended: make(chan struct{})}, nil
 }
 
 // conn is a connection of a Dialer. The kernel reports the error that breaks a connection
@@ -35,10 +35,23 @@
 	net.Conn
 	writing sync.Mutex // held by a write
 	reset   bool       // a write was told that the connection broke; guarded by writing
+
+	ended   chan struct{} // closed when a read has met the end, or the connection is closed
+	endOnce sync.Once
 }
 
-// Write writes to the connection.
+// Write writes to the connection. A failure is reported once all that the peer sent has been
+// read: net/http closes the connection then, and the peer may have answered before it stopped
+// to read.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil {
+		<-c.ended
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -54,9 +67,20 @@
 	if err == io.EOF && c.wasReset() {
 		err = errReset
 	}
+	if err != nil {
+		c.end()
+	}
 	return n, err
 }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+func (c *conn) end() { c.endOnce.Do(func() { close(c.ended) }) }
+
 // wasReset reports whether an end of file stands for a break that a write was told of. A
 // write in progress may be: on a broken connection it returns at once, while one whose peer
 // has closed only its own side may go on for long.
