--- a/mesh/backend/admitted.go
+++ b/mesh/backend/admitted.go
@@ -126,8 +126,7 @@
 
 // endAnswer ends the call's run when the answer has come to its end, which err says by io.EOF,
 // has broken off, or was closed early, for which err is nil. An answer whose trailer is not
-// valid has broken off. It returns the error that the
-// reader of the answer gets.
+// valid counts as broken off. It returns the error that the reader of the answer gets.
 func (c *admittedCall) endAnswer(resp *http.Response, err error) error {
 	g, ended := c.gate, c.ctx.Err() != nil
 	if err == io.EOF {
--- a/mesh/backendtest/raw.go
+++ b/mesh/backendtest/raw.go
@@ -49,11 +49,11 @@
 	}
 }
 
-// OddStatuses are statuses that no answer may have.
-var OddStatuses = []string{"000", "001", "042", "099", "+99", "600", "999"}
+// InvalidStatuses are statuses that no answer may have.
+var InvalidStatuses = []string{"000", "001", "042", "099", "+99", "600", "999"}
 
-// OddLines are header lines whose name is no token.
-var OddLines = map[string]string{
+// InvalidFields are header lines whose name is no token.
+var InvalidFields = map[string]string{
 	"blank within":             "Odd Name: 1\r\n",
 	"blank before the colon":   "Odd : 1\r\n",
 	"blanks":                   "O d d  : 1\r\n",
