Wait for the reader only when a write finds the connection broken

Cause: a write may also fail on a connection that goes on, for lack of memory. It would have waited for a reader until the call's deadline. Change: only a write that fails on a broken connection waits.

--- a/mesh/backendtest/raw.go
+++ b/mesh/backendtest/raw.go
@@ -1,7 +1,7 @@
 package backendtest
 
-// This file defines a server whose answers are written byte by byte, and answers that are
-// none in HTTP.
+// This file defines a server whose answers are given as bytes, and parts of heads that are
+// not valid in HTTP.
 
 import (
 	"bufio"
@@ -49,7 +49,7 @@
 	}
 }
 
-// InvalidStatuses are statuses that no answer may have.
+// InvalidStatuses are statuses outside 100 to 599.
 var InvalidStatuses = []string{"000", "001", "042", "099", "+99", "600", "999"}
 
 // InvalidFields are header lines whose name is no token.
--- a/mesh/hop/conn.go
+++ b/mesh/hop/conn.go
@@ -17,7 +17,7 @@
 var errReset = errors.New("connection broke off while it was written to")
 
 // Dialer opens connections on which a read reports io.EOF only if the peer has closed its
-// side of the connection in order.
+// side of the connection in order (on Linux; elsewhere a reset may be reported so too).
 type Dialer struct{ net.Dialer }
 
 // DialContext opens a connection. Its errors are those of net.Dialer.
@@ -40,12 +40,12 @@
 	endOnce sync.Once
 }
 
-// Write writes to the connection. A failure is reported once all that the peer sent has been
-// read: net/http closes the connection then, and the peer may have answered before it stopped
-// to read.
+// Write writes to the connection. That the connection is broken is reported once all that the
+// peer sent has been read: net/http closes the connection then, and the peer may have answered
+// before it stopped reading.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
-	if err != nil {
+	if err != nil && broken(c.Conn) {
 		<-c.ended
 	}
 	return n, err
