Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: an answer without a length ends with the connection of a caller that speaks HTTP/1.0. When such an answer broke off while it was passed on, the entry node closed the connection in order, so that the caller got the part as a complete answer.

Change: the connection is reset in this case, whatever broke the answer off.

A whole answer ends in order before and after.

--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -152,7 +152,12 @@
 	defer x.endUpload()
 	defer x.returnBuffer()
 	answered := false
-	defer func() { x.endStream(answered) }()
+	defer func() {
+		if !answered {
+			x.resetAtClose()
+		}
+		x.endStream(answered)
+	}()
 	x.serve()
 	answered = true
 	took := time.Since(start)
--- a/mesh/hop/closed_linux.go
+++ b/mesh/hop/closed_linux.go
@@ -29,13 +29,7 @@
 // poll returns which of the given events have occurred on a connection, with those that
 // poll(2) always reports. The error is net.ErrClosed if this end has closed the connection.
 func poll(c net.Conn, events int16) (occurred int16, err error) {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
+	c = unwrap(c)
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return 0, errors.Errorf("%T is no socket", c)
--- a/mesh/hop/conn.go
+++ b/mesh/hop/conn.go
@@ -1,7 +1,7 @@
 package hop
 
-// This file defines the connections on which answers of HTTP/1 are read, whose body may end
-// with the connection.
+// This file defines how connections end on which a body of HTTP/1 ends with its connection:
+// those on which such answers are read, and those that must not seem to end in order.
 
 import (
 	"context"
@@ -103,3 +103,22 @@
 	var errno syscall.Errno
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
+
+// ResetAtClose makes the close of a TCP connection a reset, so that the peer does not take it
+// for an end in order. c may be a wrapper with a method NetConn.
+func ResetAtClose(c net.Conn) {
+	if tcp, ok := unwrap(c).(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+}
+
+// unwrap returns the connection within wrappers with a method NetConn.
+func unwrap(c net.Conn) net.Conn {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = wrapper.NetConn()
+	}
+}
