--- a/mesh/backendtest/early.go
+++ b/mesh/backendtest/early.go
@@ -14,21 +14,7 @@
 // ServeEarly starts a server on loopback that answers each request as soon as it has read its
 // head, and then closes the connection once end has returned. It returns the server's address.
 func ServeEarly(t testing.TB, answer string, end func(*net.TCPConn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerEarly(conn.(*net.TCPConn), answer, end)
-		}
-	}()
-	return l.Addr().String()
+	return serveConns(t, func(conn net.Conn) { answerEarly(conn.(*net.TCPConn), answer, end) })
 }
 
 func answerEarly(conn *net.TCPConn, answer string, end func(*net.TCPConn)) {
--- a/mesh/backendtest/raw.go
+++ b/mesh/backendtest/raw.go
@@ -15,6 +15,12 @@
 // returns. It keeps the connection, or closes it after an empty answer. It returns the
 // server's address.
 func ServeRaw(t testing.TB, answer func(*http.Request) string) string {
+	return serveConns(t, func(conn net.Conn) { answerRaw(conn, answer) })
+}
+
+// serveConns starts a server on loopback that serves each connection by a function, until the
+// end of the test. It returns the server's address.
+func serveConns(t testing.TB, serve func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -26,7 +32,7 @@
 			if err != nil {
 				return
 			}
-			go answerRaw(conn, answer)
+			go serve(conn)
 		}
 	}()
 	return l.Addr().String()
--- a/mesh/peer/invalidhead_test.go
+++ b/mesh/peer/invalidhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -40,7 +41,7 @@
 func answerFields(conn net.Conn, block []byte) {
 	defer conn.Close()
 	framer := http2.NewFramer(conn, conn)
-	if _, err := conn.Read(make([]byte, len(http2.ClientPreface))); err != nil || framer.WriteSettings() != nil {
+	if _, err := io.ReadFull(conn, make([]byte, len(http2.ClientPreface))); err != nil || framer.WriteSettings() != nil {
 		return
 	}
 	for {
