Tell a reset from the end of a response in the store's client and carobctl

Cause: both read responses on connections of their own dialers, which the fix of early-reset did not reach. A response without a length that was reset while the request was still written counted as whole: a write to the store as acknowledged, a record as applied.

Change: both dial by hop.Dialer.

--- a/carobctl/client.go
+++ b/carobctl/client.go
@@ -21,7 +21,9 @@
 )
 
 // directClient ignores the proxy settings of the environment.
-var directClient = &http.Client{Transport: hop.Transport{Transport: &http.Transport{MaxResponseHeaderBytes: hop.MaxHeaderBytes}}}
+var directClient = &http.Client{Transport: hop.Transport{Transport: &http.Transport{
+	DialContext: new(hop.Dialer).DialContext, MaxResponseHeaderBytes: hop.MaxHeaderBytes,
+}}}
 
 // maxResponseBytes bounds the message of a response. The longest holds all records.
 const maxResponseBytes = 16 << 20
--- a/mesh/store/client.go
+++ b/mesh/store/client.go
@@ -53,7 +53,7 @@
 		config.Timeout = 2 * time.Second
 	}
 	config.Sinks = config.Sinks.WithDefaults()
-	dialer := &net.Dialer{Timeout: config.Timeout}
+	dialer := &hop.Dialer{Dialer: net.Dialer{Timeout: config.Timeout}}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: hop.MaxHeaderBytes}
 	c := &Client{config: config, http: &http.Client{Transport: hop.Transport{Transport: transport}}, calls: map[string]*atomic.Uint64{}}
 	for _, kind := range callKinds {
