Shorten what a newcomer stumbles over in the tests of broken answers

Change: an upload has a function of its own; TestInvalidAnswerOfNode also sends a control message, which Connect and HTTP/2 refused before.

--- a/mesh/caller/earlyanswer_test.go
+++ b/mesh/caller/earlyanswer_test.go
@@ -1,8 +1,8 @@
 package caller_test
 
 import (
-	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -30,27 +30,7 @@
 					var successes atomic.Int64
 					var all sync.WaitGroup
 					for range concurrent {
-						all.Go(func() {
-							for n := range calls / concurrent {
-								req, err := http.NewRequest(http.MethodPut, s.entry.URL+path, backendtest.NewUpload(time.Millisecond))
-								if err != nil {
-									t.Error(err)
-									return
-								}
-								if n%2 == 0 {
-									req.ContentLength = backendtest.UploadLength
-								}
-								resp, err := s.client.Do(req)
-								if err != nil {
-									continue
-								}
-								_, err = new(bytes.Buffer).ReadFrom(resp.Body)
-								_ = resp.Body.Close()
-								if err == nil && resp.StatusCode == http.StatusOK {
-									successes.Add(1)
-								}
-							}
-						})
+						all.Go(func() { successes.Add(s.upload(t, path, calls/concurrent)) })
 					}
 					all.Wait()
 					require.Zero(t, successes.Load(), "of %d answers", calls)
@@ -59,3 +39,28 @@
 		}
 	}
 }
+
+// upload sends long requests, with a length and in chunks by turns, and returns how many
+// were answered by a success that came to its end.
+func (s *stack) upload(t *testing.T, path string, calls int) (successes int64) {
+	for n := range calls {
+		req, err := http.NewRequest(http.MethodPut, s.entry.URL+path, backendtest.NewUpload(time.Millisecond))
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		if n%2 == 0 {
+			req.ContentLength = backendtest.UploadLength
+		}
+		resp, err := s.client.Do(req)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			successes++
+		}
+	}
+	return successes
+}
--- a/mesh/peer/invalidhead_test.go
+++ b/mesh/peer/invalidhead_test.go
@@ -8,11 +8,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
 	"caroblift.dev/mesh/hop"
+	"caroblift.dev/wire"
 )
 
 // serveFields starts a node that answers the first request on each connection by the given
@@ -74,9 +76,14 @@
 		"control in a name": {[]hpack.HeaderField{status("200"), {Name: "o\x01dd", Value: "1"}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			address := serveFields(t, append(c.fields, hpack.HeaderField{Name: "content-type", Value: "application/proto"})...)
+			pool := NewPool(PoolConfig{PingTimeout: time.Second})
+			defer pool.Close()
+			_, err := pool.Client(address).Fetch(t.Context(), connect.NewRequest(&wire.FetchRequest{}))
+			require.Equal(t, c.valid, err == nil, "a control message: %v", err)
 			transport := hop.Transport{Transport: NewTransport(time.Second, new(ByteCounter))}
 			defer transport.CloseIdleConnections()
-			req, err := http.NewRequest(http.MethodGet, "http://"+serveFields(t, c.fields...)+"/", http.NoBody)
+			req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", http.NoBody)
 			require.NoError(t, err)
 			resp, err := transport.RoundTrip(req)
 			if !c.valid {
