--- /dev/null
+++ b/review/stand3/backend.go
@@ -0,0 +1,238 @@
+package main
+
+// This file is a stand-in for a backend, which runs as a process of its own.
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// backendConfig configures a backend; it is passed as JSON.
+type backendConfig struct {
+	ID        string
+	Service   string
+	Zone      string
+	Address   string // IP:port that it listens at
+	Control   string // IP:port of the node's port for heartbeats
+	Slots     int
+	Log       string // file to which its runs are appended, one JSON object a line
+	WorkMS    int    // of one request
+	LoseEvery int    // of the requests that it ran, every so many loses its answer; zero for none
+	Unframed  bool   // its answers have no length and end with their connections
+	BodyBytes int    // of one answer
+	BodyMS    int    // in which an answer is sent, in pieces
+}
+
+// runRecord is one line of a backend's log.
+type runRecord struct {
+	At      int64 // Unix us
+	What    string
+	Backend string
+	Service string
+	ID      string
+	Method  string
+	Target  string
+	Caller  string
+	Body    string // hash of the body
+}
+
+type backend struct {
+	config backendConfig
+	log    *os.File
+	seq    atomic.Int64
+	runs   atomic.Int64
+	born   int64
+	slots  chan struct{}
+}
+
+// runBackend serves until the process ends.
+func runBackend(text string) error {
+	b := &backend{born: time.Now().UnixMilli()}
+	if err := json.Unmarshal([]byte(text), &b.config); err != nil {
+		return err
+	}
+	var err error
+	if b.log, err = os.OpenFile(b.config.Log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err != nil {
+		return err
+	}
+	b.slots = make(chan struct{}, b.config.Slots)
+	l, err := net.Listen("tcp", b.config.Address)
+	if err != nil {
+		return err
+	}
+	go b.beat()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go b.serve(c)
+	}
+}
+
+// beat sends a heartbeat about every 0.87 s.
+func (b *backend) beat() {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		body, _ := json.Marshal(map[string]any{
+			"address": b.config.Address, "born": b.born,
+			"info":   map[string]any{"service": b.config.Service, "version": "v1", "zone": b.config.Zone, "slots": b.config.Slots},
+			"status": map[string]any{"state": "ready", "seq": b.seq.Add(1), name("coldLeft"): 0},
+		})
+		resp, err := client.Post("http://"+b.config.Control+name("heartbeatPath")+b.config.ID, "application/json", bytes.NewReader(body))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+			_ = resp.Body.Close()
+		}
+		time.Sleep(870 * time.Millisecond)
+	}
+}
+
+func (b *backend) record(what string, r *http.Request, body []byte) {
+	sum := sha256.Sum256(body)
+	line, _ := json.Marshal(runRecord{
+		At: time.Now().UnixMicro(), What: what, Backend: b.config.ID, Service: b.config.Service, ID: r.Header.Get(name("requestID")),
+		Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get(name("callerService")), Body: hex.EncodeToString(sum[:8]),
+	})
+	_, _ = b.log.Write(append(line, '\n'))
+}
+
+// serve answers the requests of one connection, one after the other.
+func (b *backend) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if keep := b.answer(c, r, body); !keep {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection is kept.
+func (b *backend) answer(c net.Conn, r *http.Request, body []byte) (keep bool) {
+	id := r.Header.Get(name("requestID"))
+	if r.URL.Path == "/health" {
+		return b.write(c, "200 OK", "", nil, "", false)
+	}
+	if expected := r.Header.Get(name("expectInstance")); expected != "" && expected != b.config.ID {
+		return b.write(c, "421 Misdirected Request", id, nil, "", false)
+	}
+	if id == "" {
+		return b.write(c, "400 Bad Request", id, nil, "", true)
+	}
+	select {
+	case b.slots <- struct{}{}:
+	default:
+		return b.write(c, "503 Service Unavailable", id, nil, "", true)
+	}
+	defer func() { <-b.slots }()
+	b.record("run", r, body)
+	run := b.runs.Add(1)
+	time.Sleep(time.Duration(b.config.WorkMS) * time.Millisecond)
+	if b.config.LoseEvery > 0 && run%int64(b.config.LoseEvery) == 0 {
+		b.record("answer lost", r, body)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the connection is reset
+		}
+		return false
+	}
+	kept := b.write(c, "200 OK", id, answerBody(b.config.ID, id, b.config.BodyBytes), stampOf(b.config.ID, id), false)
+	b.record("answered", r, body)
+	return kept
+}
+
+// stampOf returns the stamp of a backend's answer to a request.
+func stampOf(backend, id string) string {
+	sum := sha256.Sum256([]byte(backend + "/" + id))
+	return hex.EncodeToString(sum[:12])
+}
+
+// answerBody returns the bytes of a backend's answer to a request, of which the receiver can
+// compute what they have to be.
+func answerBody(backend, id string, size int) []byte {
+	line := fmt.Sprintf("%s answers %s.\n", backend, id)
+	return bytes.Repeat([]byte(line), max(1, size/len(line)))
+}
+
+// pieces is the number of pieces in which a body is sent.
+const pieces = 20
+
+// write writes one answer and reports whether the connection is kept.
+func (b *backend) write(c net.Conn, status, id string, body []byte, stamp string, notExecuted bool) (keep bool) {
+	var head strings.Builder
+	unframed := b.config.Unframed && stamp != ""
+	fmt.Fprintf(&head, "HTTP/1.1 %s\r\n%s: %s\r\n", status, name("instanceID"), b.config.ID)
+	if id != "" {
+		fmt.Fprintf(&head, "%s: %s\r\n", name("requestID"), id)
+	}
+	if stamp != "" {
+		fmt.Fprintf(&head, "%s: %s\r\n", name("stamp"), stamp)
+	}
+	if notExecuted {
+		fmt.Fprintf(&head, "%s: 1\r\n", name("notExecuted"))
+	}
+	if unframed {
+		head.WriteString("Connection: close\r\n\r\n")
+	} else {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	}
+	if _, err := io.WriteString(c, head.String()); err != nil {
+		return false
+	}
+	pause, step := time.Duration(b.config.BodyMS)*time.Millisecond/pieces, len(body)/pieces+1
+	for len(body) > 0 {
+		n := min(step, len(body))
+		if _, err := c.Write(body[:n]); err != nil {
+			return false
+		}
+		body = body[n:]
+		if pause > 0 && len(body) > 0 {
+			time.Sleep(pause)
+		}
+	}
+	return !unframed
+}
+
+// runLog reads the log of one or more backends.
+type runLog struct {
+	mu      sync.Mutex
+	records []runRecord
+}
+
+func (l *runLog) read(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range bytes.Lines(data) {
+		var r runRecord
+		if json.Unmarshal(line, &r) == nil {
+			l.records = append(l.records, r)
+		}
+	}
+	return nil
+}
