--- /dev/null
+++ b/review/stand3/weights.go
@@ -0,0 +1,96 @@
+package main
+
+// This file is the case of a configuration whose weights are fractions.
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+func init() { cases["13"] = fractionWeights }
+
+const (
+	weightsHost    = "treads.example"
+	weightsSettle  = 3 * time.Second // configS is 2 s
+	weightsPerPart = 60              // requests before and after the change
+	weightsSpacing = 25 * time.Millisecond
+)
+
+// fractionWeights changes a route from one service to a split between two others, whose weights
+// are fractions.
+func fractionWeights(t *trial) (string, error) {
+	services := []string{"uplift-old", "uplift-a", "uplift-b"}
+	for n := range 6 {
+		if _, err := t.addMachine(backendConfig{Service: services[n%3], Slots: 6, WorkMS: 20, BodyBytes: 400}); err != nil {
+			return "", err
+		}
+	}
+	t.operatorWrites(configuration("r7", services, []route{
+		{name: "r-tread", host: weightsHost, prefix: "/tread/", kind: "safe", service: "uplift-old", timeoutS: 2.5, attempts: 2},
+	}))
+	if err := t.startAll(); err != nil {
+		return "", err
+	}
+	if err := t.sendTreads(); err != nil {
+		return "", err
+	}
+	weights := []any{75, 25}
+	if t.trouble {
+		weights = []any{0.75, 0.25}
+	}
+	t.record.add("weights of r9: %v", weights)
+	t.operatorWrites(configuration("r9", services, []route{
+		{name: "r-tread", host: weightsHost, prefix: "/tread/", kind: "safe", timeoutS: 2.5, attempts: 2, split: []map[string]any{
+			{"service": "uplift-a", "weight": weights[0]}, {"service": "uplift-b", "weight": weights[1]},
+		}},
+	}))
+	time.Sleep(weightsSettle)
+	changed := time.Now()
+	if err := t.sendTreads(); err != nil {
+		return "", err
+	}
+	runs, err := t.runs()
+	if err != nil {
+		return "", err
+	}
+	before, old, next := 0, 0, 0
+	for _, r := range runs {
+		t.record.add("%s %s: %s %s %s", r.Service, r.What, r.ID, r.Method, r.Target)
+		switch {
+		case r.What != "run":
+		case r.At < changed.UnixMicro():
+			before++
+		case r.Service == "uplift-old":
+			old++
+		default:
+			next++
+		}
+	}
+	t.record.add("%d runs before the change; %d runs by the old service and %d by the new ones of requests sent %s or more after its confirmation", before, old, next, weightsSettle)
+	if before < weightsPerPart/2 || old+next < weightsPerPart/2 {
+		return "", fmt.Errorf("too few requests ran")
+	}
+	if old > 0 {
+		return fmt.Sprintf("%d requests sent later than configS after the confirmation of r9 were run by the service of r7", old), nil
+	}
+	return "", nil
+}
+
+func (t *trial) sendTreads() error {
+	var wg sync.WaitGroup
+	answers := make([]consumerAnswer, weightsPerPart)
+	for n := range weightsPerPart {
+		wg.Go(func() {
+			answers[n] = send(consumerRequest{
+				Machine: t.machines[n%len(t.machines)], Method: "GET", Host: weightsHost, Target: fmt.Sprintf("/tread/%d", n), Budget: 4 * time.Second,
+			})
+		})
+		time.Sleep(weightsSpacing)
+	}
+	wg.Wait()
+	for _, a := range answers {
+		t.record.add("sent %s", a.line())
+	}
+	return nil
+}
