--- a/review/stand3/unframed.go
+++ b/review/stand3/unframed.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["12"] = unframedCrash }
+func init() { cases["13"] = unframedCrash }
 
 const (
 	unframedBackends = 7
--- a/review/stand3/weights.go
+++ b/review/stand3/weights.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["13"] = fractionWeights }
+func init() { cases["14"] = fractionWeights }
 
 const (
 	weightsHost    = "treads.example"
