--- a/review/stand3/consumer.go
+++ b/review/stand3/consumer.go
@@ -32,7 +32,7 @@
 	SentAt  time.Time
 	EndedAt time.Time
 	Kept    bool // it was sent on a connection that had carried an answer
-	Status  int // 0 if there was no answer
+	Status  int  // 0 if there was no answer
 	Stamp   string
 	Body    []byte
 	Whole   bool // the answer was complete by the protocol
