--- a/review/stand3/backend.go
+++ b/review/stand3/backend.go
@@ -13,10 +13,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,7 @@
 	Unframed  bool   // its answers have no length and end with their connections
 	BodyBytes int    // of one answer
 	BodyMS    int    // in which an answer is sent, in pieces
+	LeaveMS   int    // after SIGUSR1 it deregisters, serves on for so long, and exits
 }
 
 // runRecord is one line of a backend's log.
@@ -54,8 +57,9 @@
 	log    *os.File
 	seq    atomic.Int64
 	runs   atomic.Int64
-	born   int64
-	slots  chan struct{}
+	born    int64
+	slots   chan struct{}
+	leaving atomic.Bool
 }
 
 // runBackend serves until the process ends.
@@ -74,6 +78,7 @@
 		return err
 	}
 	go b.beat()
+	go b.leave()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -85,22 +90,45 @@
 
 // beat sends a heartbeat about every 0.87 s.
 func (b *backend) beat() {
-	client := &http.Client{Timeout: time.Second}
-	for {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for next := time.Now(); !b.leaving.Load(); time.Sleep(time.Until(next)) {
+		next = next.Add(870 * time.Millisecond)
 		body, _ := json.Marshal(map[string]any{
 			"address": b.config.Address, "born": b.born,
 			"info":   map[string]any{"service": b.config.Service, "version": "v1", "zone": b.config.Zone, "slots": b.config.Slots},
 			"status": map[string]any{"state": "ready", "seq": b.seq.Add(1), name("coldLeft"): 0},
 		})
-		resp, err := client.Post("http://"+b.config.Control+name("heartbeatPath")+b.config.ID, "application/json", bytes.NewReader(body))
-		if err == nil {
-			_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
-			_ = resp.Body.Close()
-		}
-		time.Sleep(870 * time.Millisecond)
+		go b.post(client, "heartbeatPath", body)
 	}
 }
 
+// post makes one call to the node and reports whether it was confirmed.
+func (b *backend) post(client *http.Client, path string, body []byte) (confirmed bool) {
+	resp, err := client.Post("http://"+b.config.Control+name(path)+b.config.ID, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
+	return resp.StatusCode/100 == 2
+}
+
+// leave waits for SIGUSR1. The backend then deregisters without having said that it drains,
+// serves on for some time, and exits.
+func (b *backend) leave() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGUSR1)
+	<-told
+	b.leaving.Store(true)
+	body, _ := json.Marshal(map[string]any{"born": b.born})
+	if b.post(&http.Client{Timeout: time.Second}, "deregisterPath", body) {
+		b.record("leaving confirmed", &http.Request{}, nil)
+	}
+	time.Sleep(time.Duration(b.config.LeaveMS) * time.Millisecond)
+	b.record("exits", &http.Request{}, nil)
+	os.Exit(0)
+}
+
 func (b *backend) record(what string, r *http.Request, body []byte) {
 	sum := sha256.Sum256(body)
 	line, _ := json.Marshal(runRecord{
@@ -133,6 +161,10 @@
 // answer answers one request and reports whether the connection is kept.
 func (b *backend) answer(c net.Conn, r *http.Request, body []byte) (keep bool) {
 	id := r.Header.Get(name("requestID"))
+	if r.URL.Path == "/health" && b.leaving.Load() {
+		b.record("health 503", r, nil)
+		return b.write(c, "503 Service Unavailable", id, nil, "", false)
+	}
 	if r.URL.Path == "/health" {
 		return b.write(c, "200 OK", "", nil, "", false)
 	}
