--- a/review/stand3/backend.go
+++ b/review/stand3/backend.go
@@ -53,10 +53,10 @@
 }
 
 type backend struct {
-	config backendConfig
-	log    *os.File
-	seq    atomic.Int64
-	runs   atomic.Int64
+	config  backendConfig
+	log     *os.File
+	seq     atomic.Int64
+	runs    atomic.Int64
 	born    int64
 	slots   chan struct{}
 	leaving atomic.Bool
--- a/review/stand3/latebeats.go
+++ b/review/stand3/latebeats.go
@@ -26,7 +26,7 @@
 	lateKill     = 300 * time.Millisecond  // after the confirmation
 	lateDown     = 500 * time.Millisecond
 	lateServes   = 11 * time.Second // that the backend serves on
-	lateTail     = time.Second             // in which consumers go on after that
+	lateTail     = time.Second      // in which consumers go on after that
 	lateTouch    = 3 * time.Second  // stabilityWindowS
 	lateDrain    = 2 * time.Second  // drainS
 	lateSpacing  = 20 * time.Millisecond
