--- a/review/stand3/backend.go
+++ b/review/stand3/backend.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -36,6 +37,8 @@
 	Unframed  bool   // its answers have no length and end with their connections
 	BodyBytes int    // of one answer
 	BodyMS    int    // in which an answer is sent, in pieces
+	Gzip      bool   // it compresses answers to requests that say they accept it
+	OldEvery  int    // of its answers, every so many has the version 1.0 and chunks; zero for none
 	LeaveMS   int    // after SIGUSR1 it deregisters, serves on for so long, and exits
 }
 
@@ -190,11 +193,52 @@
 		}
 		return false
 	}
-	kept := b.write(c, "200 OK", id, answerBody(b.config.ID, id, b.config.BodyBytes), stampOf(b.config.ID, id), false)
+	whole, stamp := answerBody(b.config.ID, id, b.config.BodyBytes), stampOf(b.config.ID, id)
+	if b.config.Gzip && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		b.record("answered in gzip", r, body)
+		return b.writeCoded(c, "HTTP/1.1", id, stamp, "Content-Encoding: gzip", compress(whole), true)
+	}
+	if b.config.OldEvery > 0 && run%int64(b.config.OldEvery) == 0 {
+		b.record("answered with version 1.0 in chunks", r, body)
+		return b.writeCoded(c, "HTTP/1.0", id, stamp, "Transfer-Encoding: chunked", chunk(whole), false)
+	}
+	kept := b.write(c, "200 OK", id, whole, stamp, false)
 	b.record("answered", r, body)
 	return kept
 }
 
+// writeCoded writes an answer whose body is coded, with the field that says so, and reports
+// whether the connection is kept. Without a length the answer ends with its connection.
+func (b *backend) writeCoded(c net.Conn, version, id, stamp, field string, coded []byte, length bool) (keep bool) {
+	end := "Connection: close"
+	if length {
+		end = "Content-Length: " + strconv.Itoa(len(coded))
+	}
+	_, err := fmt.Fprintf(c, "%s 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s\r\n%s\r\n\r\n%s", version,
+		name("instanceID"), b.config.ID, name("requestID"), id, name("stamp"), stamp, field, end, coded)
+	return err == nil && length
+}
+
+func compress(body []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, _ = w.Write(body) // a bytes.Buffer returns no error
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// chunk returns a body in chunks.
+func chunk(body []byte) []byte {
+	var out bytes.Buffer
+	for len(body) > 0 {
+		n := min(len(body), 200)
+		fmt.Fprintf(&out, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	out.WriteString("0\r\n\r\n")
+	return out.Bytes()
+}
+
 // stampOf returns the stamp of a backend's answer to a request.
 func stampOf(backend, id string) string {
 	sum := sha256.Sum256([]byte(backend + "/" + id))
--- a/review/stand3/latebeats.go
+++ b/review/stand3/latebeats.go
@@ -17,7 +17,7 @@
 	"time"
 )
 
-func init() { cases["15"] = lateBeats }
+func init() { cases["12"] = lateBeats }
 
 const (
 	lateBackends = 4
--- a/review/stand3/room.go
+++ b/review/stand3/room.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases["12"] = lostForRoom }
+func init() { cases["room"] = lostForRoom }
 
 const (
 	roomBackends  = 4
