--- a/review/stand3/weights.go
+++ b/review/stand3/weights.go
@@ -1,14 +1,17 @@
 package main
 
-// This file is the case of a configuration whose weights are fractions.
+// This file is the case of a configuration whose weights are written with a decimal point.
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-func init() { cases["14"] = fractionWeights }
+func init() { cases["14"] = decimalWeights }
 
 const (
 	weightsHost    = "treads.example"
@@ -17,9 +20,10 @@
 	weightsSpacing = 25 * time.Millisecond
 )
 
-// fractionWeights changes a route from one service to a split between two others, whose weights
-// are fractions.
-func fractionWeights(t *trial) (string, error) {
+// decimalWeights changes a route from one service to a split between two others, whose weights
+// are written with a decimal point. With FRACTIONS=1 they are fractions. With KILL=1 all nodes are
+// killed afterwards and started again, which only the record tells of.
+func decimalWeights(t *trial) (string, error) {
 	services := []string{"uplift-old", "uplift-a", "uplift-b"}
 	for n := range 6 {
 		if _, err := t.addMachine(backendConfig{Service: services[n%3], Slots: 6, WorkMS: 20, BodyBytes: 400}); err != nil {
@@ -37,7 +41,10 @@
 	}
 	weights := []any{75, 25}
 	if t.trouble {
-		weights = []any{0.75, 0.25}
+		weights = []any{json.Number("75.0"), json.Number("25.0")}
+	}
+	if t.trouble && os.Getenv("FRACTIONS") != "" {
+		weights = []any{json.Number("0.75"), json.Number("0.25")}
 	}
 	t.record.add("weights of r9: %v", weights)
 	t.operatorWrites(configuration("r9", services, []route{
@@ -68,6 +75,9 @@
 		}
 	}
 	t.record.add("%d runs before the change; %d runs by the old service and %d by the new ones of requests sent %s or more after its confirmation", before, old, next, weightsSettle)
+	if os.Getenv("KILL") != "" {
+		t.restartAll()
+	}
 	if before < weightsPerPart/2 || old+next < weightsPerPart/2 {
 		return "", fmt.Errorf("too few requests ran")
 	}
@@ -94,3 +104,20 @@
 	}
 	return nil
 }
+
+// restartAll kills all nodes, starts them again, and records which of them become ready.
+func (t *trial) restartAll() {
+	for _, m := range t.machines {
+		t.signal(m.node, syscall.SIGKILL, true)
+	}
+	time.Sleep(time.Second)
+	for _, m := range t.machines {
+		if err := t.startNode(m); err != nil {
+			t.record.add("node %d did not start: %s", m.number, err)
+		}
+	}
+	time.Sleep(15 * time.Second)
+	for _, m := range t.machines {
+		t.record.add("node %d, 15 s after all were killed: %v", m.number, t.waitReady(m, time.Second))
+	}
+}
