--- a/review/stand3/oldchunks.go
+++ b/review/stand3/oldchunks.go
@@ -16,8 +16,8 @@
 	oldBackends = 7
 	oldFaulty   = 2  // of 7 backends: a share of 0.29
 	oldEvery    = 50 // one of so many of their answers: x = 0.02
-	oldRequests = 700
-	oldSpacing  = 7 * time.Millisecond // 700 requests in 4.9 s
+	oldRequests = 1000
+	oldSpacing  = 5 * time.Millisecond // 1000 requests in 5.3 s
 	oldHost     = "quote.example"
 )
 
