--- a/review/stand3/consumer.go
+++ b/review/stand3/consumer.go
@@ -21,6 +21,7 @@
 	Method  string
 	Host    string
 	Target  string // path and query as they are sent
+	Fields  string // further header fields, each with its line end
 	Body    string
 	Budget  time.Duration
 }
@@ -97,7 +98,7 @@
 	if r.Body != "" || r.Method == http.MethodPost {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
-	return head.String() + "\r\n" + r.Body
+	return head.String() + r.Fields + "\r\n" + r.Body
 }
 
 // receive reads the answer and reports whether the connection closes after it.
