--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -124,7 +124,7 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b storeObject) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	return map[string]any{"items": items, "more": false, name("currentRevision"): s.rev}
+	return map[string]any{"items": items, "more": false, name("revision"): s.rev}
 }
 
 func (s *platformStore) get(kind, object string) (int, any) {
@@ -152,7 +152,7 @@
 			}
 		}
 		s.mu.Unlock()
-		answer := map[string]any{"events": events, name("currentRevision"): rev}
+		answer := map[string]any{"events": events, name("revision"): rev}
 		if len(events) > 0 {
 			return answer
 		}
