--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-(cd review/stand3 && GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review/stand3 .)
+(cd review/stand3 && GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o ../../target/review/stand3 .)
