Let no number of announcements outweigh a failed health check

Its node had been killed 0.3 s after it confirmed the leaving, and announcements that were sent before the leaving arrived 1.8 to 4.5 s after it.

Cause: a node that starts takes an incarnation of a server into service after a passed health check or three announcements, each newer than the one before. An answer by which the server leaves or fails, or by which another incarnation is at its address, ended one check but not the count. Evidence: the record of the case has "health 503" for each of the first two late announcements, and calls from the third on; no check was made for it.

Change: after such an answer only a passed check lets the incarnation in, however many announcements follow and whatever later checks that are refused for want of a slot leave open. All of them may have been sent before the answer and delayed since, in their order. The count still stands in for checks that never had a clear result, so that a full sound server beside a node that restarted isn't left out; one that has recovered is back with the check for its next announcement.

--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -39,9 +39,8 @@
 	healthRetryDelay = 50 * time.Millisecond
 	maxHealthTries   = 20
 	// confirmingAnnouncements is the number of announcements of an incarnation,
-	// each newer than the one before, that replace a passed health check:
-	// delayed ones arrive out of order, and a server that leaves says so in its
-	// next announcement.
+	// each newer than the one before, that replace a health check without a clear
+	// result: a server that is full refuses the checks.
 	confirmingAnnouncements = 3
 )
 
@@ -52,11 +51,14 @@
 	announcements int // received, each newer than the one before
 	running       bool
 	passed        bool
+	failed        bool // a check found the server unfit, so only a passed one lets it in
 }
 
 // confirm reports whether an announcement may take effect now. For an
 // incarnation that is not confirmed yet it records the announcement and starts
-// a health check unless one is running. The caller holds a.mu.
+// a health check unless one is running. No number of announcements outweighs a
+// failed check: they may all have been sent before it and delayed since. The
+// caller holds a.mu.
 func (a *Announcer) confirm(in *Announcement) bool {
 	c := &a.healthCheck
 	if a.config.CheckHealth == nil || in.Name == "" || in.Leaving || c.passed && c.incarnation.sameIncarnation(in) {
@@ -69,7 +71,7 @@
 		c.newest = in
 		c.announcements++
 	}
-	if c.announcements >= confirmingAnnouncements {
+	if c.announcements >= confirmingAnnouncements && !c.failed {
 		c.passed = true
 		return true
 	}
@@ -114,7 +116,7 @@
 		}
 		if health != Healthy {
 			retry = health == HealthUnclear && tries < maxHealthTries
-			c.running = retry
+			c.running, c.failed = retry, c.failed || health != HealthUnclear
 			return false, nil, false
 		}
 		c.running, c.passed = false, true
--- a/mesh/backend/vet_test.go
+++ b/mesh/backend/vet_test.go
@@ -23,6 +23,8 @@
 		"leaving":                   {health: Unhealthy},
 		"leaving, announced":        {health: Unhealthy, next: []Announcement{{Seq: 9, Leaving: true}}},
 		"leaving, two delayed ones": {health: Unhealthy, next: []Announcement{{Seq: 3}, {Seq: 2}}},
+		"leaving, delayed in order": {health: Unhealthy, next: []Announcement{{Seq: 5}, {Seq: 6}, {Seq: 7}, {Seq: 8}}},
+		"other one, in order":       {health: OtherIncarnation, next: []Announcement{{Seq: 5}, {Seq: 6}, {Seq: 7}}},
 		"leaving, as it states":     {health: HealthLeaving, next: []Announcement{{Seq: 5}, {Seq: 6}, {Seq: 7}}},
 		"other incarnation answers": {health: OtherIncarnation},
 		"no answer":                 {health: HealthUnclear},
@@ -49,6 +51,35 @@
 	}
 }
 
+// TestLeavingServerThatBecomesFull guards against counting announcements that were
+// delayed after a health check has shown that the server is leaving: later checks are
+// refused for want of a slot. A server that has recovered comes back with its next check.
+func TestLeavingServerThatBecomesFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var inForce *Announcement
+		health := Unhealthy
+		a := NewAnnouncer(AnnouncerConfig{
+			Lease: time.Minute, OnChange: func(in *Announcement) { inForce = in },
+			CheckHealth: func(context.Context, *Announcement) Health { return health },
+		})
+		announce := func(seq uint64) {
+			_, err := a.Submit(&Announcement{Service: "quotes", Address: "127.0.0.1:9", Slots: 6, Name: "a", Seq: seq})
+			require.NoError(t, err)
+			synctest.Wait()
+		}
+		announce(4)
+		health = HealthUnclear
+		for seq := range uint64(9) {
+			announce(5 + seq)
+			require.Nil(t, inForce, "announcement %d", 5+seq)
+		}
+		time.Sleep(maxHealthTries * healthRetryDelay) // until the check has ended
+		health = Healthy
+		announce(14)
+		require.NotNil(t, inForce)
+	})
+}
+
 // TestLivesOfNamedServers guards against stale announcements. In each sequence of
 // announcements and ends of incarnations, some of them delayed, the newest
 // incarnation must stay in force, and one that is leaving or has ended must not
