Read that a server leaves in the answer to a refused health check

What callers could see: calls to a server that states its leaving in all its answers, at a node that restarted while the server was full.

Cause: RequestHealth looked first at whether the check was refused for want of a slot, and took such an answer for an unclear one, so that Server-Leaving in it was not read ("A backend that leaves says so in all its answers too").

Change: the statement is read first. With the name of the incarnation in the answer it is final; without one, a server that leaves is at the address, so that announcements are not counted and only a passed check lets one in.

Result: three cases of TestRefusedHealthCheckStatesLeaving failed before and pass.

--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -179,10 +179,12 @@
 	defer resp.Body.Close()
 	states := g.config.Dialect.Statement(resp.Header)
 	switch incarnation, taken := dialect.Life(resp); {
+	case states.Leaving && incarnation != "":
+		return HealthLeaving, incarnation
+	case states.Leaving: // that of whichever server is at the address
+		return Unhealthy, ""
 	case !taken:
 		return HealthUnclear, ""
-	case states.Leaving:
-		return HealthLeaving, incarnation
 	case resp.StatusCode == http.StatusOK:
 		g.recordHealth(incarnation, states)
 		return Healthy, incarnation
