Record the leaving that a server states in an answer when it is not in force

What callers could see: calls to a server that had stated its leaving, once a heartbeat that was delayed arrived.

Cause: the gate and the lease took a leaving stated in an answer only for the server in force. An answer to a call that ran when the server's announcement lapsed, was withdrawn or was replaced was passed on, which binds the node, and then forgotten. A lease that is lost and an answer that is late go together: the instance is slow.

Change: the gate reports such a leaving too, once for each incarnation, and the lease records it as a departure, which the other nodes keep.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -157,12 +157,12 @@
 }
 
 // RecordLeaving records that an incarnation of the backend server has stated in an answer
-// that it is leaving, which is final as in an announcement.
+// that it is leaving, which is final as in an announcement. It need not be in force.
 func (a *Announcer) RecordLeaving(name string, epoch uint64) {
 	a.updateLease(func(now time.Time) (bool, *Announcement, bool) {
-		marked := a.lease.markLeaving(name, epoch)
+		a.lease.recordLeft(name, epoch)
 		next, changed := a.lease.evaluate(now)
-		return marked, next, changed
+		return true, next, changed
 	})
 }
 
--- a/mesh/backend/gate.go
+++ b/mesh/backend/gate.go
@@ -102,6 +102,7 @@
 	// lastServer is the last backend server that was in force; nil if none was.
 	lastServer *Target
 	left       *Target // the last server that stated in an answer that it is leaving; nil if none
+	leftLate   *Target // as left, but not in force when it stated so
 	link       *call.Link
 	draining   bool
 }
--- a/mesh/backend/lease.go
+++ b/mesh/backend/lease.go
@@ -210,16 +210,6 @@
 	l.recordLeft(name, epoch)
 }
 
-// markLeaving records that an incarnation of a named server is leaving. The result is
-// false if another one is in force, or none.
-func (l *lease) markLeaving(name string, epoch uint64) bool {
-	if l.newest == nil || l.newest.Name != name || l.newest.Epoch != epoch {
-		return false
-	}
-	l.recordLeft(name, epoch)
-	return true
-}
-
 // evaluate drops an announcement that has lapsed and returns the one in force
 // from now on, nil for none, and whether that is a change.
 func (l *lease) evaluate(now time.Time) (*Announcement, bool) {
--- a/mesh/backend/statement.go
+++ b/mesh/backend/statement.go
@@ -141,20 +141,24 @@
 
 // recordLeaving records that a backend server has stated that it is leaving, in the answer
 // to a call with the given ID or as another source says. That is final for the
-// incarnation, whatever it announces.
+// incarnation, whatever it announces, also if it is not in force any more.
 func (g *Gate) recordLeaving(t *Target, source string) {
 	g.mu.Lock()
 	current := g.target.Load()
-	news := t.sameIncarnation(current) && !current.Leaving
-	if news {
+	inForce := t.sameIncarnation(current)
+	news := inForce && !current.Leaving || !inForce && !t.sameIncarnation(g.leftLate)
+	switch {
+	case news && inForce:
 		g.left = t
 		g.setTarget(current)
+	case news:
+		g.leftLate = t
 	}
 	g.mu.Unlock()
 	if !news {
 		return
 	}
-	g.config.Sinks.Log.Info("backend server says that it leaves", "server", t.Server, "source", source)
+	g.config.Sinks.Log.Info("backend server says that it leaves", "server", t.Server, "source", source, "current", inForce)
 	if g.config.ServerLeaving != nil {
 		g.config.ServerLeaving(t)
 	}
--- a/mesh/backend/vet_test.go
+++ b/mesh/backend/vet_test.go
@@ -92,6 +92,7 @@
 	type step struct {
 		in    *Announcement
 		end   string // name of an incarnation that has ended
+		left  string // name of one that has stated its leaving in an answer
 		epoch uint64 // its epoch; zero when not known
 	}
 	many := []step{{in: in("a", 0, 1, false)}, {end: "a"}}
@@ -111,6 +112,8 @@
 		"restarted under its name":        {[]step{{in: in("a", 5, 9, true)}, {in: in("a", 7, 1, false)}}, "a", false},
 		"delayed one of earlier epoch":    {[]step{{in: in("a", 7, 1, false)}, {in: in("a", 5, 9, true)}}, "a", false},
 		"end of earlier epoch":            {[]step{{in: in("a", 7, 1, false)}, {end: "a", epoch: 5}}, "a", false},
+		"leaving stated, not in force":    {[]step{{left: "a", epoch: 5}, {in: in("a", 5, 3, false)}}, "", false},
+		"leaving stated, then the next":   {[]step{{left: "a", epoch: 5}, {in: in("a", 7, 3, false)}}, "a", false},
 		"end before the restart":          {[]step{{end: "a", epoch: 5}, {in: in("a", 7, 1, false)}}, "a", false},
 		"delayed leaving of previous one": {[]step{{in: in("a", 0, 1, false)}, {end: "a"}, {in: in("b", 0, 1, false)}, {in: in("a", 0, 2, true)}}, "b", false},
 		"many others end":                 {append(many, step{in: in("b", 0, 1, false)}, step{in: in("a", 0, 2, false)}), "b", false},
@@ -120,6 +123,10 @@
 			var inForce *Announcement
 			a := NewAnnouncer(AnnouncerConfig{Lease: time.Minute, OnChange: func(in *Announcement) { inForce = in }})
 			for _, s := range c.steps {
+				if s.left != "" {
+					a.RecordLeaving(s.left, s.epoch)
+					continue
+				}
 				if s.in == nil {
 					a.EndIncarnation(s.end, s.epoch)
 					continue
