Count announcements only if a node that has run for longer was met

Cause: nodes that start together form a fleet of their own for some seconds. Their tables agree, so that each held that it knew what others remember of its earlier process, and counted announcements in place of a check. Evidence: the state of all nodes at each late announcement shows three members that had "met", of which none knew the departure, while the fourth node knew it until 2.3 s later.

Change: only a member whose process started 3 s or more before this one is a witness of what earlier processes told; incarnations are times of start. Without one, a process counts announcements once it has run for 10 s, since delayed ones come seconds late. A passed check counts at once, as before, so nothing waits after a kill of all nodes but servers whose checks stay without an answer.

Result: TestOnlyOlderNodesAreWitnesses.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -51,7 +51,7 @@
 	RecordDeparture(server string, epoch uint64) (kept <-chan struct{})
 	// LastDeparture returns the last one that is known; "" for none.
 	LastDeparture() (server string, epoch uint64)
-	// Met reports whether all that is kept of earlier processes is known here.
+	// Met reports whether what is kept of earlier processes is known here.
 	Met() bool
 }
 
@@ -62,7 +62,8 @@
 // Announcer receives the announcements of the backend server and lets them lapse
 // when they are not renewed. Its methods are safe for concurrent use.
 type Announcer struct {
-	config AnnouncerConfig
+	config    AnnouncerConfig
+	startedAt time.Time
 
 	mu          sync.Mutex
 	lease       lease
@@ -75,7 +76,7 @@
 	if config.Log == nil {
 		config.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Announcer{config: config, lease: lease{duration: config.Lease, flapLimit: config.FlapLimit}}
+	return &Announcer{config: config, startedAt: time.Now(), lease: lease{duration: config.Lease, flapLimit: config.FlapLimit}}
 }
 
 // Handler serves PUT /announce. It answers 204 for an accepted announcement,
--- a/mesh/backend/vet.go
+++ b/mesh/backend/vet.go
@@ -42,8 +42,9 @@
 	// each newer than the one before, that replace a health check without a clear
 	// result: a server that is full refuses the checks.
 	confirmingAnnouncements = 3
-	// loneConfirmTime is how long announcements of an incarnation must have come before
-	// they are counted at a node that has met no other: delayed ones come seconds late.
+	// loneConfirmTime is how long this process must have run before announcements are
+	// counted though it has met no node that knows of earlier processes: delayed
+	// announcements come seconds late.
 	loneConfirmTime = 10 * time.Second
 )
 
@@ -51,8 +52,7 @@
 type healthCheck struct {
 	incarnation   Announcement // only its name and epoch count
 	newest        *Announcement
-	announcements int       // received, each newer than the one before
-	heardAt       time.Time // when the first was received
+	announcements int // received, each newer than the one before
 	running       bool
 	passed        bool
 	failed        bool // a check found the server unfit, so only a passed one lets it in
@@ -69,7 +69,7 @@
 		return true
 	}
 	if !c.incarnation.sameIncarnation(in) {
-		*c = healthCheck{incarnation: *in, heardAt: time.Now()}
+		*c = healthCheck{incarnation: *in}
 	}
 	if c.newest == nil || in.Seq > c.newest.Seq {
 		c.newest = in
@@ -93,7 +93,7 @@
 	if c.failed || a.lease.mayHaveLeft(&c.incarnation) {
 		return false
 	}
-	return a.config.Departures == nil || a.config.Departures.Met() || time.Since(c.heardAt) >= loneConfirmTime
+	return a.config.Departures == nil || a.config.Departures.Met() || time.Since(a.startedAt) >= loneConfirmTime
 }
 
 // runHealthCheck requests the server's health, up to maxHealthTries times while
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -57,6 +57,7 @@
 	resumedAt        time.Time // when the last gap between calls ended
 	stale            bool      // the node was paused and has not caught up
 	joinedAt         time.Time // when the node joined, or started if it has not
+	witnessed        bool      // another member has run for longer than this node
 	settled          bool      // the table has matched a neighbour's since the start, or settleHeartbeats have passed
 	newsSentAt       time.Time // when events or suspicions were last sent to the neighbours
 	nextHeartbeat    time.Time // when the next heartbeat round is due
@@ -195,6 +196,7 @@
 // rebuildView builds the view anew from the table.
 func (a *Agent) rebuildView(now time.Time) {
 	a.countDomains()
+	a.witnessed = a.witnessed || a.table.hasWitness()
 	a.table.viewStale, a.viewBuiltAt = false, now
 	a.view = a.table.buildView(a.isAvoided, a.partitioned)
 	if a.stale {
--- a/mesh/member/departures.go
+++ b/mesh/member/departures.go
@@ -6,6 +6,7 @@
 // departure across the incarnations of the instance and tells the node that starts.
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -116,12 +117,25 @@
 // nil. It must not be changed.
 func (a *Agent) LastDeparture() *wire.Departure { return a.table.self.GetLeft() }
 
-// Met reports whether this node has compared its table with another node's since it
-// started or was paused, so that it knows what others remember of it, or whether there
-// is none to ask.
+// witnessAge is how much earlier than this process another one must have started to know
+// what an earlier process of this node told: nodes that are killed together start within
+// this time.
+const witnessAge = 3 * time.Second
+
+// Met reports whether this node has compared its table with others', of which one has run
+// since before this process was started, so that it knows what is remembered of earlier
+// ones, or whether there is none to ask.
 func (a *Agent) Met() bool {
 	lone := len(a.joinSearch.seeds) == 0 && !a.config.HasMeetingPoints
-	return (lone || a.joinSearch.joined && a.settled) && !a.stale
+	return (lone || a.joinSearch.joined && a.settled && a.witnessed) && !a.stale
+}
+
+// hasWitness reports whether a member has run for longer than this node by witnessAge.
+// Incarnations are the times at which processes started, in Unix ms.
+func (t *Table) hasWitness() bool {
+	return slices.ContainsFunc(t.liveEntries, func(e *entry) bool {
+		return e.member.GetIncarnation()+uint64(witnessAge.Milliseconds()) <= t.self.GetIncarnation()
+	})
 }
 
 // Departure returns the departure at the sender that an action tells its receiver, or nil.
--- a/mesh/member/departures_test.go
+++ b/mesh/member/departures_test.go
@@ -80,3 +80,26 @@
 	require.Empty(t, a.RecordDeparture(w.now, "s", 7))
 	require.Empty(t, a.Announce(w.now, []*wire.Server{{Service: "quotes", Slots: 1, Epoch: 7, Name: "s", Leaving: true}}), "it has been announced")
 }
+
+// TestOnlyOlderNodesAreWitnesses guards against taking nodes that were killed along with
+// this one for nodes that know what its earlier process told.
+func TestOnlyOlderNodesAreWitnesses(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarted []string
+		met       bool
+	}{
+		"one":  {[]string{"n3"}, true},
+		"half": {[]string{"n3", "n0", "n1", "n2"}, true},
+		"all":  {[]string{"n3", "n0", "n1", "n2", "n4", "n5", "n6"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(5, "x", "x", "x", "y", "y", "y", "z")
+			w.run(20 * testHeartbeat)
+			w.restart(c.restarted...)
+			require.False(t, w.nodes["n3"].agent.Met())
+			w.run(10 * testHeartbeat)
+			w.checkConverged(t)
+			require.Equal(t, c.met, w.nodes["n3"].agent.Met())
+		})
+	}
+}
--- a/mesh/peer/departures.go
+++ b/mesh/peer/departures.go
@@ -52,7 +52,7 @@
 
 // isAlone reports whether there is no other node to tell. The caller holds m.mu.
 func (m *Members) isAlone(a *member.Agent) bool {
-	return !m.running || a.Met() && len(a.View().Names) == 1
+	return !m.running || a.Joined() && len(a.View().Names) == 1
 }
 
 // close closes heard, once. The caller holds the lock of the Members.
@@ -106,6 +106,6 @@
 	return d.GetServer(), d.GetEpoch()
 }
 
-// Met reports whether this node has compared what it knows with another node, or knows
-// that there is no other.
+// Met reports whether this node has compared what it knows with nodes that have run since
+// before this process was started, or there is none to ask.
 func (m *Members) Met() bool { return m.met.Load() }
