--- a/mesh/backend/departures_test.go
+++ b/mesh/backend/departures_test.go
@@ -54,10 +54,7 @@
 	synctest.Wait()
 }
 
-// TestConfirmedLeavingOutlivesTheNode guards against sending calls to a server whose
-// leaving was confirmed by an earlier process of its node. Announcements that were
-// delayed arrive in their order after one restart or two, and health checks answer in
-// any way. A later incarnation of the same name must be served.
+// TestConfirmedLeavingOutlivesTheNode guards against calls to a server whose leaving an earlier process of its node confirmed.
 func TestConfirmedLeavingOutlivesTheNode(t *testing.T) {
 	for name, confirm := range map[string]func(r *restartable){
 		"deregistered":           func(r *restartable) { r.EndIncarnation("a", 5) },
@@ -95,9 +92,7 @@
 	}
 }
 
-// TestUnknownIncarnationThatLeft guards against counting announcements of a server of
-// which an unknown incarnation has left: a node had found it, and it stated its leaving in
-// an answer before it announced itself. Only a passed check shows that another one runs.
+// TestUnknownIncarnationThatLeft guards against counting announcements of a server that stated its leaving before it announced itself.
 func TestUnknownIncarnationThatLeft(t *testing.T) {
 	for name, health := range map[string]Health{"checks refused": HealthUnclear, "restarted": Healthy} {
 		t.Run(name, func(t *testing.T) {
@@ -118,8 +113,7 @@
 	}
 }
 
-// TestDepartureLearnedLate guards against keeping a server in force that a starting node
-// took into service before it met a node that knows of the leaving.
+// TestDepartureLearnedLate guards against keeping a server in force whose leaving a starting node learns of later.
 func TestDepartureLearnedLate(t *testing.T) {
 	r := &restartable{keeper: &keeper{}, health: Healthy}
 	synctest.Test(t, func(t *testing.T) {
@@ -132,9 +126,7 @@
 	})
 }
 
-// TestAnnouncementsOfALoneNodeAreNotCounted guards against counting announcements before
-// the node has met others, which may know that the server has left. A full server, whose
-// checks are refused, is served once the node has met them, or after loneConfirmTime.
+// TestAnnouncementsOfALoneNodeAreNotCounted guards against counting announcements before others could tell that the server has left.
 func TestAnnouncementsOfALoneNodeAreNotCounted(t *testing.T) {
 	for name, meets := range map[string]bool{"meets others": true, "stays alone": false} {
 		t.Run(name, func(t *testing.T) {
@@ -165,9 +157,7 @@
 	}
 }
 
-// TestLeavingIsAcknowledgedOnceItIsKept guards against a leaving that is acknowledged
-// before anything that outlives the node knows it, and against an acknowledgement that
-// comes too late because no other node can be reached.
+// TestLeavingIsAcknowledgedOnceItIsKept guards against a leaving that is acknowledged before it is kept elsewhere, or too late.
 func TestLeavingIsAcknowledgedOnceItIsKept(t *testing.T) {
 	for name, c := range map[string]struct {
 		keptAfter, want time.Duration
--- a/mesh/backend/vet_test.go
+++ b/mesh/backend/vet_test.go
@@ -52,9 +52,7 @@
 	}
 }
 
-// TestLeavingServerThatBecomesFull guards against counting announcements that were
-// delayed after a health check has shown that the server is leaving: later checks are
-// refused for want of a slot. A server that has recovered comes back with its next check.
+// TestLeavingServerThatBecomesFull guards against counting late announcements after a failed health check, when later ones are refused.
 func TestLeavingServerThatBecomesFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var inForce *Announcement
--- a/mesh/member/departures_test.go
+++ b/mesh/member/departures_test.go
@@ -13,10 +13,7 @@
 	w.perform(name, w.nodes[name].agent.Announce(w.now, []*wire.Server{{Service: "quotes", Slots: 1, Epoch: epoch, Name: server}}))
 }
 
-// TestDepartureOutlivesItsNode guards against forgetting that a server has left when the
-// node beside it is killed. The next process of the node announces the server again; in
-// the end no node may send calls to it, and the node must know why. Calls go to the
-// server's next incarnation.
+// TestDepartureOutlivesItsNode guards against forgetting that a server has left when the node beside it is killed.
 func TestDepartureOutlivesItsNode(t *testing.T) {
 	for name, disturb := range map[string]func(w *world){
 		"killed at once":      func(*world) {},
@@ -64,8 +61,7 @@
 	}
 }
 
-// TestDepartureIsToldAtOnce checks that a departure is sent to the neighbours without
-// delay when the gossip budget is spent, and only once.
+// TestDepartureIsToldAtOnce guards against a departure that waits for the gossip budget, or is told twice.
 func TestDepartureIsToldAtOnce(t *testing.T) {
 	w := newWorld(5, "x", "x", "x")
 	w.serve("n2", "s", 7)
@@ -81,8 +77,7 @@
 	require.Empty(t, a.Announce(w.now, []*wire.Server{{Service: "quotes", Slots: 1, Epoch: 7, Name: "s", Leaving: true}}), "it has been announced")
 }
 
-// TestOnlyOlderNodesAreWitnesses guards against taking nodes that were killed along with
-// this one for nodes that know what its earlier process told.
+// TestOnlyOlderNodesAreWitnesses guards against taking nodes that were killed together for nodes that know the past.
 func TestOnlyOlderNodesAreWitnesses(t *testing.T) {
 	for name, c := range map[string]struct {
 		restarted []string
--- a/mesh/peer/departures_test.go
+++ b/mesh/peer/departures_test.go
@@ -69,8 +69,7 @@
 	}
 }
 
-// TestDepartureIsHeardAndLearned guards against a departure that no other node knows when
-// it counts as heard, and against a node that starts without learning of it.
+// TestDepartureIsHeardAndLearned guards against a departure that counts as heard too soon, and a node that does not learn of it.
 func TestDepartureIsHeardAndLearned(t *testing.T) {
 	a := startTestNode(t, "a", "", "")
 	defer a.stop()
@@ -90,8 +89,7 @@
 	require.False(t, isClosed(b.RecordDeparture("s", 8)), "nobody can hear it")
 }
 
-// TestLoneNodeWaitsForNobody checks that the departure at a node without others counts as
-// heard at once.
+// TestLoneNodeWaitsForNobody guards against a lone node that waits for others to hear of a departure.
 func TestLoneNodeWaitsForNobody(t *testing.T) {
 	a := startTestNode(t, "a", "", "")
 	defer a.stop()
