--- a/mesh/member/table.go
+++ b/mesh/member/table.go
@@ -37,16 +37,16 @@
 
 // entry is what a table knows about one instance.
 type entry struct {
-	member               *wire.Member // newest report about itself; nil for the dead
-	suspectedIncarnation uint64       // newest incarnation that a watcher suspects
-	deadIncarnation      uint64       // newest incarnation that a watcher declared dead
-	left                 *wire.Departure
-	lastAddr             string       // last IP:port of a dead member
-	wasLeaving           bool         // a dead member had reported that it was leaving
-	stateSince           time.Time    // when the entry last changed
-	suspectCopy          *wire.Member // member with STATE_SUSPECT, for views; nil until needed
-	nameHash             uint64       // selects the bucket and the ring positions
-	digest               uint64       // of this entry, as contained in that of its bucket
+	member               *wire.Member    // newest report about itself; nil for the dead
+	suspectedIncarnation uint64          // newest incarnation that a watcher suspects
+	deadIncarnation      uint64          // newest incarnation that a watcher declared dead
+	left                 *wire.Departure // newest departure of a server beside it; nil for none
+	lastAddr             string          // last IP:port of a dead member
+	wasLeaving           bool            // a dead member had reported that it was leaving
+	stateSince           time.Time       // when the entry last changed
+	suspectCopy          *wire.Member    // member with STATE_SUSPECT, for views; nil until needed
+	nameHash             uint64          // selects the bucket and the ring positions
+	digest               uint64          // of this entry, as contained in that of its bucket
 }
 
 // NewTable returns a table that holds only self, the member of this node.
