Let a node that has no others count announcements from its start

What callers could see: refusals for want of a server at a lone node that has just started on a busy machine. Its server's health checks get no answer within 0.5 s, and three announcements, which stand in for a check, were not counted before the process had run for 10 s, although no other node exists that could know of a departure.

Change: a read of the meeting points that names no other node shows that there is none to ask. One that fails shows nothing, so a node that reaches neither store nor nodes waits as before.

--- a/mesh/member/departures.go
+++ b/mesh/member/departures.go
@@ -126,7 +126,7 @@
 // since before this process was started, so that it knows what is remembered of earlier
 // ones, or whether there is none to ask.
 func (a *Agent) Met() bool {
-	lone := len(a.joinSearch.seeds) == 0 && !a.config.HasMeetingPoints
+	lone := a.noOthers || len(a.joinSearch.seeds) == 0 && !a.config.HasMeetingPoints
 	return (lone || a.joinSearch.joined && a.settled && a.witnessed) && !a.stale
 }
 
--- a/mesh/member/departures_test.go
+++ b/mesh/member/departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -98,3 +99,25 @@
 		})
 	}
 }
+
+// TestNodeWithoutOthersHasMet guards against a lone node that waits for others, and one that takes a platform that is away for it.
+func TestNodeWithoutOthersHasMet(t *testing.T) {
+	self, other := &wire.Member{Name: "n0", Peer: "n0", Incarnation: 1_000_000}, &wire.Member{Name: "n1", Peer: "n1"}
+	for name, c := range map[string]struct {
+		points []*wire.Member
+		met    bool
+	}{
+		"none yet":  {[]*wire.Member{}, true},
+		"its own":   {[]*wire.Member{self}, true},
+		"another's": {[]*wire.Member{self, other}, false},
+		"not read":  {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1_000_000)
+			a := New(Config{Heartbeat: testHeartbeat, SuspicionTimeout: 3 * testHeartbeat, HasMeetingPoints: true}, self, now)
+			require.False(t, a.Met())
+			a.DiscoverDone(now, c.points)
+			require.Equal(t, c.met, a.Met())
+		})
+	}
+}
--- a/mesh/member/join.go
+++ b/mesh/member/join.go
@@ -271,7 +271,7 @@
 }
 
 // DiscoverDone handles the outcome of reading the platform's meeting points:
-// members are those that they name. All nodes ask them in the same order, since nodes
+// members are those that they name, nil if they could not be read. All nodes ask them in the same order, since nodes
 // that start together and join through different ones form separate fleets until these
 // find each other.
 func (a *Agent) DiscoverDone(now time.Time, members []*wire.Member) {
@@ -281,11 +281,13 @@
 		return
 	}
 	a.joinSearch.awaitingAnswer = false
+	others := false
 	for _, m := range members {
 		if m.GetName() != a.table.self.GetName() {
-			a.joinSearch.referrals = append(a.joinSearch.referrals, m.GetPeer())
+			a.joinSearch.referrals, others = append(a.joinSearch.referrals, m.GetPeer()), true
 		}
 	}
+	a.noOthers = members != nil && !others && len(a.joinSearch.seeds) == 0
 }
 
 // Joined reports whether the node has joined and its table has settled, or whether
--- a/mesh/peer/message.go
+++ b/mesh/peer/message.go
@@ -126,6 +126,8 @@
 	return resp.Msg
 }
 
+// readMeetingPoints returns the members that the meeting points name, or nil if they cannot
+// be read.
 func (m *Members) readMeetingPoints(ctx context.Context, stale bool) []*wire.Member {
 	if m.config.ReadMeetingPoints == nil {
 		return nil
@@ -133,6 +135,10 @@
 	members, err := m.config.ReadMeetingPoints(ctx, stale)
 	if err != nil {
 		m.config.Sinks.Log.Info("reading meeting points failed", "error", err.Error())
+		return nil
+	}
+	if members == nil {
+		members = []*wire.Member{} // read, and there are none
 	}
 	return members
 }
