Correct two comments that the change had left behind

Submit also serves Handler since a leaving waits there until it is kept; the note on noOthers said its two conditions in the wrong order. Found when the diff was read as a newcomer would. Comments only; the tests of mesh/backend pass.

--- a/mesh/backend/announce.go
+++ b/mesh/backend/announce.go
@@ -110,7 +110,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Submit handles an announcement that did not arrive through Handler. The error
+// Submit handles an announcement, from Handler or from an adapter. The error
 // lists every finding of an invalid one. The result is false for a stale one: of
 // an earlier incarnation, of one that has left, or older than another of the same
 // incarnation. Any change has taken effect on return, unless it awaits a health check.
--- a/mesh/member/agent.go
+++ b/mesh/member/agent.go
@@ -58,7 +58,7 @@
 	stale            bool      // the node was paused and has not caught up
 	joinedAt         time.Time // when the node joined, or started if it has not
 	witnessed        bool      // another member has run for longer than this node
-	noOthers         bool      // the meeting points named no other node when this process started, and there are no seeds
+	noOthers         bool      // there are no seeds, and the meeting points named no other node at the start
 	settled          bool      // the table has matched a neighbour's since the start, or settleHeartbeats have passed
 	newsSentAt       time.Time // when events or suspicions were last sent to the neighbours
 	nextHeartbeat    time.Time // when the next heartbeat round is due
