Read the numbers of a configuration document by their values

What callers saw: after a version with a weight written as 75.0 every request was run by the service of the version before, for good; a node that started then was never ready.

Cause: DecodeDocument decoded a version into a struct with uint32 fields. encoding/json takes 75 for a uint32 and refuses 75.0, 7.5e1 and 0.75, and one refusal is an error of the whole document. Weights are proportions, so that fractions and sums above 2^31 are valid as well. It matched names of members without regard to case, too.

A number that can't be read costs its field, with a finding; a weight costs the calls of its route, which are refused with 503 no-parts and do not fall to another route.

--- a/carobctl/causes.go
+++ b/carobctl/causes.go
@@ -16,6 +16,7 @@
 var reasonText = map[call.Reason]string{
 	call.ReasonNotReady:   "the entry node held no configuration that it may serve",
 	call.ReasonNoRoute:    "no route of the table in force matches its host and path",
+	call.ReasonNoParts:    "the configuration in force splits its route by weights that can't be read",
 	call.ReasonNoServer:   "no node that was tried has a backend server of the service",
 	call.ReasonBusy:       "every node that was tried had no free slot, and no place in its queue that would be served in time",
 	call.ReasonLimited:    "every node that was tried had a backend server that takes fewer requests a second",
--- a/mesh/call/outcome.go
+++ b/mesh/call/outcome.go
@@ -61,6 +61,7 @@
 const (
 	ReasonNotReady   Reason = "not-ready"   // the node has no configuration yet
 	ReasonNoRoute    Reason = "no-route"    // no route matches
+	ReasonNoParts    Reason = "no-parts"    // the node can't read how the route is split among services
 	ReasonNoServer   Reason = "no-server"   // no backend server offers the service
 	ReasonBusy       Reason = "busy"        // all slots are in use and the call can't be queued
 	ReasonLimited    Reason = "limited"     // the backend server takes fewer requests a second
@@ -130,7 +131,7 @@
 // Retry-After header, or 0 if a retry doesn't help.
 func (r Reason) RetryAfter() time.Duration {
 	switch r {
-	case ReasonNotReady, ReasonNoServer:
+	case ReasonNotReady, ReasonNoParts, ReasonNoServer:
 		return retryAfterStart
 	case ReasonBusy, ReasonLimited, ReasonBudget, ReasonOverload, ReasonLate, ReasonVersion, ReasonLeaving, ReasonDial, ReasonRefused, ReasonShed, ReasonMoved, ReasonQuota, ReasonRoom:
 		return retryAfterBusy
--- a/mesh/caller/proxy.go
+++ b/mesh/caller/proxy.go
@@ -226,6 +226,9 @@
 	if reason := x.checkKey(keys); reason != "" {
 		return reason
 	}
+	if route.Unusable {
+		return call.ReasonNoParts
+	}
 	if x.exceedsQuota() {
 		return call.ReasonQuota
 	}
--- a/mesh/caller/reasons_test.go
+++ b/mesh/caller/reasons_test.go
@@ -112,7 +112,7 @@
 	}
 	cases := map[call.Reason]scenario{
 		call.ReasonNotReady: refusedByEntry(func(p *Proxy, _ *http.Request) { p.config.Ready = func() bool { return false } }),
-		call.ReasonNoRoute:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.URL.Path = "/none" }),
+		call.ReasonNoRoute:  refusedByEntry(func(_ *Proxy, r *http.Request) { r.URL.Path = "/none" }), call.ReasonNoParts: refusedByEntry(callUnusableRoute(t)),
 		call.ReasonNoServer: refusedByGate(refuseWith(call.NotRun(call.ReasonNoServer, call.ProofNotSent))),
 		call.ReasonBusy:     refusedByGate(refuseWith(call.NotRun(call.ReasonBusy, call.ProofNotSent))),
 		call.ReasonLimited:  refusedByGate(refuseWith(call.NotRun(call.ReasonLimited, call.ProofNotSent))),
--- a/mesh/record/record.go
+++ b/mesh/record/record.go
@@ -61,6 +61,7 @@
 	MaxAttempts      int               // most backend servers that one call is sent to; zero means the policy's limit
 	Bulk             bool              // responses are large
 	Open             bool              // callers need no key even if the configuration has workspaces
+	Unusable         bool              // the proportions of its services are not known: it has no service, and its calls are refused
 }
 
 // Workspace is a group of callers that share keys, a priority and a quota.
--- a/mesh/revision/document.go
+++ b/mesh/revision/document.go
@@ -45,8 +45,8 @@
 	if err := proto.Unmarshal(s.GetDocument(), &d); err != nil {
 		return nil, errors.Wrapf(ErrInvalid, "document %d: %s", s.GetNumber(), err)
 	}
-	if l := d.GetLimits(); max(l.GetHeader(), l.GetBody(), l.GetBegin(), l.GetIdle()) > maxLimit {
-		return nil, errors.Wrapf(ErrInvalid, "document %d: a limit of callers is above %d", s.GetNumber(), uint64(maxLimit))
+	if l := d.GetLimits(); max(l.GetHeader(), l.GetBody(), l.GetBegin(), l.GetIdle()) > MaxCallerLimit {
+		return nil, errors.Wrapf(ErrInvalid, "document %d: a limit of callers is above %d", s.GetNumber(), uint64(MaxCallerLimit))
 	}
 	t := &Table{
 		Number: s.GetNumber(), Time: s.GetTime(), Format: 1, document: s.GetDocument(), size: len(s.GetDocument()),
@@ -78,18 +78,18 @@
 	return t, nil
 }
 
-// maxLimit bounds the limits of callers, in bytes or ms. In ms it is 34 years, so
+// MaxCallerLimit bounds the limits of callers, in bytes or ms. In ms it is 34 years, so
 // that the value in ns fits a time.Duration.
-const maxLimit = 1 << 40
+const MaxCallerLimit = 1 << 40
 
 // convertRoute converts a route to its hub form. It returns ErrInvalid when a
-// part refers to a service that does not exist, no part has a weight, or the
-// weights are too large.
+// part refers to a service that does not exist, or when a usable route has no part
+// with a weight or weights that are too large.
 func (t *Table) convertRoute(msg *wire.DocumentRoute) (*record.Route, error) {
 	r := &record.Route{
 		Name: msg.GetName(), Prefix: msg.GetPrefix(), Timeout: milliseconds(uint64(msg.GetTimeout())), Bulk: msg.GetBulk(),
 		Repeat: record.RepeatNever, LatencyObjective: milliseconds(uint64(msg.GetObjective())), Priority: int(msg.GetPriority()),
-		MaxAttempts: int(msg.GetAttempts()), Open: msg.GetOpen(),
+		MaxAttempts: int(msg.GetAttempts()), Open: msg.GetOpen(), Unusable: msg.GetUnusable(),
 	}
 	if msg.GetHost() != "" {
 		r.Hosts = []string{msg.GetHost()}
@@ -105,11 +105,15 @@
 			r.WeightedServices = append(r.WeightedServices, record.WeightedService{Service: p.GetService(), Weight: int(p.GetWeight())})
 		}
 	}
+	if r.Unusable {
+		r.WeightedServices = nil
+		return r, nil
+	}
 	if len(r.WeightedServices) == 0 {
 		return nil, errors.Wrapf(ErrInvalid, "route %q has no service with a weight above 0", msg.GetName())
 	}
-	if weight := totalWeight(r.WeightedServices); weight > maxTotalWeight {
-		return nil, errors.Wrapf(ErrInvalid, "route %q has weights of %d together, which is above %d", msg.GetName(), weight, maxTotalWeight)
+	if weight := totalWeight(r.WeightedServices); weight > MaxTotalWeight {
+		return nil, errors.Wrapf(ErrInvalid, "route %q has weights of %d together, which is above %d", msg.GetName(), weight, MaxTotalWeight)
 	}
 	r.Service = r.WeightedServices[0].Service
 	if len(r.WeightedServices) == 1 {
@@ -118,9 +122,9 @@
 	return r, nil
 }
 
-// maxTotalWeight bounds the sum of the weights of a route, so that it fits an int
+// MaxTotalWeight bounds the sum of the weights of a route, so that it fits an int
 // on every platform.
-const maxTotalWeight = math.MaxInt32
+const MaxTotalWeight = math.MaxInt32
 
 func totalWeight(parts []record.WeightedService) (sum int64) {
 	for _, p := range parts {
--- a/mesh/revision/workspace.go
+++ b/mesh/revision/workspace.go
@@ -20,6 +20,9 @@
 // keyDigest is the SHA-256 digest of a key.
 type keyDigest [sha256.Size]byte
 
+// maxQuota bounds rates and bursts, so that sums and products of them stay finite.
+const maxQuota = 1e15
+
 // maxStackKey is the length in bytes up to which a key is hashed without allocation.
 const maxStackKey = 256
 
@@ -79,12 +82,12 @@
 }
 
 func convertWorkspace(msg *wire.DocumentWorkspace) (*record.Workspace, error) {
-	w := &record.Workspace{Name: msg.GetName(), Rate: msg.GetRate(), Burst: msg.GetBurst()}
+	w := &record.Workspace{Name: msg.GetName(), Rate: min(msg.GetRate(), maxQuota), Burst: min(msg.GetBurst(), maxQuota)}
 	if reason := InvalidWorkspaceName(w.Name); reason != "" {
 		return nil, errors.Wrapf(ErrInvalid, "workspace %q: name %s", w.Name, reason)
 	}
-	if !isQuota(w.Rate) || !isQuota(w.Burst) {
-		return nil, errors.Wrapf(ErrInvalid, "workspace %q: rate %v and burst %v must be finite and not negative", w.Name, w.Rate, w.Burst)
+	if !isQuota(msg.GetRate()) || !isQuota(msg.GetBurst()) {
+		return nil, errors.Wrapf(ErrInvalid, "workspace %q: rate %v and burst %v must be finite and not negative", w.Name, msg.GetRate(), msg.GetBurst())
 	}
 	if msg.Priority != nil {
 		if msg.GetPriority() > math.MaxInt32 {
