--- a/carobctl/check.go
+++ b/carobctl/check.go
@@ -23,11 +23,12 @@
 
 const checkHelp = `Reports what a node would refuse or hold back in the files, routes that no call can
 match, and limits that contradict each other. A file holds records as apply takes
-them, or one configuration document of the product.
+them, or one configuration document of the product, or one of the platform.
 
 Without --node, the files are taken for a whole configuration, and check connects to no
 node. With --node (or CAROBLIFT_NODE), the records are taken for a change of those
-that the platform holds, and the differences are listed too.
+that the platform holds, and the differences are listed too. A document of the platform
+needs --node: the node reads it as it reads those that the platform holds.
 
 $ carobctl check services.json routes.json
 $ carobctl --node 127.0.0.1:7105 check routes.json
@@ -103,6 +104,11 @@
 		} else if d != nil {
 			r.checkDocument(path, d)
 			empty = false
+		} else if c.app.nodeGiven && isPlatformDocument(data) {
+			if err := c.checkByNode(r, path, data); err != nil {
+				return nil, err
+			}
+			empty = false
 		} else {
 			in.readDocuments(path, data)
 		}
@@ -173,6 +179,35 @@
 	return d, protojson.Unmarshal(data, d)
 }
 
+// isPlatformDocument reports whether a file holds an object that is neither a record nor a
+// configuration document of the product.
+func isPlatformDocument(data []byte) bool {
+	var members map[string]json.RawMessage
+	return json.Unmarshal(data, &members) == nil && members["kind"] == nil
+}
+
+// checkByNode adds what the node finds in a configuration document of the platform.
+func (c *checkCommand) checkByNode(r *checkReport, path string, data []byte) error {
+	resp, err := callNode(c.app, false, c.app.client().CheckDocument, &wire.CheckDocumentRequest{Document: data})
+	if err != nil {
+		return exitf(exitUsage, "%s", err)
+	}
+	severity := severityWarning
+	if resp.GetError() != "" {
+		severity = severityError
+		if len(resp.GetFindings()) == 0 {
+			r.add(severity, path, "", "", resp.GetError())
+		}
+	}
+	for _, f := range resp.GetFindings() {
+		r.add(severity, path, f.GetPlace(), f.GetField(), f.GetReason())
+	}
+	for _, f := range resp.GetWarnings() {
+		r.add(severityWarning, path, f.GetPlace(), f.GetField(), f.GetReason())
+	}
+	return nil
+}
+
 // checkDocument checks a configuration document as a node does, and what the document says.
 func (r *checkReport) checkDocument(path string, d *wire.Document) {
 	table, err := revision.PreviewDocument(d)
--- a/carobctl/main_test.go
+++ b/carobctl/main_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"caroblift.dev/mesh/call"
@@ -249,6 +250,58 @@
 	require.Contains(t, carobctl(strings.TrimPrefix(server.URL, "http://"), "", "--json", "status").out, `"limit":"6.4","limitAge":"3000","limitSource":"c1"`)
 }
 
+// TestDocumentOfPlatform guards against a value that a node can't read and that neither status nor check names.
+func TestDocumentOfPlatform(t *testing.T) {
+	finding := &wire.Finding{Place: `rules[3] "stock"`, Field: "weight", Reason: `"75" is not a number`}
+	snapshot, err := revision.NewDocument(7, &wire.Document{Services: []*wire.DocumentService{{Name: "quotes"}}})
+	require.NoError(t, err)
+	snapshot.Findings = record.Findings{finding}
+	var holder revision.Holder
+	require.NoError(t, holder.Apply(&wire.Update{Snapshot: snapshot}))
+	var refused *wire.RefusedDocument
+	server := httptest.NewServer(operator.New(operator.Config{
+		Holder: &holder, ConfirmedAt: func() int64 { return 0 }, PlatformAnswers: func() bool { return true },
+		View:            func() *member.View { return &member.View{Self: &wire.Member{Name: "n"}} },
+		FleetReport:     func(context.Context) *wire.Report { return &wire.Report{} },
+		RefusedDocument: func() *wire.RefusedDocument { return refused },
+		DecodeDocument: func(document []byte) (*wire.Snapshot, error) {
+			switch {
+			case strings.Contains(string(document), "cut"):
+				return nil, errors.New("it is cut")
+			case strings.Contains(string(document), "twice"):
+				return nil, errors.Wrap(record.Findings{finding}, "version 7")
+			}
+			return snapshot, nil
+		},
+	}).Handler())
+	defer server.Close()
+	node := strings.TrimPrefix(server.URL, "http://")
+	const line = `rules[3] "stock": weight: "75" is not a number`
+	require.Contains(t, carobctl(node, "", "status").out, "\nfinding: "+line+"\n")
+	require.NotContains(t, carobctl(node, "", "status").out, "refused")
+	refused = &wire.RefusedDocument{Revision: 19, Error: "it is cut", Findings: record.Findings{finding}}
+	require.Contains(t, carobctl(node, "", "status").out, "\nrefused: the configuration in revision 19 of the platform: it is cut\n  "+line+"\n")
+	require.Contains(t, carobctl(node, "", "--json", "status").out, `"refused":{`)
+	for text, want := range map[string]string{
+		`{"version":"r7"}`:       "warning: -: " + line + "\n0 errors, 1 warnings\n",
+		`{"version":"cut"}`:      "error: -: it is cut\n1 errors, 0 warnings\n",
+		`{"version":"r7 twice"}`: "error: -: " + line + "\n1 errors, 0 warnings\n",
+	} {
+		got := carobctl(node, text, "check", "-")
+		require.Equal(t, want, got.out)
+		require.Equal(t, exitDiffers, got.code)
+	}
+}
+
+// TestDocumentNeedsItsNode guards against a document that counts as checked by a node that reads records.
+func TestDocumentNeedsItsNode(t *testing.T) {
+	server := httptest.NewServer(operator.New(operator.Config{Holder: &revision.Holder{}}).Handler())
+	defer server.Close()
+	got := carobctl(strings.TrimPrefix(server.URL, "http://"), `{"version":"r7"}`, "check", "-")
+	require.Equal(t, exitUsage, got.code)
+	require.Contains(t, got.err, "the configuration of this node consists of records")
+}
+
 func TestHelpNamesEveryExitCode(t *testing.T) {
 	got := carobctl("", "", "--help")
 	require.Zero(t, got.code)
--- a/carobctl/status.go
+++ b/carobctl/status.go
@@ -18,8 +18,9 @@
 
 const statusHelp = `Prints the revision in force on the queried node and, as far as that node knows,
 the number of nodes at each revision by failure domain. Nodes that are behind and
-records that are held back are listed with the reason. So are the era of a platform
-that has one, and the limit that the node's backend server names.
+records that are held back are listed with the reason, and so are values of a
+configuration document that can't be read, and a document that the node refused. So are
+the era of a platform that has one, and the limit that the node's backend server names.
 
 $ carobctl status
 $ carobctl status --json`
@@ -64,6 +65,7 @@
 	fmt.Fprintf(a.out, "\naggregated by %s from reports up to %d ms old\n", m.GetReport().GetTop(), m.GetReport().GetAge())
 	a.printLaggards(m)
 	a.printHeld(m.GetHeld())
+	a.printDocument(m)
 	return nil
 }
 
@@ -141,6 +143,20 @@
 	}
 }
 
+// printDocument prints the findings on the document in force, and the document that the node
+// read last if it could not come into force.
+func (a *app) printDocument(m *wire.StatusResponse) {
+	for _, f := range m.GetFindings() {
+		fmt.Fprintln(a.out, "finding: "+record.FormatFinding(f))
+	}
+	if refused := m.GetRefused(); refused != nil {
+		fmt.Fprintf(a.out, "refused: the configuration in revision %d of the platform: %s\n", refused.GetRevision(), refused.GetError())
+		for _, f := range refused.GetFindings() {
+			fmt.Fprintln(a.out, "  "+record.FormatFinding(f))
+		}
+	}
+}
+
 type membersCommand struct {
 	app     *app
 	Service string `long:"service" description:"print only the instances that serve this service"`
--- a/mesh/node/node.go
+++ b/mesh/node/node.go
@@ -57,6 +57,7 @@
 	listeners      listeners
 	platform       *Platform // nil for the built-in platform protocol
 	platformReader platformReader
+	source         *store.Source // the platformReader if the configuration is one document, else nil
 	store          Store
 	pollStore      Store
 	eras           *store.Eras
@@ -165,7 +166,10 @@
 	config := operator.Config{
 		Store:  n.store, // outside the budget, since operators make few calls whatever the size of the fleet
 		Holder: n.Holder, View: n.Members.View, ConfirmedAt: n.Distributor.ConfirmedAt, PlatformAnswers: n.platformReader.Reachable,
-		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, Eras: n.eras, ServerLimit: n.Gate.LimitState, SingleDocument: n.platform != nil,
+		FleetReport: n.Distributor.FleetReport, Metrics: n.sinks.Metrics, Eras: n.eras, ServerLimit: n.Gate.LimitState,
+	}
+	if n.source != nil {
+		config.DecodeDocument, config.RefusedDocument = n.decodeDocument, n.source.Refused
 	}
 	if n.rollouts.leader != nil {
 		config.Rollouts = n.rollouts.leader.Progress
--- a/mesh/node/platform.go
+++ b/mesh/node/platform.go
@@ -122,13 +122,19 @@
 // the fleet yet.
 func (n *Node) assembleSource(p *Platform) {
 	s := n.settings.GetPlatform()
-	n.platformReader = store.NewSource(store.SourceConfig{
+	n.source = store.NewSource(store.SourceConfig{
 		Store: n.store, ReadStore: n.pollStore, Object: p.ConfigObject, Active: n.watchesPlatform, PeerUpdates: n.peerAhead, PeersAhead: n.Distributor.Behind, ReadPause: n.readPause,
 		WatchTimeout: func() time.Duration { return n.watchWait(ms(s.GetWait())) },
 		Deliver: func(snapshot *wire.Snapshot, version store.Version) error {
 			return n.Distributor.ApplyPlatformSnapshot(snapshot, version.Era > 0)
 		}, Sinks: n.sinks.ForPart("platform"),
 	})
+	n.platformReader = n.source
+}
+
+// decodeDocument decodes a configuration document as the source does.
+func (n *Node) decodeDocument(document []byte) (*wire.Snapshot, error) {
+	return n.platform.ConfigObject.Decode(store.Object{Kind: n.platform.ConfigObject.Kind, Name: n.platform.ConfigObject.Name, Body: document})
 }
 
 // platformFlapLimit is how often a backend server may appear within half a minute
--- a/mesh/operator/service.go
+++ b/mesh/operator/service.go
@@ -23,8 +23,7 @@
 	"caroblift.dev/wire"
 )
 
-// Config configures a Service. Every field but Metrics, Eras and
-// ServerLimit is required.
+// Config configures a Service. The fields from Metrics on are optional.
 type Config struct {
 	Store           store.Store
 	Holder          *revision.Holder
@@ -36,7 +35,10 @@
 	Eras            *store.Eras                            // of the platform; nil if it has none
 	ServerLimit     func() call.LimitState                 // of the backend server of this instance; nil if it can name none
 	Rollouts        func(now time.Time) []rollout.Progress // of all services; nil if there are none
-	SingleDocument  bool                                   // the configuration comes as one document, so records are neither written nor read
+
+	// A configuration that comes as one document. Records are neither written nor read then.
+	DecodeDocument  func(document []byte) (*wire.Snapshot, error) // nil if the configuration consists of records
+	RefusedDocument func() *wire.RefusedDocument                  // the newest document, if it could not come into force
 }
 
 // Service implements the Operator service of a node.
@@ -53,7 +55,7 @@
 
 // checkWritable returns an error if records cannot be written.
 func (s *Service) checkWritable() error {
-	if s.config.SingleDocument {
+	if s.config.DecodeDocument != nil {
 		return connect.NewError(connect.CodeFailedPrecondition, errSingleDocument)
 	}
 	return nil
--- a/mesh/operator/service_test.go
+++ b/mesh/operator/service_test.go
@@ -13,7 +13,7 @@
 // configuration comes as one document: nothing would read them, so the write would
 // be lost without notice.
 func TestSingleDocumentRejectsWrites(t *testing.T) {
-	s := New(Config{SingleDocument: true})
+	s := New(Config{DecodeDocument: func([]byte) (*wire.Snapshot, error) { return nil, errNoDocument }})
 	_, err := s.Apply(t.Context(), connect.NewRequest(&wire.ApplyRequest{}))
 	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
 	_, err = s.Delete(t.Context(), connect.NewRequest(&wire.DeleteRequest{}))
--- a/mesh/operator/status.go
+++ b/mesh/operator/status.go
@@ -58,7 +58,10 @@
 	resp := &wire.StatusResponse{
 		Revision: table.Number, Digest: table.Digest, Head: max(table.Number, s.config.Holder.Floor()),
 		Checked: s.config.ConfirmedAt(), Report: s.config.FleetReport(ctx), Held: table.Held,
-		Nodes: uint32(len(s.config.View().Names)), Platform: s.config.PlatformAnswers(),
+		Nodes: uint32(len(s.config.View().Names)), Platform: s.config.PlatformAnswers(), Findings: table.Findings,
+	}
+	if s.config.RefusedDocument != nil {
+		resp.Refused = s.config.RefusedDocument()
 	}
 	k := record.Key{Kind: req.GetKind(), Name: req.GetName()}
 	if r := table.Records[k]; r != nil && r.GetVersion() >= req.GetVersion() {
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -54,6 +54,7 @@
 	config           SourceConfig
 	confirmedAt      atomic.Int64
 	reachable        atomic.Bool
+	refused          atomic.Pointer[wire.RefusedDocument]
 	deliveredVersion Version   // of the object last delivered
 	watchFrom        Version   // store version to watch from; zero when the object must be read
 	watchEnd         time.Time // when the store was to answer the last watch at the latest
@@ -74,6 +75,10 @@
 // Reachable reports whether the last call to the store succeeded.
 func (s *Source) Reachable() bool { return s.reachable.Load() }
 
+// Refused returns the object that was read last if it could not come into force, and
+// else nil. The result must not be modified.
+func (s *Source) Refused() *wire.RefusedDocument { return s.refused.Load() }
+
 // Run follows the object until the context ends.
 func (s *Source) Run(ctx context.Context) error {
 	failures := backoff{initial: initialSourceRetryDelay, limit: maxSourceRetryDelay}
@@ -332,9 +337,10 @@
 		err = s.config.Deliver(snapshot, o.Version)
 	}
 	if err != nil {
-		s.logRefusal(o, err)
+		s.refuse(o, err)
 		return
 	}
+	s.refused.Store(nil)
 	s.config.Sinks.Log.Info("configuration read", "version", o.Version, "number", snapshot.GetNumber(), "bytes", len(o.Body))
 	if findings := snapshot.GetFindings(); len(findings) > 0 {
 		s.config.Sinks.Log.Warn("configuration has findings", "version", o.Version, "number", snapshot.GetNumber(), "findings", formatFindings(findings))
@@ -343,14 +349,15 @@
 	s.confirm(readAt)
 }
 
-// logRefusal logs and counts an object that did not come into force, with the findings
-// on it if there are any. The last configuration stays in force.
-func (s *Source) logRefusal(o Object, err error) {
+// refuse records, logs and counts an object that did not come into force, with the
+// findings on it if there are any. The last configuration stays in force.
+func (s *Source) refuse(o Object, err error) {
 	args := []any{"object", o.Kind + "/" + o.Name, "version", o.Version, "error", err.Error()}
 	var findings record.Findings
 	if errors.As(err, &findings) {
 		args = append(args, "findings", formatFindings(findings))
 	}
+	s.refused.Store(&wire.RefusedDocument{Revision: o.Version.Revision, Error: err.Error(), Findings: findings})
 	s.config.Sinks.Log.Error("configuration refused", args...)
 	s.config.Sinks.Scope.Counter("configurations_refused").Inc(1)
 }
--- a/mesh/store/source_test.go
+++ b/mesh/store/source_test.go
@@ -75,6 +75,25 @@
 	return f.delivered[len(f.delivered)-1]
 }
 
+// TestSourceNamesWhatItRefused guards against an object that stays without effect and that nothing but the log names.
+func TestSourceNamesWhatItRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSourceTest(t)
+		f.write(t, "1")
+		time.Sleep(5 * time.Second)
+		require.Nil(t, f.source.Refused())
+		f.write(t, "1.5")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, f.object.Version.Revision, f.source.Refused().GetRevision())
+		require.Contains(t, f.source.Refused().GetError(), "body")
+		require.Equal(t, []uint64{1}, f.delivered)
+		f.write(t, "2")
+		time.Sleep(5 * time.Second)
+		require.Nil(t, f.source.Refused())
+		require.Equal(t, []uint64{1, 2}, f.delivered)
+	})
+}
+
 // TestSourceFollows checks that each change is delivered in order and within the
 // bound for configurations, also when the watch fails or stops silently.
 func TestSourceFollows(t *testing.T) {
--- a/wire/wireconnect/operator.connect.go
+++ b/wire/wireconnect/operator.connect.go
@@ -45,6 +45,8 @@
 	OperatorStatusProcedure = "/caroblift.Operator/Status"
 	// OperatorMembersProcedure is the fully-qualified name of the Operator's Members RPC.
 	OperatorMembersProcedure = "/caroblift.Operator/Members"
+	// OperatorCheckDocumentProcedure is the fully-qualified name of the Operator's CheckDocument RPC.
+	OperatorCheckDocumentProcedure = "/caroblift.Operator/CheckDocument"
 )
 
 // OperatorClient is a client for the caroblift.Operator service.
@@ -54,6 +56,7 @@
 	Delete(context.Context, *connect.Request[wire.DeleteRequest]) (*connect.Response[wire.DeleteResponse], error)
 	Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error)
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	CheckDocument(context.Context, *connect.Request[wire.CheckDocumentRequest]) (*connect.Response[wire.CheckDocumentResponse], error)
 }
 
 // NewOperatorClient constructs a client for the caroblift.Operator service. By default, it uses the
@@ -97,16 +100,23 @@
 			connect.WithSchema(operatorMethods.ByName("Members")),
 			connect.WithClientOptions(opts...),
 		),
+		checkDocument: connect.NewClient[wire.CheckDocumentRequest, wire.CheckDocumentResponse](
+			httpClient,
+			baseURL+OperatorCheckDocumentProcedure,
+			connect.WithSchema(operatorMethods.ByName("CheckDocument")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorClient implements OperatorClient.
 type operatorClient struct {
-	apply   *connect.Client[wire.ApplyRequest, wire.ApplyResponse]
-	get     *connect.Client[wire.GetRequest, wire.GetResponse]
-	delete  *connect.Client[wire.DeleteRequest, wire.DeleteResponse]
-	status  *connect.Client[wire.StatusRequest, wire.StatusResponse]
-	members *connect.Client[wire.MembersRequest, wire.MembersResponse]
+	apply         *connect.Client[wire.ApplyRequest, wire.ApplyResponse]
+	get           *connect.Client[wire.GetRequest, wire.GetResponse]
+	delete        *connect.Client[wire.DeleteRequest, wire.DeleteResponse]
+	status        *connect.Client[wire.StatusRequest, wire.StatusResponse]
+	members       *connect.Client[wire.MembersRequest, wire.MembersResponse]
+	checkDocument *connect.Client[wire.CheckDocumentRequest, wire.CheckDocumentResponse]
 }
 
 // Apply calls caroblift.Operator.Apply.
@@ -134,6 +144,11 @@
 	return c.members.CallUnary(ctx, req)
 }
 
+// CheckDocument calls caroblift.Operator.CheckDocument.
+func (c *operatorClient) CheckDocument(ctx context.Context, req *connect.Request[wire.CheckDocumentRequest]) (*connect.Response[wire.CheckDocumentResponse], error) {
+	return c.checkDocument.CallUnary(ctx, req)
+}
+
 // OperatorHandler is an implementation of the caroblift.Operator service.
 type OperatorHandler interface {
 	Apply(context.Context, *connect.Request[wire.ApplyRequest]) (*connect.Response[wire.ApplyResponse], error)
@@ -141,6 +156,7 @@
 	Delete(context.Context, *connect.Request[wire.DeleteRequest]) (*connect.Response[wire.DeleteResponse], error)
 	Status(context.Context, *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error)
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	CheckDocument(context.Context, *connect.Request[wire.CheckDocumentRequest]) (*connect.Response[wire.CheckDocumentResponse], error)
 }
 
 // NewOperatorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -180,6 +196,12 @@
 		connect.WithSchema(operatorMethods.ByName("Members")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorCheckDocumentHandler := connect.NewUnaryHandler(
+		OperatorCheckDocumentProcedure,
+		svc.CheckDocument,
+		connect.WithSchema(operatorMethods.ByName("CheckDocument")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/caroblift.Operator/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorApplyProcedure:
@@ -192,6 +214,8 @@
 			operatorStatusHandler.ServeHTTP(w, r)
 		case OperatorMembersProcedure:
 			operatorMembersHandler.ServeHTTP(w, r)
+		case OperatorCheckDocumentProcedure:
+			operatorCheckDocumentHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -220,3 +244,7 @@
 func (UnimplementedOperatorHandler) Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caroblift.Operator.Members is not implemented"))
 }
+
+func (UnimplementedOperatorHandler) CheckDocument(context.Context, *connect.Request[wire.CheckDocumentRequest]) (*connect.Response[wire.CheckDocumentResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("caroblift.Operator.CheckDocument is not implemented"))
+}
