Correct comments on numbers read by value

Found when the diff was read as a newcomer would: limits and effects were told twice or loosely. Comments and one constant's name only; the tests of mesh/decimal and the adapter's of documents pass.

--- a/mesh/decimal/decimal.go
+++ b/mesh/decimal/decimal.go
@@ -1,9 +1,9 @@
 // Package decimal reads decimal numbers by their value, however they are spelled: 75,
-// 75.0, 7.5e1 and 750e-1 are one number. Every number that a peer writes is read here, so
-// that all nodes take it for the same.
+// 75.0, 7.5e1 and 750e-1 are one number. Numbers that others write are read here, so that
+// all nodes take them for the same.
 //
-// Reading is bounded: it takes time and memory in proportion to the text, whatever its
-// exponent.
+// Every operation takes time and memory in proportion to the texts, whatever their
+// exponents.
 //
 // # Usage
 //
@@ -26,7 +26,7 @@
 type Number struct{ text string }
 
 // maxExponent bounds the magnitude of an exponent; one beyond it counts as the bound. It
-// lies far outside the range of float64 and of every text's number of digits.
+// is far above the number of digits of any text.
 const maxExponent = 1e15
 
 // Parse returns the number that a text denotes: an optional sign, digits with an optional
--- a/mesh/decimal/shares.go
+++ b/mesh/decimal/shares.go
@@ -8,18 +8,18 @@
 	"strings"
 )
 
-// Limits of the proportions of Shares. A part that is smaller than another one by more
-// than smallestRatio digits, and a part's digits beyond maxDigits, change no share by as
-// much as the rounding does.
+// Limits of what Shares computes with. A part that begins more than maxPlaces decimal places
+// below the largest one, and the digits of a part beyond maxDigits, matter less than the
+// rounding of the shares does.
 const (
-	smallestRatio = 40
-	maxDigits     = 40
+	maxPlaces = 40
+	maxDigits = 40
 )
 
 // Shares returns whole numbers in the proportions of the parts. Their sum is at most limit,
 // and those of parts above 0 are at least 1. Parts that are whole with a sum up to limit are
-// returned as they are. Otherwise the result is exact if the limit allows it, and else no
-// share is off by more than one in limit/len(parts).
+// returned as they are. Otherwise the proportions are exact if the limit allows it, and
+// else off by len(parts)/limit at most.
 //
 // Shares returns false if a part is negative, no part is above 0, or there are more parts
 // than limit/2. The result depends on the values of the parts only.
@@ -73,7 +73,7 @@
 }
 
 // scale returns integers in the proportions of numbers from 0, and whether they are exact.
-// The integer of a number that is too small is 0.
+// The integer of a number that is too small to matter is 0.
 func scale(numbers []Number) ([]*big.Int, bool) {
 	type significand struct {
 		digits string
@@ -91,7 +91,7 @@
 		if p.digits == "" {
 			continue
 		}
-		if p.begin < highest-smallestRatio {
+		if p.begin < highest-maxPlaces {
 			parts[i].digits, exact = "", false
 			continue
 		}
--- a/mesh/revision/table.go
+++ b/mesh/revision/table.go
@@ -37,7 +37,7 @@
 
 	// Fields that only a single-document configuration sets.
 	Workspaces map[string]*record.Workspace // by name
-	Findings   record.Findings              // on entries that were left out of the document
+	Findings   record.Findings              // on what could not be read of the document
 
 	document []byte                          // encoded document, when the table was built from one
 	entries  []*entry                        // one for each record, ordered by key
