Read the numbers of own objects by their values

What callers could see: a roll-out or a condemned request that all nodes have forgotten after a restart. A store keeps the values of a JSON document, not its spelling; what nodes wrote as 30000 may come back as 30000.0.

Cause: storedRollout, condemnedRequest, the form of records and Version had fields of Go's number types.

Change: they have decimal.Whole; times and counts beyond their range count as the largest.

--- a/mesh/store/condemned.go
+++ b/mesh/store/condemned.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"caroblift.dev/mesh/call"
+	"caroblift.dev/mesh/decimal"
 	"caroblift.dev/mesh/telemetry"
 )
 
@@ -57,12 +59,12 @@
 // it know only that it was written before.
 type condemnedRequest struct {
 	Ends   []condemnedEnd `json:"ends"`
-	Trials int            `json:"trials"` // claimed until now
+	Trials decimal.Whole  `json:"trials"` // claimed until now
 }
 
 type condemnedEnd struct {
-	Server string `json:"server"` // hexadecimal
-	Weight int    `json:"weight"`
+	Server string        `json:"server"` // hexadecimal
+	Weight decimal.Whole `json:"weight"`
 
 	Answered bool `json:"answered,omitempty"`
 }
@@ -297,9 +299,9 @@
 }
 
 func encodeCondemned(s call.Suspicion) ([]byte, error) {
-	body := condemnedRequest{Trials: s.Trials}
+	body := condemnedRequest{Trials: decimal.Whole(s.Trials)}
 	for _, e := range s.Ends {
-		body.Ends = append(body.Ends, condemnedEnd{Server: strconv.FormatUint(e.Server, 16), Weight: e.Weight, Answered: e.Answered})
+		body.Ends = append(body.Ends, condemnedEnd{Server: strconv.FormatUint(e.Server, 16), Weight: decimal.Whole(e.Weight), Answered: e.Answered})
 	}
 	encoded, err := json.Marshal(body)
 	return encoded, errors.Wrap(err, "encode condemned request")
@@ -316,7 +318,7 @@
 	if !ok || o.Deleted || len(o.Body) > maxCondemnedBytes || json.Unmarshal(o.Body, &body) != nil {
 		return call.Suspicion{}, false
 	}
-	s := call.Suspicion{Request: f, Trials: max(0, body.Trials)}
+	s := call.Suspicion{Request: f, Trials: int(min(body.Trials, math.MaxInt32))}
 	if s.Trials > 0 {
 		s.TrialAt = now
 	}
@@ -325,7 +327,7 @@
 		if err != nil {
 			return call.Suspicion{}, false
 		}
-		s.Ends = append(s.Ends, call.End{Server: server, Weight: e.Weight, At: now, Answered: e.Answered})
+		s.Ends = append(s.Ends, call.End{Server: server, Weight: int(min(e.Weight, math.MaxInt32)), At: now, Answered: e.Answered})
 	}
 	return s, len(s.Ends) > 0
 }
--- a/mesh/store/objects.go
+++ b/mesh/store/objects.go
@@ -8,12 +8,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"caroblift.dev/mesh/decimal"
 	"caroblift.dev/mesh/record"
 	"caroblift.dev/wire"
 )
@@ -35,7 +37,7 @@
 type recordBody struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
-	Schema  uint32          `json:"schema"`
+	Schema  decimal.Whole   `json:"schema"`
 	Deleted bool            `json:"deleted,omitempty"`
 	Spec    json.RawMessage `json:"spec,omitempty"`
 	Changes []string        `json:"changes,omitempty"`
@@ -48,7 +50,7 @@
 // change. changes holds the IDs stored in the object that it replaces.
 func EncodeRecord(r *wire.Record, change string, changes []string) ([]byte, error) {
 	body := recordBody{
-		Kind: record.KindName(r.GetKind()), Name: r.GetName(), Schema: r.GetSchema(),
+		Kind: record.KindName(r.GetKind()), Name: r.GetName(), Schema: decimal.Whole(r.GetSchema()),
 		Deleted: r.GetDeleted(), Spec: r.GetBody(), Changes: append([]string{change}, changes...),
 	}
 	body.Changes = body.Changes[:min(len(body.Changes), MaxChangeIDs)]
@@ -74,7 +76,7 @@
 		return &wire.Record{Kind: kind, Name: name, Version: o.Version.Revision, Body: o.Body}, nil
 	}
 	return &wire.Record{
-		Kind: kind, Name: name, Schema: body.Schema, Version: o.Version.Revision, Deleted: body.Deleted, Body: body.Spec,
+		Kind: kind, Name: name, Schema: uint32(min(body.Schema, math.MaxUint32)), Version: o.Version.Revision, Deleted: body.Deleted, Body: body.Spec,
 	}, nil
 }
 
--- a/mesh/store/rollout.go
+++ b/mesh/store/rollout.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"caroblift.dev/mesh/decimal"
 	"caroblift.dev/mesh/rollout"
 	"caroblift.dev/mesh/telemetry"
 )
@@ -584,23 +585,29 @@
 
 // storedRollout is the JSON body of a state. Times are Unix ms of the node that wrote it.
 type storedRollout struct {
-	Service   string   `json:"service"`
-	Version   string   `json:"version"`
-	Number    uint64   `json:"number"`
-	Order     string   `json:"order"`
-	Phase     string   `json:"phase"`
-	Canaries  []string `json:"canaries,omitempty"`
-	Reason    string   `json:"reason,omitempty"`
-	Leader    string   `json:"leader"`
-	Duration  int64    `json:"durationMs"`
-	OrderedAt int64    `json:"orderedAt"`
-	EnteredAt int64    `json:"enteredAt"`
+	Service   string        `json:"service"`
+	Version   string        `json:"version"`
+	Number    decimal.Whole `json:"number"`
+	Order     string        `json:"order"`
+	Phase     string        `json:"phase"`
+	Canaries  []string      `json:"canaries,omitempty"`
+	Reason    string        `json:"reason,omitempty"`
+	Leader    string        `json:"leader"`
+	Duration  decimal.Whole `json:"durationMs"`
+	OrderedAt decimal.Whole `json:"orderedAt"` // Unix ms
+	EnteredAt decimal.Whole `json:"enteredAt"` // Unix ms
 }
 
+// maxStoredMS bounds times and durations in ms, so that they fit a time.Duration in ns.
+const maxStoredMS = 1 << 43
+
+// wholeMS returns a time or duration in ms, or 0 if it is negative.
+func wholeMS(v int64) decimal.Whole { return decimal.Whole(max(v, 0)) }
+
 func encodeRollout(s rollout.State) ([]byte, error) {
 	body, err := json.Marshal(storedRollout{
-		Service: s.Service, Version: s.Version, Number: s.Number, Order: s.Order, Phase: s.Phase.String(), Canaries: s.Canaries, Reason: s.Reason, Leader: s.Leader,
-		Duration: s.Duration.Milliseconds(), OrderedAt: s.Ordered.UnixMilli(), EnteredAt: s.Entered.UnixMilli(),
+		Service: s.Service, Version: s.Version, Number: decimal.Whole(s.Number), Order: s.Order, Phase: s.Phase.String(), Canaries: s.Canaries, Reason: s.Reason, Leader: s.Leader,
+		Duration: wholeMS(s.Duration.Milliseconds()), OrderedAt: wholeMS(s.Ordered.UnixMilli()), EnteredAt: wholeMS(s.Entered.UnixMilli()),
 	})
 	return body, errors.Wrap(err, "encode roll-out")
 }
@@ -617,9 +624,9 @@
 	if !ok || in.Service != o.Name || in.Number == 0 {
 		return rollout.State{}, false
 	}
-	past := func(ms int64) time.Time { return earlier(now, time.UnixMilli(ms)) }
+	past := func(ms decimal.Whole) time.Time { return earlier(now, time.UnixMilli(int64(min(ms, maxStoredMS)))) }
 	return rollout.State{
-		Service: in.Service, Version: in.Version, Number: in.Number, Order: in.Order, Phase: phase, Canaries: in.Canaries, Reason: in.Reason, Leader: in.Leader,
-		Duration: time.Duration(in.Duration) * time.Millisecond, Ordered: past(in.OrderedAt), Entered: past(in.EnteredAt), Heard: past(in.EnteredAt),
+		Service: in.Service, Version: in.Version, Number: uint64(in.Number), Order: in.Order, Phase: phase, Canaries: in.Canaries, Reason: in.Reason, Leader: in.Leader,
+		Duration: time.Duration(min(in.Duration, maxStoredMS)) * time.Millisecond, Ordered: past(in.OrderedAt), Entered: past(in.EnteredAt), Heard: past(in.EnteredAt),
 	}, true
 }
--- a/mesh/store/version.go
+++ b/mesh/store/version.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"caroblift.dev/mesh/decimal"
 )
 
 // Version is the version of an object, or of the platform as a whole. A platform
@@ -40,13 +42,14 @@
 // built-in protocol has a single era.
 func (v Version) MarshalJSON() ([]byte, error) { return strconv.AppendUint(nil, v.Revision, 10), nil }
 
-// UnmarshalJSON implements json.Unmarshaler for what MarshalJSON writes.
+// UnmarshalJSON implements json.Unmarshaler for what MarshalJSON writes, however the
+// platform spells it.
 func (v *Version) UnmarshalJSON(data []byte) error {
-	revision, err := strconv.ParseUint(string(data), 10, 64)
-	if err != nil {
-		return errors.Wrapf(err, "parse version %q", data)
+	var revision decimal.Whole
+	if err := revision.UnmarshalJSON(data); err != nil {
+		return errors.Wrap(err, "parse version")
 	}
-	*v = Version{Revision: revision}
+	*v = Version{Revision: uint64(revision)}
 	return nil
 }
 
