Keep findings on a document valid UTF-8

What callers could see: a version that no peer gets, where a long value that can't be read is cut within a character, or holds bytes that are no text: messages between nodes can't hold such a finding.

--- a/mesh/operator/document.go
+++ b/mesh/operator/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -29,7 +30,7 @@
 		if errors.As(err, &findings) {
 			resp.Findings = findings
 		}
-		resp.Error = err.Error()
+		resp.Error = strings.ToValidUTF8(err.Error(), "\ufffd")
 		return connect.NewResponse(resp), nil
 	}
 	resp.Findings = table.Findings
--- a/mesh/store/source.go
+++ b/mesh/store/source.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -357,7 +358,7 @@
 	if errors.As(err, &findings) {
 		args = append(args, "findings", formatFindings(findings))
 	}
-	s.refused.Store(&wire.RefusedDocument{Revision: o.Version.Revision, Error: err.Error(), Findings: findings})
+	s.refused.Store(&wire.RefusedDocument{Revision: o.Version.Revision, Error: strings.ToValidUTF8(err.Error(), "\ufffd"), Findings: findings})
 	s.config.Sinks.Log.Error("configuration refused", args...)
 	s.config.Sinks.Scope.Counter("configurations_refused").Inc(1)
 }
